--- /dev/null
+++ b/core/src/main/java/org/shallothold/core/audit/package-info.java
@@ -0,0 +1,5 @@
+/** Events of the audit trail and its bounded memory. */
+@NullMarked
+package org.shallothold.core.audit;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/core/src/main/java/org/shallothold/core/limit/package-info.java
@@ -0,0 +1,5 @@
+/** Limits per customer. */
+@NullMarked
+package org.shallothold.core.limit;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/core/src/main/java/org/shallothold/core/order/package-info.java
@@ -0,0 +1,5 @@
+/** Order tickets and the ledger that lets each order run at most once. */
+@NullMarked
+package org.shallothold.core.order;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/wire/src/main/java/org/shallothold/wire/package-info.java
@@ -0,0 +1,5 @@
+/** Messages between the system's own processes and their Netty transport. */
+@NullMarked
+package org.shallothold.wire;
+
+import org.jspecify.annotations.NullMarked;
