--- a/core/src/main/java/org/shallothold/core/config/ConfigurationHistory.java
+++ b/core/src/main/java/org/shallothold/core/config/ConfigurationHistory.java
@@ -67,7 +67,7 @@
     }
     if (lastPosition == 0
         && entry.content() instanceof ConfigurationEntry.Content.SnapshotContent snapshot) {
-      return start(entry, snapshot);
+      return start(snapshot);
     }
     if (entry.position() != lastPosition + 1) {
       return new PatchOutcome.Gap(lastPosition + 1);
@@ -82,8 +82,7 @@
     };
   }
 
-  private PatchOutcome start(
-      ConfigurationEntry entry, ConfigurationEntry.Content.SnapshotContent snapshot) {
+  private PatchOutcome start(ConfigurationEntry.Content.SnapshotContent snapshot) {
     lastPosition = snapshot.position();
     current = snapshot.configuration();
     versions.put(current.version().number(), current.version());
