--- a/runtime/src/main/java/org/shallothold/runtime/logging/AuditOutput.java
+++ b/runtime/src/main/java/org/shallothold/runtime/logging/AuditOutput.java
@@ -48,7 +48,8 @@
     return trail;
   }
 
-  private ObjectNode toJson(AuditEvent event) {
+  /** Returns the JSON form of an event, as written to the output. */
+  public ObjectNode toJson(AuditEvent event) {
     ObjectNode node = MAPPER.createObjectNode();
     node.put("audit", event.action());
     node.put("time", Instant.ofEpochMilli(event.timeMillis()).toString());
--- a/runtime/src/main/java/org/shallothold/runtime/settings/SettingsDocument.java
+++ b/runtime/src/main/java/org/shallothold/runtime/settings/SettingsDocument.java
@@ -164,6 +164,16 @@
     return address;
   }
 
+  /** Returns whether the file sets a key, rightly or wrongly. */
+  public boolean has(String key) {
+    return values.containsKey(key);
+  }
+
+  /** Returns whether the file sets any key of a section. */
+  public boolean hasAny(String section) {
+    return values.keySet().stream().anyMatch(key -> key.startsWith(section + "."));
+  }
+
   /** Notes a problem that involves more than one key. */
   public void clash(String key, String found, String allowed) {
     Value value = values.get(key);
--- a/wire/src/main/java/org/shallothold/wire/proto/Envelope.java
+++ b/wire/src/main/java/org/shallothold/wire/proto/Envelope.java
@@ -83,6 +83,8 @@
     EXPLAIN_REQUEST(23),
     EXPLAIN_REPORT(24),
     HEARTBEAT(25),
+    AUDIT_REQUEST(26),
+    AUDIT_REPORT(27),
     MESSAGE_NOT_SET(0);
     private final int value;
     private MessageCase(int value) {
@@ -125,6 +127,8 @@
         case 23: return EXPLAIN_REQUEST;
         case 24: return EXPLAIN_REPORT;
         case 25: return HEARTBEAT;
+        case 26: return AUDIT_REQUEST;
+        case 27: return AUDIT_REPORT;
         case 0: return MESSAGE_NOT_SET;
         default: return null;
       }
@@ -915,6 +919,68 @@
     return org.shallothold.wire.proto.Heartbeat.getDefaultInstance();
   }
 
+  public static final int AUDIT_REQUEST_FIELD_NUMBER = 26;
+  /**
+   * <code>.shallothold.AuditRequest audit_request = 26;</code>
+   * @return Whether the auditRequest field is set.
+   */
+  @java.lang.Override
+  public boolean hasAuditRequest() {
+    return messageCase_ == 26;
+  }
+  /**
+   * <code>.shallothold.AuditRequest audit_request = 26;</code>
+   * @return The auditRequest.
+   */
+  @java.lang.Override
+  public org.shallothold.wire.proto.AuditRequest getAuditRequest() {
+    if (messageCase_ == 26) {
+       return (org.shallothold.wire.proto.AuditRequest) message_;
+    }
+    return org.shallothold.wire.proto.AuditRequest.getDefaultInstance();
+  }
+  /**
+   * <code>.shallothold.AuditRequest audit_request = 26;</code>
+   */
+  @java.lang.Override
+  public org.shallothold.wire.proto.AuditRequestOrBuilder getAuditRequestOrBuilder() {
+    if (messageCase_ == 26) {
+       return (org.shallothold.wire.proto.AuditRequest) message_;
+    }
+    return org.shallothold.wire.proto.AuditRequest.getDefaultInstance();
+  }
+
+  public static final int AUDIT_REPORT_FIELD_NUMBER = 27;
+  /**
+   * <code>.shallothold.AuditReport audit_report = 27;</code>
+   * @return Whether the auditReport field is set.
+   */
+  @java.lang.Override
+  public boolean hasAuditReport() {
+    return messageCase_ == 27;
+  }
+  /**
+   * <code>.shallothold.AuditReport audit_report = 27;</code>
+   * @return The auditReport.
+   */
+  @java.lang.Override
+  public org.shallothold.wire.proto.AuditReport getAuditReport() {
+    if (messageCase_ == 27) {
+       return (org.shallothold.wire.proto.AuditReport) message_;
+    }
+    return org.shallothold.wire.proto.AuditReport.getDefaultInstance();
+  }
+  /**
+   * <code>.shallothold.AuditReport audit_report = 27;</code>
+   */
+  @java.lang.Override
+  public org.shallothold.wire.proto.AuditReportOrBuilder getAuditReportOrBuilder() {
+    if (messageCase_ == 27) {
+       return (org.shallothold.wire.proto.AuditReport) message_;
+    }
+    return org.shallothold.wire.proto.AuditReport.getDefaultInstance();
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -1004,6 +1070,12 @@
     if (messageCase_ == 25) {
       output.writeMessage(25, (org.shallothold.wire.proto.Heartbeat) message_);
     }
+    if (messageCase_ == 26) {
+      output.writeMessage(26, (org.shallothold.wire.proto.AuditRequest) message_);
+    }
+    if (messageCase_ == 27) {
+      output.writeMessage(27, (org.shallothold.wire.proto.AuditReport) message_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -1113,6 +1185,14 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(25, (org.shallothold.wire.proto.Heartbeat) message_);
     }
+    if (messageCase_ == 26) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(26, (org.shallothold.wire.proto.AuditRequest) message_);
+    }
+    if (messageCase_ == 27) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(27, (org.shallothold.wire.proto.AuditReport) message_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -1230,6 +1310,14 @@
         if (!getHeartbeat()
             .equals(other.getHeartbeat())) return false;
         break;
+      case 26:
+        if (!getAuditRequest()
+            .equals(other.getAuditRequest())) return false;
+        break;
+      case 27:
+        if (!getAuditReport()
+            .equals(other.getAuditReport())) return false;
+        break;
       case 0:
       default:
     }
@@ -1345,6 +1433,14 @@
         hash = (37 * hash) + HEARTBEAT_FIELD_NUMBER;
         hash = (53 * hash) + getHeartbeat().hashCode();
         break;
+      case 26:
+        hash = (37 * hash) + AUDIT_REQUEST_FIELD_NUMBER;
+        hash = (53 * hash) + getAuditRequest().hashCode();
+        break;
+      case 27:
+        hash = (37 * hash) + AUDIT_REPORT_FIELD_NUMBER;
+        hash = (53 * hash) + getAuditReport().hashCode();
+        break;
       case 0:
       default:
     }
@@ -1558,6 +1654,12 @@
       if (heartbeatBuilder_ != null) {
         heartbeatBuilder_.clear();
       }
+      if (auditRequestBuilder_ != null) {
+        auditRequestBuilder_.clear();
+      }
+      if (auditReportBuilder_ != null) {
+        auditReportBuilder_.clear();
+      }
       messageCase_ = 0;
       message_ = null;
       return this;
@@ -1699,6 +1801,14 @@
           heartbeatBuilder_ != null) {
         result.message_ = heartbeatBuilder_.build();
       }
+      if (messageCase_ == 26 &&
+          auditRequestBuilder_ != null) {
+        result.message_ = auditRequestBuilder_.build();
+      }
+      if (messageCase_ == 27 &&
+          auditReportBuilder_ != null) {
+        result.message_ = auditReportBuilder_.build();
+      }
     }
 
     @java.lang.Override
@@ -1814,6 +1924,14 @@
           mergeHeartbeat(other.getHeartbeat());
           break;
         }
+        case AUDIT_REQUEST: {
+          mergeAuditRequest(other.getAuditRequest());
+          break;
+        }
+        case AUDIT_REPORT: {
+          mergeAuditReport(other.getAuditReport());
+          break;
+        }
         case MESSAGE_NOT_SET: {
           break;
         }
@@ -2019,6 +2137,20 @@
               messageCase_ = 25;
               break;
             } // case 202
+            case 210: {
+              input.readMessage(
+                  internalGetAuditRequestFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              messageCase_ = 26;
+              break;
+            } // case 210
+            case 218: {
+              input.readMessage(
+                  internalGetAuditReportFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              messageCase_ = 27;
+              break;
+            } // case 218
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -5601,6 +5733,290 @@
       return heartbeatBuilder_;
     }
 
+    private com.google.protobuf.SingleFieldBuilder<
+        org.shallothold.wire.proto.AuditRequest, org.shallothold.wire.proto.AuditRequest.Builder, org.shallothold.wire.proto.AuditRequestOrBuilder> auditRequestBuilder_;
+    /**
+     * <code>.shallothold.AuditRequest audit_request = 26;</code>
+     * @return Whether the auditRequest field is set.
+     */
+    @java.lang.Override
+    public boolean hasAuditRequest() {
+      return messageCase_ == 26;
+    }
+    /**
+     * <code>.shallothold.AuditRequest audit_request = 26;</code>
+     * @return The auditRequest.
+     */
+    @java.lang.Override
+    public org.shallothold.wire.proto.AuditRequest getAuditRequest() {
+      if (auditRequestBuilder_ == null) {
+        if (messageCase_ == 26) {
+          return (org.shallothold.wire.proto.AuditRequest) message_;
+        }
+        return org.shallothold.wire.proto.AuditRequest.getDefaultInstance();
+      } else {
+        if (messageCase_ == 26) {
+          return auditRequestBuilder_.getMessage();
+        }
+        return org.shallothold.wire.proto.AuditRequest.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.shallothold.AuditRequest audit_request = 26;</code>
+     */
+    public Builder setAuditRequest(org.shallothold.wire.proto.AuditRequest value) {
+      if (auditRequestBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        message_ = value;
+        onChanged();
+      } else {
+        auditRequestBuilder_.setMessage(value);
+      }
+      messageCase_ = 26;
+      return this;
+    }
+    /**
+     * <code>.shallothold.AuditRequest audit_request = 26;</code>
+     */
+    public Builder setAuditRequest(
+        org.shallothold.wire.proto.AuditRequest.Builder builderForValue) {
+      if (auditRequestBuilder_ == null) {
+        message_ = builderForValue.build();
+        onChanged();
+      } else {
+        auditRequestBuilder_.setMessage(builderForValue.build());
+      }
+      messageCase_ = 26;
+      return this;
+    }
+    /**
+     * <code>.shallothold.AuditRequest audit_request = 26;</code>
+     */
+    public Builder mergeAuditRequest(org.shallothold.wire.proto.AuditRequest value) {
+      if (auditRequestBuilder_ == null) {
+        if (messageCase_ == 26 &&
+            message_ != org.shallothold.wire.proto.AuditRequest.getDefaultInstance()) {
+          message_ = org.shallothold.wire.proto.AuditRequest.newBuilder((org.shallothold.wire.proto.AuditRequest) message_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          message_ = value;
+        }
+        onChanged();
+      } else {
+        if (messageCase_ == 26) {
+          auditRequestBuilder_.mergeFrom(value);
+        } else {
+          auditRequestBuilder_.setMessage(value);
+        }
+      }
+      messageCase_ = 26;
+      return this;
+    }
+    /**
+     * <code>.shallothold.AuditRequest audit_request = 26;</code>
+     */
+    public Builder clearAuditRequest() {
+      if (auditRequestBuilder_ == null) {
+        if (messageCase_ == 26) {
+          messageCase_ = 0;
+          message_ = null;
+          onChanged();
+        }
+      } else {
+        if (messageCase_ == 26) {
+          messageCase_ = 0;
+          message_ = null;
+        }
+        auditRequestBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.shallothold.AuditRequest audit_request = 26;</code>
+     */
+    public org.shallothold.wire.proto.AuditRequest.Builder getAuditRequestBuilder() {
+      return internalGetAuditRequestFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.shallothold.AuditRequest audit_request = 26;</code>
+     */
+    @java.lang.Override
+    public org.shallothold.wire.proto.AuditRequestOrBuilder getAuditRequestOrBuilder() {
+      if ((messageCase_ == 26) && (auditRequestBuilder_ != null)) {
+        return auditRequestBuilder_.getMessageOrBuilder();
+      } else {
+        if (messageCase_ == 26) {
+          return (org.shallothold.wire.proto.AuditRequest) message_;
+        }
+        return org.shallothold.wire.proto.AuditRequest.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.shallothold.AuditRequest audit_request = 26;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.shallothold.wire.proto.AuditRequest, org.shallothold.wire.proto.AuditRequest.Builder, org.shallothold.wire.proto.AuditRequestOrBuilder> 
+        internalGetAuditRequestFieldBuilder() {
+      if (auditRequestBuilder_ == null) {
+        if (!(messageCase_ == 26)) {
+          message_ = org.shallothold.wire.proto.AuditRequest.getDefaultInstance();
+        }
+        auditRequestBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.shallothold.wire.proto.AuditRequest, org.shallothold.wire.proto.AuditRequest.Builder, org.shallothold.wire.proto.AuditRequestOrBuilder>(
+                (org.shallothold.wire.proto.AuditRequest) message_,
+                getParentForChildren(),
+                isClean());
+        message_ = null;
+      }
+      messageCase_ = 26;
+      onChanged();
+      return auditRequestBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        org.shallothold.wire.proto.AuditReport, org.shallothold.wire.proto.AuditReport.Builder, org.shallothold.wire.proto.AuditReportOrBuilder> auditReportBuilder_;
+    /**
+     * <code>.shallothold.AuditReport audit_report = 27;</code>
+     * @return Whether the auditReport field is set.
+     */
+    @java.lang.Override
+    public boolean hasAuditReport() {
+      return messageCase_ == 27;
+    }
+    /**
+     * <code>.shallothold.AuditReport audit_report = 27;</code>
+     * @return The auditReport.
+     */
+    @java.lang.Override
+    public org.shallothold.wire.proto.AuditReport getAuditReport() {
+      if (auditReportBuilder_ == null) {
+        if (messageCase_ == 27) {
+          return (org.shallothold.wire.proto.AuditReport) message_;
+        }
+        return org.shallothold.wire.proto.AuditReport.getDefaultInstance();
+      } else {
+        if (messageCase_ == 27) {
+          return auditReportBuilder_.getMessage();
+        }
+        return org.shallothold.wire.proto.AuditReport.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.shallothold.AuditReport audit_report = 27;</code>
+     */
+    public Builder setAuditReport(org.shallothold.wire.proto.AuditReport value) {
+      if (auditReportBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        message_ = value;
+        onChanged();
+      } else {
+        auditReportBuilder_.setMessage(value);
+      }
+      messageCase_ = 27;
+      return this;
+    }
+    /**
+     * <code>.shallothold.AuditReport audit_report = 27;</code>
+     */
+    public Builder setAuditReport(
+        org.shallothold.wire.proto.AuditReport.Builder builderForValue) {
+      if (auditReportBuilder_ == null) {
+        message_ = builderForValue.build();
+        onChanged();
+      } else {
+        auditReportBuilder_.setMessage(builderForValue.build());
+      }
+      messageCase_ = 27;
+      return this;
+    }
+    /**
+     * <code>.shallothold.AuditReport audit_report = 27;</code>
+     */
+    public Builder mergeAuditReport(org.shallothold.wire.proto.AuditReport value) {
+      if (auditReportBuilder_ == null) {
+        if (messageCase_ == 27 &&
+            message_ != org.shallothold.wire.proto.AuditReport.getDefaultInstance()) {
+          message_ = org.shallothold.wire.proto.AuditReport.newBuilder((org.shallothold.wire.proto.AuditReport) message_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          message_ = value;
+        }
+        onChanged();
+      } else {
+        if (messageCase_ == 27) {
+          auditReportBuilder_.mergeFrom(value);
+        } else {
+          auditReportBuilder_.setMessage(value);
+        }
+      }
+      messageCase_ = 27;
+      return this;
+    }
+    /**
+     * <code>.shallothold.AuditReport audit_report = 27;</code>
+     */
+    public Builder clearAuditReport() {
+      if (auditReportBuilder_ == null) {
+        if (messageCase_ == 27) {
+          messageCase_ = 0;
+          message_ = null;
+          onChanged();
+        }
+      } else {
+        if (messageCase_ == 27) {
+          messageCase_ = 0;
+          message_ = null;
+        }
+        auditReportBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.shallothold.AuditReport audit_report = 27;</code>
+     */
+    public org.shallothold.wire.proto.AuditReport.Builder getAuditReportBuilder() {
+      return internalGetAuditReportFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.shallothold.AuditReport audit_report = 27;</code>
+     */
+    @java.lang.Override
+    public org.shallothold.wire.proto.AuditReportOrBuilder getAuditReportOrBuilder() {
+      if ((messageCase_ == 27) && (auditReportBuilder_ != null)) {
+        return auditReportBuilder_.getMessageOrBuilder();
+      } else {
+        if (messageCase_ == 27) {
+          return (org.shallothold.wire.proto.AuditReport) message_;
+        }
+        return org.shallothold.wire.proto.AuditReport.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.shallothold.AuditReport audit_report = 27;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.shallothold.wire.proto.AuditReport, org.shallothold.wire.proto.AuditReport.Builder, org.shallothold.wire.proto.AuditReportOrBuilder> 
+        internalGetAuditReportFieldBuilder() {
+      if (auditReportBuilder_ == null) {
+        if (!(messageCase_ == 27)) {
+          message_ = org.shallothold.wire.proto.AuditReport.getDefaultInstance();
+        }
+        auditReportBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.shallothold.wire.proto.AuditReport, org.shallothold.wire.proto.AuditReport.Builder, org.shallothold.wire.proto.AuditReportOrBuilder>(
+                (org.shallothold.wire.proto.AuditReport) message_,
+                getParentForChildren(),
+                isClean());
+        message_ = null;
+      }
+      messageCase_ = 27;
+      onChanged();
+      return auditReportBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:shallothold.Envelope)
   }
 
--- a/wire/src/main/java/org/shallothold/wire/proto/EnvelopeOrBuilder.java
+++ b/wire/src/main/java/org/shallothold/wire/proto/EnvelopeOrBuilder.java
@@ -385,5 +385,35 @@
    */
   org.shallothold.wire.proto.HeartbeatOrBuilder getHeartbeatOrBuilder();
 
+  /**
+   * <code>.shallothold.AuditRequest audit_request = 26;</code>
+   * @return Whether the auditRequest field is set.
+   */
+  boolean hasAuditRequest();
+  /**
+   * <code>.shallothold.AuditRequest audit_request = 26;</code>
+   * @return The auditRequest.
+   */
+  org.shallothold.wire.proto.AuditRequest getAuditRequest();
+  /**
+   * <code>.shallothold.AuditRequest audit_request = 26;</code>
+   */
+  org.shallothold.wire.proto.AuditRequestOrBuilder getAuditRequestOrBuilder();
+
+  /**
+   * <code>.shallothold.AuditReport audit_report = 27;</code>
+   * @return Whether the auditReport field is set.
+   */
+  boolean hasAuditReport();
+  /**
+   * <code>.shallothold.AuditReport audit_report = 27;</code>
+   * @return The auditReport.
+   */
+  org.shallothold.wire.proto.AuditReport getAuditReport();
+  /**
+   * <code>.shallothold.AuditReport audit_report = 27;</code>
+   */
+  org.shallothold.wire.proto.AuditReportOrBuilder getAuditReportOrBuilder();
+
   org.shallothold.wire.proto.Envelope.MessageCase getMessageCase();
 }
--- a/wire/src/main/java/org/shallothold/wire/proto/Shallothold.java
+++ b/wire/src/main/java/org/shallothold/wire/proto/Shallothold.java
@@ -186,6 +186,16 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_shallothold_ExplainReport_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_shallothold_AuditRequest_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_shallothold_AuditRequest_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_shallothold_AuditReport_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_shallothold_AuditReport_fieldAccessorTable;
 
   public static com.google.protobuf.Descriptors.FileDescriptor
       getDescriptor() {
@@ -195,7 +205,7 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\021shallothold.proto\022\013shallothold\"\367\t\n\010Env" +
+      "\n\021shallothold.proto\022\013shallothold\"\335\n\n\010Env" +
       "elope\022#\n\005hello\030\001 \001(\0132\022.shallothold.Hello" +
       "H\000\022L\n\032configuration_announcement\030\002 \001(\0132&" +
       ".shallothold.ConfigurationAnnouncementH\000" +
@@ -227,78 +237,83 @@
       "\027 \001(\0132\033.shallothold.ExplainRequestH\000\0224\n\016" +
       "explain_report\030\030 \001(\0132\032.shallothold.Expla" +
       "inReportH\000\022+\n\theartbeat\030\031 \001(\0132\026.shalloth" +
-      "old.HeartbeatH\000B\t\n\007message\")\n\007Version\022\016\n" +
-      "\006number\030\001 \001(\003\022\016\n\006digest\030\002 \001(\014\"\264\001\n\005Hello\022" +
-      "\022\n\nprocess_id\030\001 \001(\t\022\037\n\004role\030\002 \001(\0162\021.shal" +
-      "lothold.Role\022\023\n\013incarnation\030\003 \001(\014\022\026\n\016fai" +
-      "lure_domain\030\004 \001(\t\022%\n\007version\030\005 \001(\0132\024.sha" +
-      "llothold.Version\022\021\n\tserver_id\030\006 \001(\t\022\017\n\007l" +
-      "eaving\030\007 \001(\010\"\013\n\tHeartbeat\"B\n\031Configurati" +
-      "onAnnouncement\022%\n\007version\030\001 \001(\0132\024.shallo" +
-      "thold.Version\".\n\024ConfigurationRequest\022\026\n" +
-      "\016after_position\030\001 \001(\003\"B\n\022ConfigurationEn" +
-      "try\022\020\n\010position\030\001 \001(\003\022\014\n\004kind\030\002 \001(\t\022\014\n\004b" +
-      "ody\030\003 \001(\014\"H\n\024ConfigurationEntries\0220\n\007ent" +
-      "ries\030\001 \003(\0132\037.shallothold.ConfigurationEn" +
-      "try\"V\n\007Attempt\022\033\n\023gateway_incarnation\030\001 " +
-      "\001(\014\022\026\n\016request_number\030\002 \001(\003\022\026\n\016attempt_n" +
-      "umber\030\003 \001(\005\"%\n\006Header\022\014\n\004name\030\001 \001(\t\022\r\n\005v" +
-      "alue\030\002 \001(\t\"\225\002\n\006Submit\022%\n\007attempt\030\001 \001(\0132\024" +
-      ".shallothold.Attempt\022\022\n\nrequest_id\030\002 \001(\t" +
-      "\022%\n\007version\030\003 \001(\0132\024.shallothold.Version\022" +
-      "\025\n\rservice_class\030\004 \001(\t\022\020\n\010customer\030\005 \001(\t" +
-      "\022\027\n\017deadline_millis\030\006 \001(\003\022-\n\ncompletion\030" +
-      "\007 \001(\0132\027.shallothold.CompletionH\000\0220\n\014serv" +
-      "ice_call\030\010 \001(\0132\030.shallothold.ServiceCall" +
-      "H\000B\006\n\004work\"@\n\nCompletion\022\r\n\005model\030\001 \001(\t\022" +
-      "\014\n\004body\030\002 \001(\014\022\025\n\rresume_tokens\030\003 \003(\t\"\206\001\n" +
-      "\013ServiceCall\022\017\n\007service\030\001 \001(\t\022\016\n\006method\030" +
-      "\002 \001(\t\022\014\n\004path\030\003 \001(\t\022$\n\007headers\030\004 \003(\0132\023.s" +
-      "hallothold.Header\022\014\n\004body\030\005 \001(\014\022\024\n\014order" +
-      "_ticket\030\006 \001(\t\"1\n\010Accepted\022%\n\007attempt\030\001 \001" +
-      "(\0132\024.shallothold.Attempt\"0\n\007Started\022%\n\007a" +
-      "ttempt\030\001 \001(\0132\024.shallothold.Attempt\"O\n\006To" +
-      "kens\022%\n\007attempt\030\001 \001(\0132\024.shallothold.Atte" +
-      "mpt\022\016\n\006offset\030\002 \001(\005\022\016\n\006tokens\030\003 \003(\t\"\231\001\n\010" +
-      "Finished\022%\n\007attempt\030\001 \001(\0132\024.shallothold." +
-      "Attempt\022%\n\004kind\030\002 \001(\0162\027.shallothold.Fini" +
-      "shKind\022\023\n\013token_count\030\003 \001(\005\022\025\n\rfinish_re" +
-      "ason\030\004 \001(\t\022\023\n\013reason_code\030\005 \001(\t\"z\n\rServi" +
-      "ceAnswer\022%\n\007attempt\030\001 \001(\0132\024.shallothold." +
-      "Attempt\022\016\n\006status\030\002 \001(\005\022$\n\007headers\030\003 \003(\013" +
-      "2\023.shallothold.Header\022\014\n\004body\030\004 \001(\014\"\251\001\n\007" +
-      "Refused\022%\n\007attempt\030\001 \001(\0132\024.shallothold.A" +
-      "ttempt\022)\n\007verdict\030\002 \001(\0162\030.shallothold.Ve" +
-      "rdictKind\022\023\n\013reason_code\030\003 \001(\t\022\032\n\022retry_" +
-      "after_millis\030\004 \001(\003\022\033\n\023lowest_waiting_tie" +
-      "r\030\005 \001(\005\"/\n\006Cancel\022%\n\007attempt\030\001 \001(\0132\024.sha" +
-      "llothold.Attempt\"5\n\rTicketRequest\022\023\n\013cal" +
-      "l_number\030\001 \001(\003\022\017\n\007service\030\002 \001(\t\"G\n\013Ticke" +
-      "tGrant\022\023\n\013call_number\030\001 \001(\003\022\016\n\006ticket\030\002 " +
-      "\001(\t\022\023\n\013reason_code\030\003 \001(\t\"4\n\rTicketInquir" +
-      "y\022\023\n\013call_number\030\001 \001(\003\022\016\n\006ticket\030\002 \001(\t\"1" +
-      "\n\nTicketSeal\022\023\n\013call_number\030\001 \001(\003\022\016\n\006tic" +
-      "ket\030\002 \001(\t\"1\n\013TicketState\022\023\n\013call_number\030" +
-      "\001 \001(\003\022\r\n\005state\030\002 \001(\t\"2\n\rLeavingNotice\022\021\n" +
-      "\tserver_id\030\001 \001(\t\022\016\n\006source\030\002 \001(\t\",\n\007Leav" +
-      "ing\022\021\n\tserver_id\030\001 \001(\t\022\016\n\006source\030\002 \001(\t\"\202" +
-      "\001\n\nLoadReport\022\017\n\007running\030\001 \001(\005\022\023\n\013max_ru" +
-      "nning\030\002 \001(\005\022\027\n\017waiting_by_tier\030\003 \003(\005\022\035\n\025" +
-      "token_interval_micros\030\004 \001(\003\022\026\n\016engine_ru" +
-      "nning\030\005 \001(\005\"$\n\rStatusRequest\022\023\n\013call_num" +
-      "ber\030\001 \001(\003\"1\n\014StatusReport\022\023\n\013call_number" +
-      "\030\001 \001(\003\022\014\n\004json\030\002 \001(\014\"9\n\016ExplainRequest\022\023" +
-      "\n\013call_number\030\001 \001(\003\022\022\n\nrequest_id\030\002 \001(\t\"" +
-      "2\n\rExplainReport\022\023\n\013call_number\030\001 \001(\003\022\014\n" +
-      "\004json\030\002 \001(\014*S\n\004Role\022\024\n\020ROLE_UNSPECIFIED\020" +
-      "\000\022\020\n\014ROLE_GATEWAY\020\001\022\020\n\014ROLE_SIDECAR\020\002\022\021\n" +
-      "\rROLE_OPERATOR\020\003*v\n\nFinishKind\022\033\n\027FINISH" +
-      "_KIND_UNSPECIFIED\020\000\022\030\n\024FINISH_KIND_COMPL" +
-      "ETE\020\001\022\026\n\022FINISH_KIND_BROKEN\020\002\022\031\n\025FINISH_" +
-      "KIND_CANCELLED\020\003*d\n\013VerdictKind\022\034\n\030VERDI" +
-      "CT_KIND_UNSPECIFIED\020\000\022\030\n\024VERDICT_KIND_NO" +
-      "T_RUN\020\001\022\035\n\031VERDICT_KIND_MAY_HAVE_RUN\020\002B\036" +
-      "\n\032org.shallothold.wire.protoP\001b\006proto3"
+      "old.HeartbeatH\000\0222\n\raudit_request\030\032 \001(\0132\031" +
+      ".shallothold.AuditRequestH\000\0220\n\014audit_rep" +
+      "ort\030\033 \001(\0132\030.shallothold.AuditReportH\000B\t\n" +
+      "\007message\")\n\007Version\022\016\n\006number\030\001 \001(\003\022\016\n\006d" +
+      "igest\030\002 \001(\014\"\264\001\n\005Hello\022\022\n\nprocess_id\030\001 \001(" +
+      "\t\022\037\n\004role\030\002 \001(\0162\021.shallothold.Role\022\023\n\013in" +
+      "carnation\030\003 \001(\014\022\026\n\016failure_domain\030\004 \001(\t\022" +
+      "%\n\007version\030\005 \001(\0132\024.shallothold.Version\022\021" +
+      "\n\tserver_id\030\006 \001(\t\022\017\n\007leaving\030\007 \001(\010\"\013\n\tHe" +
+      "artbeat\"B\n\031ConfigurationAnnouncement\022%\n\007" +
+      "version\030\001 \001(\0132\024.shallothold.Version\".\n\024C" +
+      "onfigurationRequest\022\026\n\016after_position\030\001 " +
+      "\001(\003\"B\n\022ConfigurationEntry\022\020\n\010position\030\001 " +
+      "\001(\003\022\014\n\004kind\030\002 \001(\t\022\014\n\004body\030\003 \001(\014\"H\n\024Confi" +
+      "gurationEntries\0220\n\007entries\030\001 \003(\0132\037.shall" +
+      "othold.ConfigurationEntry\"V\n\007Attempt\022\033\n\023" +
+      "gateway_incarnation\030\001 \001(\014\022\026\n\016request_num" +
+      "ber\030\002 \001(\003\022\026\n\016attempt_number\030\003 \001(\005\"%\n\006Hea" +
+      "der\022\014\n\004name\030\001 \001(\t\022\r\n\005value\030\002 \001(\t\"\225\002\n\006Sub" +
+      "mit\022%\n\007attempt\030\001 \001(\0132\024.shallothold.Attem" +
+      "pt\022\022\n\nrequest_id\030\002 \001(\t\022%\n\007version\030\003 \001(\0132" +
+      "\024.shallothold.Version\022\025\n\rservice_class\030\004" +
+      " \001(\t\022\020\n\010customer\030\005 \001(\t\022\027\n\017deadline_milli" +
+      "s\030\006 \001(\003\022-\n\ncompletion\030\007 \001(\0132\027.shallothol" +
+      "d.CompletionH\000\0220\n\014service_call\030\010 \001(\0132\030.s" +
+      "hallothold.ServiceCallH\000B\006\n\004work\"@\n\nComp" +
+      "letion\022\r\n\005model\030\001 \001(\t\022\014\n\004body\030\002 \001(\014\022\025\n\rr" +
+      "esume_tokens\030\003 \003(\t\"\206\001\n\013ServiceCall\022\017\n\007se" +
+      "rvice\030\001 \001(\t\022\016\n\006method\030\002 \001(\t\022\014\n\004path\030\003 \001(" +
+      "\t\022$\n\007headers\030\004 \003(\0132\023.shallothold.Header\022" +
+      "\014\n\004body\030\005 \001(\014\022\024\n\014order_ticket\030\006 \001(\t\"1\n\010A" +
+      "ccepted\022%\n\007attempt\030\001 \001(\0132\024.shallothold.A" +
+      "ttempt\"0\n\007Started\022%\n\007attempt\030\001 \001(\0132\024.sha" +
+      "llothold.Attempt\"O\n\006Tokens\022%\n\007attempt\030\001 " +
+      "\001(\0132\024.shallothold.Attempt\022\016\n\006offset\030\002 \001(" +
+      "\005\022\016\n\006tokens\030\003 \003(\t\"\231\001\n\010Finished\022%\n\007attemp" +
+      "t\030\001 \001(\0132\024.shallothold.Attempt\022%\n\004kind\030\002 " +
+      "\001(\0162\027.shallothold.FinishKind\022\023\n\013token_co" +
+      "unt\030\003 \001(\005\022\025\n\rfinish_reason\030\004 \001(\t\022\023\n\013reas" +
+      "on_code\030\005 \001(\t\"z\n\rServiceAnswer\022%\n\007attemp" +
+      "t\030\001 \001(\0132\024.shallothold.Attempt\022\016\n\006status\030" +
+      "\002 \001(\005\022$\n\007headers\030\003 \003(\0132\023.shallothold.Hea" +
+      "der\022\014\n\004body\030\004 \001(\014\"\251\001\n\007Refused\022%\n\007attempt" +
+      "\030\001 \001(\0132\024.shallothold.Attempt\022)\n\007verdict\030" +
+      "\002 \001(\0162\030.shallothold.VerdictKind\022\023\n\013reaso" +
+      "n_code\030\003 \001(\t\022\032\n\022retry_after_millis\030\004 \001(\003" +
+      "\022\033\n\023lowest_waiting_tier\030\005 \001(\005\"/\n\006Cancel\022" +
+      "%\n\007attempt\030\001 \001(\0132\024.shallothold.Attempt\"5" +
+      "\n\rTicketRequest\022\023\n\013call_number\030\001 \001(\003\022\017\n\007" +
+      "service\030\002 \001(\t\"G\n\013TicketGrant\022\023\n\013call_num" +
+      "ber\030\001 \001(\003\022\016\n\006ticket\030\002 \001(\t\022\023\n\013reason_code" +
+      "\030\003 \001(\t\"4\n\rTicketInquiry\022\023\n\013call_number\030\001" +
+      " \001(\003\022\016\n\006ticket\030\002 \001(\t\"1\n\nTicketSeal\022\023\n\013ca" +
+      "ll_number\030\001 \001(\003\022\016\n\006ticket\030\002 \001(\t\"1\n\013Ticke" +
+      "tState\022\023\n\013call_number\030\001 \001(\003\022\r\n\005state\030\002 \001" +
+      "(\t\"2\n\rLeavingNotice\022\021\n\tserver_id\030\001 \001(\t\022\016" +
+      "\n\006source\030\002 \001(\t\",\n\007Leaving\022\021\n\tserver_id\030\001" +
+      " \001(\t\022\016\n\006source\030\002 \001(\t\"\202\001\n\nLoadReport\022\017\n\007r" +
+      "unning\030\001 \001(\005\022\023\n\013max_running\030\002 \001(\005\022\027\n\017wai" +
+      "ting_by_tier\030\003 \003(\005\022\035\n\025token_interval_mic" +
+      "ros\030\004 \001(\003\022\026\n\016engine_running\030\005 \001(\005\"$\n\rSta" +
+      "tusRequest\022\023\n\013call_number\030\001 \001(\003\"1\n\014Statu" +
+      "sReport\022\023\n\013call_number\030\001 \001(\003\022\014\n\004json\030\002 \001" +
+      "(\014\"9\n\016ExplainRequest\022\023\n\013call_number\030\001 \001(" +
+      "\003\022\022\n\nrequest_id\030\002 \001(\t\"2\n\rExplainReport\022\023" +
+      "\n\013call_number\030\001 \001(\003\022\014\n\004json\030\002 \001(\014\"#\n\014Aud" +
+      "itRequest\022\023\n\013call_number\030\001 \001(\003\"0\n\013AuditR" +
+      "eport\022\023\n\013call_number\030\001 \001(\003\022\014\n\004json\030\002 \001(\014" +
+      "*S\n\004Role\022\024\n\020ROLE_UNSPECIFIED\020\000\022\020\n\014ROLE_G" +
+      "ATEWAY\020\001\022\020\n\014ROLE_SIDECAR\020\002\022\021\n\rROLE_OPERA" +
+      "TOR\020\003*v\n\nFinishKind\022\033\n\027FINISH_KIND_UNSPE" +
+      "CIFIED\020\000\022\030\n\024FINISH_KIND_COMPLETE\020\001\022\026\n\022FI" +
+      "NISH_KIND_BROKEN\020\002\022\031\n\025FINISH_KIND_CANCEL" +
+      "LED\020\003*d\n\013VerdictKind\022\034\n\030VERDICT_KIND_UNS" +
+      "PECIFIED\020\000\022\030\n\024VERDICT_KIND_NOT_RUN\020\001\022\035\n\031" +
+      "VERDICT_KIND_MAY_HAVE_RUN\020\002B\036\n\032org.shall" +
+      "othold.wire.protoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -309,7 +324,7 @@
     internal_static_shallothold_Envelope_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_shallothold_Envelope_descriptor,
-        new java.lang.String[] { "Hello", "ConfigurationAnnouncement", "ConfigurationRequest", "ConfigurationEntries", "Submit", "Accepted", "Started", "Tokens", "Finished", "ServiceAnswer", "Refused", "Cancel", "TicketRequest", "TicketGrant", "TicketInquiry", "TicketState", "TicketSeal", "LeavingNotice", "Leaving", "LoadReport", "StatusRequest", "StatusReport", "ExplainRequest", "ExplainReport", "Heartbeat", "Message", });
+        new java.lang.String[] { "Hello", "ConfigurationAnnouncement", "ConfigurationRequest", "ConfigurationEntries", "Submit", "Accepted", "Started", "Tokens", "Finished", "ServiceAnswer", "Refused", "Cancel", "TicketRequest", "TicketGrant", "TicketInquiry", "TicketState", "TicketSeal", "LeavingNotice", "Leaving", "LoadReport", "StatusRequest", "StatusReport", "ExplainRequest", "ExplainReport", "Heartbeat", "AuditRequest", "AuditReport", "Message", });
     internal_static_shallothold_Version_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_shallothold_Version_fieldAccessorTable = new
@@ -496,6 +511,18 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_shallothold_ExplainReport_descriptor,
         new java.lang.String[] { "CallNumber", "Json", });
+    internal_static_shallothold_AuditRequest_descriptor =
+      getDescriptor().getMessageType(32);
+    internal_static_shallothold_AuditRequest_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_shallothold_AuditRequest_descriptor,
+        new java.lang.String[] { "CallNumber", });
+    internal_static_shallothold_AuditReport_descriptor =
+      getDescriptor().getMessageType(33);
+    internal_static_shallothold_AuditReport_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_shallothold_AuditReport_descriptor,
+        new java.lang.String[] { "CallNumber", "Json", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
