--- a/core/src/main/java/org/shallothold/core/config/ConfigurationHistory.java
+++ b/core/src/main/java/org/shallothold/core/config/ConfigurationHistory.java
@@ -6,6 +6,9 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import org.shallothold.core.config.ConfigurationEntry.Content.Malformed;
+import org.shallothold.core.config.ConfigurationEntry.Content.PatchContent;
+import org.shallothold.core.config.ConfigurationEntry.Content.SnapshotContent;
 
 /**
  * Folds the platform's entries into the current configuration and never goes back. Every process
@@ -19,11 +22,12 @@
 
   private final TreeMap<Long, ConfigurationEntry> entries = new TreeMap<>();
   private final TreeMap<Long, ConfigurationVersion> versions = new TreeMap<>();
+  private final TreeMap<Long, ConfigurationVersion> versionsByPosition = new TreeMap<>();
   private Configuration current = Configuration.EMPTY;
   private long lastPosition;
 
   private ConfigurationHistory() {
-    versions.put(0L, ConfigurationVersion.INITIAL);
+    record(0, ConfigurationVersion.INITIAL);
   }
 
   /** Returns a history that holds nothing. */
@@ -57,17 +61,23 @@
     return ours != null && ours.contradicts(peer);
   }
 
+  /**
+   * Returns the version in force after the entry at a position, so that two processes can compare
+   * their histories there; empty if it is not known or no longer kept.
+   */
+  public Optional<ConfigurationVersion> versionAt(long position) {
+    return position > lastPosition
+        ? Optional.empty()
+        : Optional.ofNullable(versionsByPosition.floorEntry(position)).map(Map.Entry::getValue);
+  }
+
   /** Takes one entry and returns what became of it. */
   public PatchOutcome apply(ConfigurationEntry entry) {
-    if (entry.position() <= lastPosition) {
-      ConfigurationEntry known = entries.get(entry.position());
-      return known != null && !known.sameBody(entry)
-          ? new PatchOutcome.Contradiction(entry.position())
-          : new PatchOutcome.Known();
+    if (lastPosition == 0 && entry.content() instanceof SnapshotContent snapshot) {
+      return start(entry, snapshot);
     }
-    if (lastPosition == 0
-        && entry.content() instanceof ConfigurationEntry.Content.SnapshotContent snapshot) {
-      return start(snapshot);
+    if (entry.position() <= lastPosition) {
+      return compare(entry);
     }
     if (entry.position() != lastPosition + 1) {
       return new PatchOutcome.Gap(lastPosition + 1);
@@ -75,45 +85,116 @@
     lastPosition = entry.position();
     keep(entry);
     return switch (entry.content()) {
-      case ConfigurationEntry.Content.PatchContent(Patch patch) -> applyPatch(entry, patch);
-      case ConfigurationEntry.Content.SnapshotContent snapshot -> checkSnapshot(entry, snapshot);
-      case ConfigurationEntry.Content.Malformed(String problem) ->
-          new PatchOutcome.Invalid(List.of(problem));
+      case PatchContent(Patch patch) -> applyPatch(entry, patch);
+      case SnapshotContent snapshot -> checkSnapshot(entry, snapshot);
+      case Malformed(String problem) -> new PatchOutcome.Invalid(List.of(problem));
     };
   }
 
-  private PatchOutcome start(ConfigurationEntry.Content.SnapshotContent snapshot) {
-    lastPosition = snapshot.position();
-    current = snapshot.configuration();
-    versions.put(current.version().number(), current.version());
-    return new PatchOutcome.Started(current);
+  /**
+   * Takes one entry from a peer. Unlike {@link #apply}, it also takes a snapshot that is ahead of
+   * what this process holds: the peer no longer keeps the entries in between. The platform keeps
+   * all entries, so a snapshot from there is never a reason to skip some.
+   */
+  public PatchOutcome applyFromPeer(ConfigurationEntry entry) {
+    boolean ahead =
+        entry.content() instanceof SnapshotContent snapshot
+            && lastPosition > 0
+            && entry.position() > lastPosition + 1
+            && snapshot.position() > lastPosition
+            && snapshot.configuration().version().number() >= current.version().number();
+    return ahead ? start(entry, (SnapshotContent) entry.content()) : apply(entry);
   }
 
-  private PatchOutcome checkSnapshot(
-      ConfigurationEntry entry, ConfigurationEntry.Content.SnapshotContent snapshot) {
-    return contradicts(snapshot.configuration().version())
+  private PatchOutcome compare(ConfigurationEntry entry) {
+    ConfigurationEntry known = entries.get(entry.position());
+    if (known == null && entry.position() == lastPosition) {
+      // After a start from a snapshot, the first reading of its last entry is the one to compare
+      // later readings with.
+      keep(entry);
+    }
+    return known != null && !known.sameBody(entry)
         ? new PatchOutcome.Contradiction(entry.position())
         : new PatchOutcome.Known();
   }
 
+  private PatchOutcome start(ConfigurationEntry entry, SnapshotContent snapshot) {
+    Configuration start = snapshot.configuration();
+    if (contradicts(start.version())) {
+      return new PatchOutcome.Contradiction(entry.position());
+    }
+    List<String> problems = new ArrayList<>(ConfigurationValidator.problems(start));
+    if (snapshot.position() < 1 || snapshot.position() > entry.position()) {
+      problems.add("position is " + snapshot.position() + "; allowed are 1 to " + entry.position());
+    }
+    if (!problems.isEmpty()) {
+      if (entry.position() == lastPosition + 1) {
+        // Refused like any other entry, so that the ones after it can follow.
+        lastPosition = entry.position();
+        keep(entry);
+      }
+      return new PatchOutcome.Invalid(problems);
+    }
+    entries.clear();
+    versionsByPosition.clear();
+    lastPosition = snapshot.position();
+    current = start;
+    record(lastPosition, start.version());
+    return new PatchOutcome.Started(start);
+  }
+
+  private PatchOutcome checkSnapshot(ConfigurationEntry entry, SnapshotContent snapshot) {
+    ConfigurationVersion version = snapshot.configuration().version();
+    if (contradicts(version)) {
+      return new PatchOutcome.Contradiction(entry.position());
+    }
+    return version.number() > current.version().number() || snapshot.position() >= entry.position()
+        ? new PatchOutcome.Invalid(
+            List.of(
+                "the snapshot names version "
+                    + version.number()
+                    + " at position "
+                    + snapshot.position()
+                    + "; the entries before it give version "
+                    + current.version().number()))
+        : new PatchOutcome.Known();
+  }
+
   private PatchOutcome applyPatch(ConfigurationEntry entry, Patch patch) {
     if (patch.base() != current.version().number()) {
       return new PatchOutcome.Conflict(patch, current.version());
     }
-    Configuration result = merge(current, patch);
-    List<String> problems = new ArrayList<>(missingRemovals(current, patch));
-    problems.addAll(ConfigurationValidator.problems(result));
+    List<String> problems = problems(current, patch);
     if (!problems.isEmpty()) {
       return new PatchOutcome.Invalid(problems);
     }
-    current = result.withVersion(current.version().next(entry.body()));
-    versions.put(current.version().number(), current.version());
-    if (versions.size() > KEPT_ENTRIES) {
-      versions.pollFirstEntry();
-    }
+    current = merge(current, patch).withVersion(current.version().next(entry.body()));
+    record(lastPosition, current.version());
     return new PatchOutcome.Accepted(current, patch);
   }
 
+  /**
+   * Returns what makes a patch invalid on a configuration, whatever base it names; empty if it
+   * would be accepted.
+   */
+  public static List<String> problems(Configuration base, Patch patch) {
+    List<String> problems = new ArrayList<>();
+    checkNames(
+        "classes", base.classes(), patch.set().classes(), patch.remove().classes(), problems);
+    checkNames(
+        "customers",
+        base.customers(),
+        patch.set().customers(),
+        patch.remove().customers(),
+        problems);
+    checkNames(
+        "servers", base.servers(), patch.set().servers(), patch.remove().servers(), problems);
+    checkNames(
+        "services", base.services(), patch.set().services(), patch.remove().services(), problems);
+    problems.addAll(ConfigurationValidator.problems(merge(base, patch)));
+    return problems;
+  }
+
   /** Returns a configuration with a patch applied, unchecked and under the version of the base. */
   public static Configuration merge(Configuration base, Patch patch) {
     return new Configuration(
@@ -124,21 +205,19 @@
         merge(base.services(), patch.set().services(), patch.remove().services()));
   }
 
-  private static List<String> missingRemovals(Configuration base, Patch patch) {
-    List<String> problems = new ArrayList<>();
-    checkRemovals("classes", base.classes(), patch.remove().classes(), problems);
-    checkRemovals("customers", base.customers(), patch.remove().customers(), problems);
-    checkRemovals("servers", base.servers(), patch.remove().servers(), problems);
-    checkRemovals("services", base.services(), patch.remove().services(), problems);
-    return problems;
-  }
-
-  private static void checkRemovals(
-      String kind, Map<String, ?> items, List<String> names, List<String> problems) {
-    names.stream()
-        .filter(name -> !items.containsKey(name))
-        .forEach(
-            name -> problems.add("remove." + kind + " names " + name + ", which does not exist"));
+  private static void checkNames(
+      String kind,
+      Map<String, ?> items,
+      Map<String, ?> set,
+      List<String> remove,
+      List<String> problems) {
+    for (String name : remove) {
+      if (set.containsKey(name)) {
+        problems.add("set." + kind + " and remove." + kind + " both name " + name);
+      } else if (!items.containsKey(name)) {
+        problems.add("remove." + kind + " names " + name + ", which does not exist");
+      }
+    }
   }
 
   private static <T> Map<String, T> merge(
@@ -149,6 +228,17 @@
     return result;
   }
 
+  private void record(long position, ConfigurationVersion version) {
+    versions.put(version.number(), version);
+    versionsByPosition.put(position, version);
+    if (versions.size() > KEPT_ENTRIES) {
+      versions.pollFirstEntry();
+    }
+    if (versionsByPosition.size() > KEPT_ENTRIES) {
+      versionsByPosition.pollFirstEntry();
+    }
+  }
+
   private void keep(ConfigurationEntry entry) {
     entries.put(entry.position(), entry);
     if (entries.size() > KEPT_ENTRIES) {
--- a/core/src/main/java/org/shallothold/core/config/ConfigurationValidator.java
+++ b/core/src/main/java/org/shallothold/core/config/ConfigurationValidator.java
@@ -1,21 +1,23 @@
 package org.shallothold.core.config;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.function.Function;
 import java.util.regex.Pattern;
 
 /** Checks a whole configuration; stateless. */
-public final class ConfigurationValidator {
+final class ConfigurationValidator {
 
   private static final Pattern NAME = Pattern.compile("[A-Za-z0-9][A-Za-z0-9._-]{0,63}");
   private static final Pattern SHA256 = Pattern.compile("[0-9a-f]{64}");
-  private static final Pattern ADDRESS =
-      Pattern.compile("[0-9.]+:[0-9]{1,5}|\\[[0-9a-f:]+]:[0-9]{1,5}");
+  private static final Pattern METHOD = Pattern.compile("[A-Z]{1,16}");
 
   private ConfigurationValidator() {}
 
   /** Returns all problems, each with the path of its key; empty if the configuration is valid. */
-  public static List<String> problems(Configuration configuration) {
+  static List<String> problems(Configuration configuration) {
     List<String> problems = new ArrayList<>();
     configuration.classes().values().forEach(item -> checkClass(configuration, item, problems));
     configuration
@@ -23,13 +25,45 @@
         .values()
         .forEach(item -> checkCustomer(configuration, item, problems));
     configuration.servers().values().forEach(item -> checkServer(configuration, item, problems));
-    configuration
-        .services()
-        .keySet()
-        .forEach(name -> checkName("services." + name, name, problems));
+    configuration.services().values().forEach(item -> checkService(item, problems));
+    // A key names one customer, and one sidecar listens on an address.
+    checkDistinct(
+        "customers", "key_sha256", configuration.customers(), Customer::keySha256, problems);
+    checkDistinct("servers", "address", configuration.servers(), BackendServer::address, problems);
     return List.copyOf(problems);
   }
 
+  private static <T> void checkDistinct(
+      String kind,
+      String key,
+      Map<String, T> items,
+      Function<T, String> value,
+      List<String> problems) {
+    Map<String, String> owners = new HashMap<>();
+    items.forEach(
+        (name, item) -> {
+          String owner = owners.putIfAbsent(value.apply(item), name);
+          if (owner != null) {
+            problems.add(kind + "." + name + "." + key + " is the same as that of " + owner);
+          }
+        });
+  }
+
+  private static void checkService(PlainService item, List<String> problems) {
+    String path = "services." + item.name();
+    checkName(path, item.name(), problems);
+    for (PlainService.OrderRule rule : item.orders()) {
+      if (!METHOD.matcher(rule.method()).matches()) {
+        problems.add(
+            path + ".orders.method is '" + rule.method() + "'; an upper-case method is needed");
+      }
+      if (!rule.pathPrefix().startsWith("/")) {
+        problems.add(
+            path + ".orders.path_prefix is '" + rule.pathPrefix() + "'; a leading slash is needed");
+      }
+    }
+  }
+
   private static void checkClass(
       Configuration configuration, ServiceClass item, List<String> problems) {
     String path = "classes." + item.name();
@@ -68,7 +102,8 @@
       Configuration configuration, BackendServer item, List<String> problems) {
     String path = "servers." + item.id();
     checkName(path, item.id(), problems);
-    if (!ADDRESS.matcher(item.address()).matches()) {
+    checkName(path + ".failure_domain", item.failureDomain(), problems);
+    if (!AddressText.isValid(item.address())) {
       problems.add(
           path + ".address is '" + item.address() + "'; an IP number and a port are needed");
     }
--- a/runtime/src/main/java/org/shallothold/runtime/platform/ConfigurationJson.java
+++ b/runtime/src/main/java/org/shallothold/runtime/platform/ConfigurationJson.java
@@ -4,18 +4,14 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import java.util.ArrayList;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
-import java.util.Set;
-import java.util.TreeSet;
-import java.util.function.BiFunction;
+import java.util.TreeMap;
 import java.util.function.Function;
 import org.shallothold.core.config.BackendServer;
 import org.shallothold.core.config.Configuration;
-import org.shallothold.core.config.ConfigurationVersion;
+import org.shallothold.core.config.ConfigurationEntry.Content.SnapshotContent;
 import org.shallothold.core.config.Customer;
 import org.shallothold.core.config.Patch;
 import org.shallothold.core.config.PlainService;
@@ -31,13 +27,21 @@
 
   private ConfigurationJson() {}
 
-  /** A document that doesn't have the expected form; the message names the key's path. */
+  /** A document that doesn't have the expected form; each problem names the key's path. */
   public static final class FormatException extends RuntimeException {
 
     private static final long serialVersionUID = 1L;
 
-    private FormatException(String message) {
-      super(message);
+    private final transient List<String> problems;
+
+    private FormatException(List<String> problems) {
+      super(String.join("; ", problems));
+      this.problems = List.copyOf(problems);
+    }
+
+    /** Returns all problems. */
+    public List<String> problems() {
+      return problems;
     }
   }
 
@@ -47,26 +51,7 @@
    * @throws FormatException if the document doesn't have the form
    */
   public static Patch readPatch(JsonNode node) {
-    allowKeys(node, "patch", "base", "author", "time", "reason", "set", "remove");
-    JsonNode set = node.path("set");
-    JsonNode remove = node.path("remove");
-    allowKeys(set, "set", "classes", "customers", "servers", "services");
-    allowKeys(remove, "remove", "classes", "customers", "servers", "services");
-    return new Patch(
-        whole(node, "patch", "base"),
-        text(node, "patch", "author"),
-        text(node, "patch", "time"),
-        text(node, "patch", "reason"),
-        new Patch.Items(
-            items(set, "classes", ConfigurationJson::readClass),
-            items(set, "customers", ConfigurationJson::readCustomer),
-            items(set, "servers", ConfigurationJson::readServer),
-            items(set, "services", ConfigurationJson::readService)),
-        new Patch.RemovedNames(
-            texts(remove, "remove", "classes"),
-            texts(remove, "remove", "customers"),
-            texts(remove, "remove", "servers"),
-            texts(remove, "remove", "services")));
+    return read(reader -> reader.patch(node));
   }
 
   /**
@@ -75,13 +60,16 @@
    * @throws FormatException if the document doesn't have the form
    */
   public static Configuration readConfiguration(JsonNode node) {
-    allowKeys(node, "configuration", "classes", "customers", "servers", "services");
-    return new Configuration(
-        ConfigurationVersion.INITIAL,
-        items(node, "classes", ConfigurationJson::readClass),
-        items(node, "customers", ConfigurationJson::readCustomer),
-        items(node, "servers", ConfigurationJson::readServer),
-        items(node, "services", ConfigurationJson::readService));
+    return read(reader -> reader.configuration(node));
+  }
+
+  /**
+   * Returns a snapshot: a configuration with its version and the position that it covers.
+   *
+   * @throws FormatException if the document doesn't have the form
+   */
+  public static SnapshotContent readSnapshot(JsonNode node) {
+    return read(reader -> reader.snapshot(node));
   }
 
   /** Returns the JSON form of a configuration, without its version. */
@@ -114,25 +102,6 @@
     return node;
   }
 
-  private static ServiceClass readClass(String name, JsonNode node) {
-    String path = "classes." + name;
-    allowKeys(
-        node,
-        path,
-        "tier",
-        "first_token_target_ms",
-        "token_interval_target_ms",
-        "answer_target_ms",
-        "servers");
-    return new ServiceClass(
-        name,
-        (int) whole(node, path, "tier"),
-        whole(node, path, "first_token_target_ms"),
-        whole(node, path, "token_interval_target_ms"),
-        whole(node, path, "answer_target_ms"),
-        texts(node, path, "servers"));
-  }
-
   private static ObjectNode writeClass(ServiceClass item) {
     ObjectNode node = FACTORY.objectNode();
     node.put("tier", item.tier());
@@ -143,17 +112,6 @@
     return node;
   }
 
-  private static Customer readCustomer(String name, JsonNode node) {
-    String path = "customers." + name;
-    allowKeys(node, path, "key_sha256", "classes", "requests_per_second");
-    JsonNode rate = node.path("requests_per_second");
-    if (!rate.isNumber()) {
-      throw new FormatException(path + ".requests_per_second must be a number");
-    }
-    return new Customer(
-        name, text(node, path, "key_sha256"), texts(node, path, "classes"), rate.doubleValue());
-  }
-
   private static ObjectNode writeCustomer(Customer item) {
     ObjectNode node = FACTORY.objectNode();
     node.put("key_sha256", item.keySha256());
@@ -162,33 +120,6 @@
     return node;
   }
 
-  private static BackendServer readServer(String id, JsonNode node) {
-    String path = "servers." + id;
-    allowKeys(
-        node,
-        path,
-        "kind",
-        "address",
-        "failure_domain",
-        "models",
-        "service",
-        "max_running",
-        "max_waiting",
-        "checks_fencing",
-        "draining");
-    return new BackendServer(
-        id,
-        kind(path, text(node, path, "kind")),
-        text(node, path, "address"),
-        text(node, path, "failure_domain"),
-        texts(node, path, "models"),
-        node.has("service") ? text(node, path, "service") : "",
-        (int) whole(node, path, "max_running"),
-        (int) whole(node, path, "max_waiting"),
-        flag(node, path, "checks_fencing"),
-        flag(node, path, "draining"));
-  }
-
   private static ObjectNode writeServer(BackendServer item) {
     ObjectNode node = FACTORY.objectNode();
     node.put("kind", item.kind().name().toLowerCase(Locale.ROOT));
@@ -203,28 +134,6 @@
     return node;
   }
 
-  private static BackendServer.Kind kind(String path, String text) {
-    return switch (text) {
-      case "engine" -> BackendServer.Kind.ENGINE;
-      case "service" -> BackendServer.Kind.SERVICE;
-      default ->
-          throw new FormatException(path + ".kind is '" + text + "'; allowed are engine, service");
-    };
-  }
-
-  private static PlainService readService(String name, JsonNode node) {
-    String path = "services." + name;
-    allowKeys(node, path, "orders");
-    List<PlainService.OrderRule> rules = new ArrayList<>();
-    for (JsonNode rule : node.path("orders")) {
-      allowKeys(rule, path + ".orders", "method", "path_prefix");
-      rules.add(
-          new PlainService.OrderRule(
-              text(rule, path + ".orders", "method"), text(rule, path + ".orders", "path_prefix")));
-    }
-    return new PlainService(name, rules);
-  }
-
   private static ObjectNode writeService(PlainService item) {
     ObjectNode node = FACTORY.objectNode();
     ArrayNode orders = node.putArray("orders");
@@ -238,38 +147,9 @@
     return node;
   }
 
-  private static void allowKeys(JsonNode node, String path, String... keys) {
-    if (node.isMissingNode()) {
-      return;
-    }
-    if (!node.isObject()) {
-      throw new FormatException(path + " must be an object");
-    }
-    Set<String> allowed = new TreeSet<>(List.of(keys));
-    node.fieldNames()
-        .forEachRemaining(
-            key -> {
-              if (!allowed.contains(key)) {
-                throw new FormatException(
-                    path + "." + key + " is an unknown key; allowed are " + allowed);
-              }
-            });
-  }
-
-  private static <T> Map<String, T> items(
-      JsonNode parent, String kind, BiFunction<String, JsonNode, T> reader) {
-    Map<String, T> items = new LinkedHashMap<>();
-    parent
-        .path(kind)
-        .properties()
-        .forEach(
-            entry -> items.put(entry.getKey(), reader.apply(entry.getKey(), entry.getValue())));
-    return items;
-  }
-
   private static <T> ObjectNode object(Map<String, T> items, Function<T, ObjectNode> writer) {
     ObjectNode node = FACTORY.objectNode();
-    new java.util.TreeMap<>(items).forEach((name, item) -> node.set(name, writer.apply(item)));
+    new TreeMap<>(items).forEach((name, item) -> node.set(name, writer.apply(item)));
     return node;
   }
 
@@ -285,48 +165,12 @@
     }
   }
 
-  private static String text(JsonNode node, String path, String key) {
-    JsonNode value = node.path(key);
-    if (!value.isTextual()) {
-      throw new FormatException(path + "." + key + " must be a text");
-    }
-    return value.textValue();
-  }
-
-  private static long whole(JsonNode node, String path, String key) {
-    JsonNode value = node.path(key);
-    if (!value.isIntegralNumber() || !value.canConvertToLong()) {
-      throw new FormatException(path + "." + key + " must be a whole number");
-    }
-    return value.longValue();
-  }
-
-  private static boolean flag(JsonNode node, String path, String key) {
-    JsonNode value = node.path(key);
-    if (value.isMissingNode()) {
-      return false;
-    }
-    if (!value.isBoolean()) {
-      throw new FormatException(path + "." + key + " must be true or false");
-    }
-    return value.booleanValue();
-  }
-
-  private static List<String> texts(JsonNode node, String path, String key) {
-    JsonNode value = node.path(key);
-    if (value.isMissingNode()) {
-      return List.of();
-    }
-    if (!value.isArray()) {
-      throw new FormatException(path + "." + key + " must be an array of texts");
-    }
-    List<String> texts = new ArrayList<>();
-    for (JsonNode item : value) {
-      if (!item.isTextual()) {
-        throw new FormatException(path + "." + key + " must be an array of texts");
-      }
-      texts.add(item.textValue());
+  private static <T> T read(Function<ConfigurationReader, T> reading) {
+    ConfigurationReader reader = new ConfigurationReader();
+    T result = reading.apply(reader);
+    if (!reader.problems().isEmpty()) {
+      throw new FormatException(reader.problems());
     }
-    return texts;
+    return result;
   }
 }
--- a/runtime/src/main/java/org/shallothold/runtime/platform/EntryCodec.java
+++ b/runtime/src/main/java/org/shallothold/runtime/platform/EntryCodec.java
@@ -1,8 +1,11 @@
 package org.shallothold.runtime.platform;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.StreamReadFeature;
+import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
@@ -10,7 +13,6 @@
 import org.shallothold.core.config.Configuration;
 import org.shallothold.core.config.ConfigurationEntry;
 import org.shallothold.core.config.ConfigurationEntry.Content;
-import org.shallothold.core.config.ConfigurationVersion;
 import org.shallothold.core.config.Patch;
 
 /** Reads and writes the JSON bodies of configuration entries; stateless. */
@@ -22,7 +24,12 @@
   /** Kind of an entry that holds a whole configuration. */
   public static final String SNAPSHOT = "snapshot";
 
-  private static final ObjectMapper MAPPER = new ObjectMapper();
+  // A key that stands twice or text after the document would be dropped without notice.
+  private static final ObjectMapper MAPPER =
+      JsonMapper.builder()
+          .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
+          .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+          .build();
 
   private EntryCodec() {}
 
@@ -56,25 +63,28 @@
 
   private static Content content(String kind, byte[] body) {
     try {
-      JsonNode node = MAPPER.readTree(body);
       return switch (kind) {
-        case PATCH -> new Content.PatchContent(ConfigurationJson.readPatch(node));
-        case SNAPSHOT -> readSnapshot(node);
+        case PATCH -> new Content.PatchContent(ConfigurationJson.readPatch(json(body)));
+        case SNAPSHOT -> ConfigurationJson.readSnapshot(json(body));
         default -> new Content.Malformed("the kind '" + kind + "' is not known");
       };
+    } catch (JsonProcessingException e) {
+      // Without the place in the source, which Jackson describes differently for other inputs.
+      return new Content.Malformed("the body is not JSON: " + e.getOriginalMessage());
     } catch (IOException e) {
-      return new Content.Malformed("the body is not JSON: " + e.getMessage());
+      return new Content.Malformed("the body is not UTF-8 text");
     } catch (ConfigurationJson.FormatException e) {
       return new Content.Malformed(String.valueOf(e.getMessage()));
     }
   }
 
-  private static Content readSnapshot(JsonNode node) {
-    ConfigurationVersion version =
-        new ConfigurationVersion(node.path("version").asLong(), node.path("digest").asText());
-    Configuration configuration =
-        ConfigurationJson.readConfiguration(node.path("configuration")).withVersion(version);
-    return new Content.SnapshotContent(configuration, node.path("position").asLong());
+  /**
+   * Returns a JSON document, read as strictly as every process reads it.
+   *
+   * @throws IOException if the bytes are not JSON, hold a key twice or go on after the document
+   */
+  public static JsonNode json(byte[] body) throws IOException {
+    return MAPPER.readTree(body);
   }
 
   private static byte[] bytes(JsonNode node) {
--- a/runtime/src/main/java/org/shallothold/runtime/platform/HttpConfigurationSource.java
+++ b/runtime/src/main/java/org/shallothold/runtime/platform/HttpConfigurationSource.java
@@ -41,7 +41,7 @@
             "config/entries?after=" + afterPosition + "&wait_ms=" + waitMillis,
             ANSWER_TIMEOUT.plusMillis(waitMillis));
     List<ConfigurationEntry> entries = new ArrayList<>();
-    for (JsonNode node : json(response).path("entries")) {
+    for (JsonNode node : array(json(response), "entries")) {
       entries.add(entry(node));
     }
     return entries;
@@ -58,11 +58,11 @@
   @Override
   public MembershipView members() {
     List<Member> members = new ArrayList<>();
-    for (JsonNode node : json(get("members", ANSWER_TIMEOUT)).path("members")) {
+    for (JsonNode node : array(json(get("members", ANSWER_TIMEOUT)), "members")) {
       boolean sidecar = node.path("role").asText().equals("sidecar");
       members.add(
           new Member(
-              sidecar ? node.path("server_id").asText() : node.path("process_id").asText(),
+              node.path(sidecar || !node.has("process_id") ? "server_id" : "process_id").asText(),
               sidecar ? Member.Role.SIDECAR : Member.Role.GATEWAY,
               node.path("failure_domain").asText(),
               node.path("state").asText().equals("leaving")));
@@ -102,11 +102,27 @@
     }
   }
 
+  private static JsonNode array(JsonNode document, String key) {
+    JsonNode array = document.path(key);
+    if (!array.isArray()) {
+      throw PlatformException.of("the platform's answer has no array " + key, null);
+    }
+    return array;
+  }
+
+  // An entry that isn't understood here must not be taken as one with an empty body: other
+  // processes may have read it rightly, and the histories would differ.
   private static ConfigurationEntry entry(JsonNode node) {
+    if (!node.path("position").canConvertToLong()
+        || node.path("position").longValue() < 1
+        || !node.path("kind").isTextual()
+        || !node.path("body").isTextual()) {
+      throw PlatformException.of("an entry lacks its position, kind or body", null);
+    }
     try {
       return EntryCodec.decode(
-          node.path("position").asLong(),
-          node.path("kind").asText(),
+          node.path("position").longValue(),
+          node.path("kind").textValue(),
           node.path("body").binaryValue());
     } catch (IOException e) {
       throw PlatformException.of("an entry's body is not base64", e);
--- a/runtime/src/main/java/org/shallothold/runtime/sync/ConfigurationSync.java
+++ b/runtime/src/main/java/org/shallothold/runtime/sync/ConfigurationSync.java
@@ -1,37 +1,35 @@
 package org.shallothold.runtime.sync;
 
 import com.google.protobuf.ByteString;
-import io.prometheus.metrics.core.metrics.Counter;
-import io.prometheus.metrics.core.metrics.Gauge;
-import java.lang.System.Logger;
 import java.util.ArrayList;
-import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Map;
-import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
-import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.function.BiFunction;
 import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
 import org.shallothold.core.config.Configuration;
 import org.shallothold.core.config.ConfigurationEntry;
 import org.shallothold.core.config.ConfigurationHistory;
 import org.shallothold.core.config.ConfigurationVersion;
 import org.shallothold.core.config.PatchOutcome;
 import org.shallothold.core.membership.MembershipView;
-import org.shallothold.core.membership.ReaderElection;
 import org.shallothold.runtime.ProcessIdentity;
 import org.shallothold.runtime.duty.Duty;
 import org.shallothold.runtime.logging.AuditOutput;
 import org.shallothold.runtime.metrics.Metrics;
 import org.shallothold.runtime.platform.ConfigurationSource;
 import org.shallothold.runtime.platform.EntryCodec;
-import org.shallothold.runtime.platform.PlatformException;
 import org.shallothold.wire.connection.PeerConnection;
 import org.shallothold.wire.proto.ConfigurationAnnouncement;
 import org.shallothold.wire.proto.ConfigurationEntries;
 import org.shallothold.wire.proto.ConfigurationRequest;
 import org.shallothold.wire.proto.Envelope;
 import org.shallothold.wire.proto.Hello;
+import org.shallothold.wire.proto.Role;
 
 /**
  * Keeps the configuration of a process current: reads the platform, and passes entries on between
@@ -40,31 +38,30 @@
  */
 public final class ConfigurationSync implements AutoCloseable {
 
-  private static final Logger LOGGER = System.getLogger(ConfigurationSync.class.getName());
   private static final int RING_CAPACITY = 1_024;
-  private static final long RETRY_MILLIS = 1_000;
+  private static final long TICK_MILLIS = 250;
+  // Far below the largest frame, so that an answer is never refused for its length: one entry has
+  // at most 1 MB.
+  private static final int ANSWER_BYTES = 1024 * 1024;
 
   private final ProcessIdentity identity;
-  private final ConfigurationSource source;
-  private final AuditOutput audit;
-  private final SyncOptions options;
-  private final Counter conflicts;
-  private final Counter platformReads;
-  private final Gauge versionGauge;
+  private final SyncReport report;
 
   private final ConfigurationHistory history = ConfigurationHistory.create();
-  private final Set<PeerConnection> peers = new LinkedHashSet<>();
+  private final PeerPull pull = new PeerPull();
   private final List<Consumer<Configuration>> listeners = new CopyOnWriteArrayList<>();
   private final List<Consumer<MembershipView>> memberListeners = new CopyOnWriteArrayList<>();
 
   private volatile Configuration current = Configuration.EMPTY;
   private volatile MembershipView members = MembershipView.EMPTY;
   private volatile long lastPosition;
-  private volatile boolean closed;
-  private boolean platformReachable = true;
+  private volatile boolean behind;
 
   private final Duty<SyncEvent> duty;
-  private final Thread reader;
+  private final PlatformReader reader;
+  private final ScheduledExecutorService timer =
+      Executors.newSingleThreadScheduledExecutor(
+          Thread.ofPlatform().daemon().name("configuration-timer").factory());
 
   private ConfigurationSync(
       ProcessIdentity identity,
@@ -73,20 +70,17 @@
       Metrics metrics,
       SyncOptions options) {
     this.identity = identity;
-    this.source = source;
-    this.audit = audit;
-    this.options = options;
-    this.conflicts =
-        metrics.counter(
-            "shallothold_config_history_conflicts_total",
-            "Contradictions between this process's configuration history and another.");
-    this.platformReads =
-        metrics.counter("shallothold_platform_reads_total", "Reads of the platform.", "outcome");
-    this.versionGauge =
-        metrics.gauge("shallothold_config_version_number", "Configuration version in force.");
+    this.report = new SyncReport(audit, metrics);
     this.duty = Duty.start("configuration", RING_CAPACITY, this::handle);
-    this.reader = new Thread(this::readPlatform, "platform-reader");
-    this.reader.setDaemon(true);
+    this.reader =
+        new PlatformReader(
+            identity.processId(),
+            source,
+            options,
+            report,
+            () -> lastPosition,
+            this::applyFromReader,
+            this::takeMembers);
   }
 
   /** Starts to read the platform. */
@@ -98,6 +92,7 @@
       SyncOptions options) {
     ConfigurationSync sync = new ConfigurationSync(identity, source, audit, metrics, options);
     sync.reader.start();
+    sync.duty.offerEvery(sync.timer, TICK_MILLIS, new SyncEvent.Tick());
     return sync;
   }
 
@@ -106,6 +101,22 @@
     return current;
   }
 
+  /**
+   * Returns whether a connected peer of the same history has named a newer version that has not
+   * arrived yet. A process without any configuration is not behind by this, only not configured.
+   */
+  public boolean isBehind() {
+    return behind;
+  }
+
+  /**
+   * Returns whether the platform is still followed; false once it has shown another history than
+   * the one held, until the process is restarted.
+   */
+  public boolean isFollowingPlatform() {
+    return reader.isFollowing();
+  }
+
   /** Returns the membership list as last read. */
   public MembershipView members() {
     return members;
@@ -134,10 +145,12 @@
     memberListeners.add(listener);
   }
 
-  /** Notes a new connection and the version that its peer holds. */
+  /** Notes a new connection and the version that its peer holds; an operator's is no peer. */
   public void connected(PeerConnection connection, Hello hello) {
-    duty.offer(
-        new SyncEvent.PeerVersion(connection, WireVersions.fromWire(hello.getVersion()), true));
+    if (hello.getRole() != Role.ROLE_OPERATOR) {
+      duty.offer(
+          new SyncEvent.PeerVersion(connection, WireVersions.fromWire(hello.getVersion()), true));
+    }
   }
 
   /** Notes a version that a peer named in any later message. */
@@ -164,9 +177,10 @@
           duty.offer(
               new SyncEvent.PeerRequest(
                   connection, envelope.getConfigurationRequest().getAfterPosition()));
-      case CONFIGURATION_ENTRIES ->
-          duty.offer(
-              new SyncEvent.PeerEntries(connection, decode(envelope.getConfigurationEntries())));
+      case CONFIGURATION_ENTRIES -> {
+        ConfigurationEntries message = envelope.getConfigurationEntries();
+        duty.offer(new SyncEvent.PeerEntries(connection, decode(message), base(message)));
+      }
       default -> {
         return false;
       }
@@ -176,59 +190,100 @@
 
   @Override
   public void close() {
-    closed = true;
-    reader.interrupt();
+    timer.shutdownNow();
+    reader.close();
     duty.close();
   }
 
   private void handle(SyncEvent event) {
     switch (event) {
-      case SyncEvent.PlatformEntries(List<ConfigurationEntry> entries) ->
-          apply(entries, "platform");
-      case SyncEvent.PeerEntries(PeerConnection connection, List<ConfigurationEntry> entries) ->
-          apply(entries, "peer");
-      case SyncEvent.PeerVersion(
-              PeerConnection connection,
-              ConfigurationVersion version,
-              boolean isNew) ->
+      case SyncEvent.PlatformEntries(var entries, var applied) ->
+          takeFromPlatform(entries, applied);
+      case SyncEvent.PeerEntries entries -> takeFromPeer(entries);
+      case SyncEvent.PeerVersion(var connection, var version, boolean isNew) ->
           peerVersion(connection, version, isNew);
-      case SyncEvent.PeerRequest(PeerConnection connection, long afterPosition) ->
+      case SyncEvent.PeerRequest(var connection, long afterPosition) ->
           answer(connection, afterPosition);
-      case SyncEvent.PeerGone(PeerConnection connection) -> peers.remove(connection);
+      case SyncEvent.PeerGone(PeerConnection connection) -> pull.gone(connection);
+      case SyncEvent.Tick tick -> pull.prune();
+    }
+    askPeer();
+  }
+
+  private void takeFromPlatform(
+      List<ConfigurationEntry> entries, CompletableFuture<SyncEvent.Applied> applied) {
+    try {
+      applied.complete(
+          apply(
+              entries,
+              "platform",
+              ConfigurationHistory::apply,
+              place -> report.historyConflict("platform", place, current.version())));
+    } catch (RuntimeException e) {
+      // The reader waits for this and must not wait for ever if a listener fails.
+      applied.completeExceptionally(e);
+      throw e;
+    }
+  }
+
+  private void peerConflict(PeerConnection connection, String place) {
+    if (pull.markConflicting(connection)) {
+      Hello hello = connection.remoteHello();
+      String name = hello == null ? "" : " " + hello.getProcessId();
+      report.historyConflict("peer" + name, place, current.version());
     }
   }
 
   private void peerVersion(PeerConnection connection, ConfigurationVersion version, boolean isNew) {
-    if (isNew) {
-      peers.add(connection);
+    if (!connection.isOpen()) {
+      return;
     }
+    pull.named(connection, version);
     if (history.contradicts(version)) {
-      conflict("peer", "version " + version.number());
-    } else if (version.number() > current.version().number()) {
-      connection.send(
-          Envelope.newBuilder()
-              .setConfigurationRequest(
-                  ConfigurationRequest.newBuilder().setAfterPosition(history.lastPosition()))
-              .build());
+      peerConflict(connection, "version " + version.number());
     } else if (isNew && version.number() < current.version().number()) {
       // Its hello may have been sent before ours arrived, so tell it.
       connection.send(announcement());
     }
   }
 
+  private void askPeer() {
+    behind = pull.isBehind(current.version());
+    if (behind) {
+      pull.next(current.version(), nowMillis())
+          .ifPresent(
+              peer ->
+                  peer.send(
+                      Envelope.newBuilder()
+                          .setConfigurationRequest(
+                              ConfigurationRequest.newBuilder()
+                                  .setAfterPosition(history.lastPosition()))
+                          .build()));
+    }
+  }
+
   private void answer(PeerConnection connection, long afterPosition) {
     ConfigurationEntries.Builder answer = ConfigurationEntries.newBuilder();
-    history
-        .entriesAfter(afterPosition)
-        .filter(entries -> history.lastPosition() > 0)
-        .orElseGet(this::snapshotEntries)
-        .forEach(
-            entry ->
-                answer.addEntries(
-                    org.shallothold.wire.proto.ConfigurationEntry.newBuilder()
-                        .setPosition(entry.position())
-                        .setKind(entry.kind())
-                        .setBody(ByteString.copyFrom(entry.body()))));
+    List<ConfigurationEntry> entries =
+        history.entriesAfter(afterPosition).orElseGet(this::snapshotEntries);
+    if (!entries.isEmpty() && entries.getFirst().position() == afterPosition + 1) {
+      history
+          .versionAt(afterPosition)
+          .ifPresent(version -> answer.setBase(WireVersions.toWire(version)));
+    }
+    int bytes = 0;
+    for (ConfigurationEntry entry : entries) {
+      byte[] body = entry.body();
+      bytes += body.length;
+      if (bytes > ANSWER_BYTES && answer.getEntriesCount() > 0) {
+        break;
+      }
+      answer.addEntries(
+          org.shallothold.wire.proto.ConfigurationEntry.newBuilder()
+              .setPosition(entry.position())
+              .setKind(entry.kind())
+              .setBody(ByteString.copyFrom(body)));
+    }
     connection.send(Envelope.newBuilder().setConfigurationEntries(answer).build());
   }
 
@@ -237,93 +292,74 @@
     return List.of(EntryCodec.decode(history.lastPosition(), EntryCodec.SNAPSHOT, body));
   }
 
-  private void apply(List<ConfigurationEntry> entries, String source) {
-    ConfigurationVersion before = current.version();
+  private void takeFromPeer(SyncEvent.PeerEntries message) {
+    PeerConnection connection = message.connection();
+    if (!pull.isPeer(connection) || pull.isConflicting(connection)) {
+      return;
+    }
+    SyncEvent.Applied applied = new SyncEvent.Applied(false, false);
+    if (!message.entries().isEmpty()) {
+      long before = message.entries().getFirst().position() - 1;
+      ConfigurationVersion base = message.base();
+      if (base != null
+          && history.versionAt(before).filter(ours -> !ours.equals(base)).isPresent()) {
+        peerConflict(connection, "position " + before);
+      } else {
+        applied =
+            apply(
+                message.entries(),
+                "peer",
+                ConfigurationHistory::applyFromPeer,
+                place -> peerConflict(connection, place));
+      }
+    }
+    pull.answered(connection, applied.progress(), nowMillis());
+  }
+
+  private SyncEvent.Applied apply(
+      List<ConfigurationEntry> entries,
+      String source,
+      BiFunction<ConfigurationHistory, ConfigurationEntry, PatchOutcome> application,
+      Consumer<String> onConflict) {
+    Configuration before = current;
+    long positionBefore = history.lastPosition();
+    boolean contradiction = false;
     for (ConfigurationEntry entry : entries) {
-      if (!report(entry, history.apply(entry), source)) {
+      PatchOutcome outcome = application.apply(history, entry);
+      record(entry, outcome, source);
+      if (outcome instanceof PatchOutcome.Contradiction(long position)) {
+        onConflict.accept("position " + position);
+        contradiction = true;
+      }
+      if (contradiction || outcome instanceof PatchOutcome.Gap) {
         break;
       }
     }
     lastPosition = history.lastPosition();
-    if (current.version().number() > before.number()) {
-      versionGauge.set((double) current.version().number());
-      peers.forEach(peer -> peer.send(announcement()));
+    if (!current.version().equals(before.version())) {
+      pull.peers().forEach(peer -> peer.send(announcement()));
       listeners.forEach(listener -> listener.accept(current));
     }
+    return new SyncEvent.Applied(lastPosition > positionBefore, contradiction);
   }
 
-  /** Records an outcome; returns whether to go on with the entries after it. */
-  private boolean report(ConfigurationEntry entry, PatchOutcome outcome, String source) {
-    String position = Long.toString(entry.position());
+  private void record(ConfigurationEntry entry, PatchOutcome outcome, String source) {
     switch (outcome) {
       case PatchOutcome.Accepted(var configuration, var patch) -> {
+        report.accepted(entry, current, configuration, patch, source);
         current = configuration;
-        audit.record(
-            "configuration_accepted",
-            Map.of(
-                "position", position,
-                "version", Long.toString(configuration.version().number()),
-                "base", Long.toString(patch.base()),
-                "digest", configuration.version().digest(),
-                "author", patch.author(),
-                "written", patch.time(),
-                "reason", patch.reason(),
-                "source", source));
       }
       case PatchOutcome.Started(var configuration) -> {
+        report.started(entry, configuration, source);
         current = configuration;
-        audit.record(
-            "configuration_started_from_snapshot",
-            Map.of(
-                "position", position,
-                "version", Long.toString(configuration.version().number()),
-                "source", source));
-      }
-      case PatchOutcome.Conflict(var patch, var now) ->
-          audit.record(
-              "configuration_patch_refused",
-              Map.of(
-                  "position", position,
-                  "base", Long.toString(patch.base()),
-                  "current", Long.toString(now.number()),
-                  "author", patch.author(),
-                  "reason", patch.reason(),
-                  "problem", "the base is no longer the current version"));
-      case PatchOutcome.Invalid(var problems) ->
-          audit.record(
-              "configuration_patch_refused",
-              Map.of("position", position, "problem", String.join("; ", problems)));
-      case PatchOutcome.Contradiction(long at) -> {
-        conflict(source, "position " + at);
-        return false;
-      }
-      case PatchOutcome.Gap gap -> {
-        return false;
       }
+      case PatchOutcome.Conflict conflict ->
+          report.conflictingPatch(entry, conflict, current.version());
+      case PatchOutcome.Invalid(var problems) -> report.invalid(entry, problems);
+      case PatchOutcome.Contradiction contradiction -> {}
+      case PatchOutcome.Gap gap -> {}
       case PatchOutcome.Known known -> {}
     }
-    return true;
-  }
-
-  private void conflict(String source, String place) {
-    conflicts.inc();
-    LOGGER.log(
-        Logger.Level.ERROR,
-        "two configuration histories exist at {0} (source {1}); keeping version {2}",
-        place,
-        source,
-        Long.toString(current.version().number()));
-    audit.record(
-        "configuration_history_conflict",
-        Map.of(
-            "place",
-            place,
-            "source",
-            source,
-            "kept_version",
-            Long.toString(current.version().number()),
-            "kept_digest",
-            current.version().digest()));
   }
 
   private Envelope announcement() {
@@ -346,68 +382,30 @@
     return entries;
   }
 
-  private void readPlatform() {
-    long membersDue = 0;
-    while (!closed) {
-      long pause = 0;
-      try {
-        boolean watching =
-            ReaderElection.isReader(identity.processId(), members, options.readersPerDomain());
-        long now = System.nanoTime() / 1_000_000;
-        if (now >= membersDue) {
-          members = source.members();
-          memberListeners.forEach(listener -> listener.accept(members));
-          membersDue = now + (watching ? options.membersMillis() : options.pollMillis());
-        }
-        readEntries(watching ? Math.min(options.watchMillis(), membersDue - now) : 0);
-        pause = watching ? 0 : jitter(options.pollMillis());
-        platformRead(true, "");
-      } catch (PlatformException e) {
-        platformRead(false, String.valueOf(e.getMessage()));
-        pause = jitter(RETRY_MILLIS);
-      }
-      sleep(pause);
-    }
+  private static @Nullable ConfigurationVersion base(ConfigurationEntries message) {
+    return message.hasBase() ? WireVersions.fromWire(message.getBase()) : null;
   }
 
-  private void readEntries(long waitMillis) {
-    List<ConfigurationEntry> entries = new ArrayList<>();
-    if (lastPosition == 0) {
-      source.snapshot().ifPresent(entries::add);
-    }
-    if (entries.isEmpty()) {
-      entries.addAll(source.entriesAfter(lastPosition, waitMillis));
-    }
-    if (!entries.isEmpty()) {
-      long before = lastPosition;
-      duty.put(new SyncEvent.PlatformEntries(entries));
-      // The next read starts after these entries, so wait until they are applied.
-      for (int tries = 0; tries < 100 && lastPosition == before; tries++) {
-        sleep(2);
-      }
-    }
-  }
-
-  private void platformRead(boolean reachable, String problem) {
-    platformReads.labelValues(reachable ? "ok" : "failed").inc();
-    if (reachable != platformReachable) {
-      platformReachable = reachable;
-      LOGGER.log(
-          Logger.Level.WARNING,
-          reachable ? "the platform can be read again" : "the platform can't be read: {0}",
-          problem);
+  /** Hands entries to the configuration thread and waits until they are applied. */
+  private SyncEvent.Applied applyFromReader(List<ConfigurationEntry> entries) {
+    CompletableFuture<SyncEvent.Applied> applied = new CompletableFuture<>();
+    duty.put(new SyncEvent.PlatformEntries(entries, applied));
+    try {
+      return applied.get();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    } catch (ExecutionException e) {
+      throw new IllegalStateException("entries could not be applied", e.getCause());
     }
+    return new SyncEvent.Applied(false, false);
   }
 
-  private static long jitter(long millis) {
-    return millis / 2 + ThreadLocalRandom.current().nextLong(millis + 1);
+  private void takeMembers(MembershipView view) {
+    members = view;
+    memberListeners.forEach(listener -> listener.accept(view));
   }
 
-  private static void sleep(long millis) {
-    try {
-      Thread.sleep(millis);
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-    }
+  private static long nowMillis() {
+    return System.nanoTime() / 1_000_000;
   }
 }
--- a/wire/src/main/java/org/shallothold/wire/connection/PeerClient.java
+++ b/wire/src/main/java/org/shallothold/wire/connection/PeerClient.java
@@ -25,13 +25,15 @@
   // does not draw a storm of connects.
   private static final long LONGEST_PAUSE_MILLIS = 2_000;
 
+  private static final long LASTING_MILLIS = 1_000;
+
   private final EventLoopGroup group;
   private final SocketAddress address;
   private final Bootstrap bootstrap;
 
   private volatile boolean closed;
   private volatile @Nullable Channel channel;
-  private long pauseMillis = FIRST_PAUSE_MILLIS;
+  private volatile long pauseMillis = FIRST_PAUSE_MILLIS;
 
   private PeerClient(EventLoopGroup group, SocketAddress address, Bootstrap bootstrap) {
     this.group = group;
@@ -84,20 +86,31 @@
       connectLater();
       return;
     }
-    pauseMillis = FIRST_PAUSE_MILLIS;
+    long connectedNanos = System.nanoTime();
     channel = future.channel();
     if (closed) {
       future.channel().close();
     }
-    future.channel().closeFuture().addListener(ignored -> connectLater());
+    future.channel().closeFuture().addListener(ignored -> closed(connectedNanos));
+  }
+
+  // A connection that is closed at once, as by a peer that refuses our certificate, counts as a
+  // failed connect, or the pause would never grow.
+  private void closed(long connectedNanos) {
+    long lastedMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - connectedNanos);
+    if (lastedMillis >= LASTING_MILLIS) {
+      pauseMillis = FIRST_PAUSE_MILLIS;
+    }
+    connectLater();
   }
 
   private void connectLater() {
     if (closed || group.isShuttingDown()) {
       return;
     }
-    long pause = pauseMillis / 2 + ThreadLocalRandom.current().nextLong(pauseMillis / 2 + 1);
-    pauseMillis = Math.min(pauseMillis * 2, LONGEST_PAUSE_MILLIS);
+    long longest = pauseMillis;
+    pauseMillis = Math.min(longest * 2, LONGEST_PAUSE_MILLIS);
+    long pause = longest / 2 + ThreadLocalRandom.current().nextLong(longest / 2 + 1);
     group.schedule(this::connect, pause, TimeUnit.MILLISECONDS);
   }
 }
--- a/wire/src/main/java/org/shallothold/wire/connection/PeerPipeline.java
+++ b/wire/src/main/java/org/shallothold/wire/connection/PeerPipeline.java
@@ -8,7 +8,6 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.protobuf.ProtobufDecoder;
 import io.netty.handler.codec.protobuf.ProtobufEncoder;
-import io.netty.handler.codec.protobuf.ProtobufVarint32FrameDecoder;
 import io.netty.handler.codec.protobuf.ProtobufVarint32LengthFieldPrepender;
 import io.netty.handler.ssl.SslContext;
 import io.netty.handler.timeout.IdleState;
@@ -55,34 +54,13 @@
     pipeline.addLast(
         new IdleStateHandler(
             limits.silenceMillis(), limits.heartbeatMillis(), 0, TimeUnit.MILLISECONDS));
-    pipeline.addLast(new LimitedFrameDecoder(limits.maxFrameBytes()));
+    pipeline.addLast(new FrameDecoder(limits.maxFrameBytes()));
     pipeline.addLast(new ProtobufDecoder(Envelope.getDefaultInstance()));
     pipeline.addLast(new ProtobufVarint32LengthFieldPrepender());
     pipeline.addLast(new ProtobufEncoder());
     pipeline.addLast(new Receiver(new PeerConnection(channel)));
   }
 
-  /** Rejects a frame by its announced length, before its bytes are buffered. */
-  private static final class LimitedFrameDecoder extends ProtobufVarint32FrameDecoder {
-
-    private final int maxFrameBytes;
-
-    LimitedFrameDecoder(int maxFrameBytes) {
-      this.maxFrameBytes = maxFrameBytes;
-    }
-
-    @Override
-    protected void decode(
-        ChannelHandlerContext context, io.netty.buffer.ByteBuf in, java.util.List<Object> out)
-        throws Exception {
-      if (in.readableBytes() > maxFrameBytes) {
-        throw new io.netty.handler.codec.TooLongFrameException(
-            "a frame is longer than " + maxFrameBytes + " bytes");
-      }
-      super.decode(context, in, out);
-    }
-  }
-
   private final class Receiver extends SimpleChannelInboundHandler<Envelope> {
 
     private final PeerConnection connection;
--- a/wire/src/main/java/org/shallothold/wire/proto/ConfigurationEntries.java
+++ b/wire/src/main/java/org/shallothold/wire/proto/ConfigurationEntries.java
@@ -6,6 +6,10 @@
 package org.shallothold.wire.proto;
 
 /**
+ * <pre>
+ * Perhaps not all entries; the receiver asks again after the last one.
+ * </pre>
+ *
  * Protobuf type {@code shallothold.ConfigurationEntries}
  */
 @com.google.protobuf.Generated
@@ -49,6 +53,7 @@
             org.shallothold.wire.proto.ConfigurationEntries.class, org.shallothold.wire.proto.ConfigurationEntries.Builder.class);
   }
 
+  private int bitField0_;
   public static final int ENTRIES_FIELD_NUMBER = 1;
   @SuppressWarnings("serial")
   private java.util.List<org.shallothold.wire.proto.ConfigurationEntry> entries_;
@@ -90,6 +95,50 @@
     return entries_.get(index);
   }
 
+  public static final int BASE_FIELD_NUMBER = 2;
+  private org.shallothold.wire.proto.Version base_;
+  /**
+   * <pre>
+   * Version in force at the sender before the first of these entries, so that a receiver whose own
+   * version there differs sees that the sender has another history. Absent if the sender no longer
+   * knows it.
+   * </pre>
+   *
+   * <code>.shallothold.Version base = 2;</code>
+   * @return Whether the base field is set.
+   */
+  @java.lang.Override
+  public boolean hasBase() {
+    return ((bitField0_ & 0x00000001) != 0);
+  }
+  /**
+   * <pre>
+   * Version in force at the sender before the first of these entries, so that a receiver whose own
+   * version there differs sees that the sender has another history. Absent if the sender no longer
+   * knows it.
+   * </pre>
+   *
+   * <code>.shallothold.Version base = 2;</code>
+   * @return The base.
+   */
+  @java.lang.Override
+  public org.shallothold.wire.proto.Version getBase() {
+    return base_ == null ? org.shallothold.wire.proto.Version.getDefaultInstance() : base_;
+  }
+  /**
+   * <pre>
+   * Version in force at the sender before the first of these entries, so that a receiver whose own
+   * version there differs sees that the sender has another history. Absent if the sender no longer
+   * knows it.
+   * </pre>
+   *
+   * <code>.shallothold.Version base = 2;</code>
+   */
+  @java.lang.Override
+  public org.shallothold.wire.proto.VersionOrBuilder getBaseOrBuilder() {
+    return base_ == null ? org.shallothold.wire.proto.Version.getDefaultInstance() : base_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -107,6 +156,9 @@
     for (int i = 0; i < entries_.size(); i++) {
       output.writeMessage(1, entries_.get(i));
     }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      output.writeMessage(2, getBase());
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -125,6 +177,10 @@
           }
           size += 1 * count;
         }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(2, getBase());
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -142,6 +198,11 @@
 
     if (!getEntriesList()
         .equals(other.getEntriesList())) return false;
+    if (hasBase() != other.hasBase()) return false;
+    if (hasBase()) {
+      if (!getBase()
+          .equals(other.getBase())) return false;
+    }
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -157,6 +218,10 @@
       hash = (37 * hash) + ENTRIES_FIELD_NUMBER;
       hash = (53 * hash) + getEntriesList().hashCode();
     }
+    if (hasBase()) {
+      hash = (37 * hash) + BASE_FIELD_NUMBER;
+      hash = (53 * hash) + getBase().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -255,6 +320,10 @@
     return builder;
   }
   /**
+   * <pre>
+   * Perhaps not all entries; the receiver asks again after the last one.
+   * </pre>
+   *
    * Protobuf type {@code shallothold.ConfigurationEntries}
    */
   public static final class Builder extends
@@ -276,13 +345,20 @@
 
     // Construct using org.shallothold.wire.proto.ConfigurationEntries.newBuilder()
     private Builder() {
-
+      maybeForceBuilderInitialization();
     }
 
     private Builder(
         com.google.protobuf.GeneratedMessage.BuilderParent parent) {
       super(parent);
-
+      maybeForceBuilderInitialization();
+    }
+    private void maybeForceBuilderInitialization() {
+      if (com.google.protobuf.GeneratedMessage
+              .alwaysUseFieldBuilders) {
+        internalGetEntriesFieldBuilder();
+        internalGetBaseFieldBuilder();
+      }
     }
     @java.lang.Override
     public Builder clear() {
@@ -295,6 +371,11 @@
         entriesBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000001);
+      base_ = null;
+      if (baseBuilder_ != null) {
+        baseBuilder_.dispose();
+        baseBuilder_ = null;
+      }
       return this;
     }
 
@@ -341,6 +422,14 @@
 
     private void buildPartial0(org.shallothold.wire.proto.ConfigurationEntries result) {
       int from_bitField0_ = bitField0_;
+      int to_bitField0_ = 0;
+      if (((from_bitField0_ & 0x00000002) != 0)) {
+        result.base_ = baseBuilder_ == null
+            ? base_
+            : baseBuilder_.build();
+        to_bitField0_ |= 0x00000001;
+      }
+      result.bitField0_ |= to_bitField0_;
     }
 
     @java.lang.Override
@@ -381,6 +470,9 @@
           }
         }
       }
+      if (other.hasBase()) {
+        mergeBase(other.getBase());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -420,6 +512,13 @@
               }
               break;
             } // case 10
+            case 18: {
+              input.readMessage(
+                  internalGetBaseFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bitField0_ |= 0x00000002;
+              break;
+            } // case 18
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -677,6 +776,181 @@
       return entriesBuilder_;
     }
 
+    private org.shallothold.wire.proto.Version base_;
+    private com.google.protobuf.SingleFieldBuilder<
+        org.shallothold.wire.proto.Version, org.shallothold.wire.proto.Version.Builder, org.shallothold.wire.proto.VersionOrBuilder> baseBuilder_;
+    /**
+     * <pre>
+     * Version in force at the sender before the first of these entries, so that a receiver whose own
+     * version there differs sees that the sender has another history. Absent if the sender no longer
+     * knows it.
+     * </pre>
+     *
+     * <code>.shallothold.Version base = 2;</code>
+     * @return Whether the base field is set.
+     */
+    public boolean hasBase() {
+      return ((bitField0_ & 0x00000002) != 0);
+    }
+    /**
+     * <pre>
+     * Version in force at the sender before the first of these entries, so that a receiver whose own
+     * version there differs sees that the sender has another history. Absent if the sender no longer
+     * knows it.
+     * </pre>
+     *
+     * <code>.shallothold.Version base = 2;</code>
+     * @return The base.
+     */
+    public org.shallothold.wire.proto.Version getBase() {
+      if (baseBuilder_ == null) {
+        return base_ == null ? org.shallothold.wire.proto.Version.getDefaultInstance() : base_;
+      } else {
+        return baseBuilder_.getMessage();
+      }
+    }
+    /**
+     * <pre>
+     * Version in force at the sender before the first of these entries, so that a receiver whose own
+     * version there differs sees that the sender has another history. Absent if the sender no longer
+     * knows it.
+     * </pre>
+     *
+     * <code>.shallothold.Version base = 2;</code>
+     */
+    public Builder setBase(org.shallothold.wire.proto.Version value) {
+      if (baseBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        base_ = value;
+      } else {
+        baseBuilder_.setMessage(value);
+      }
+      bitField0_ |= 0x00000002;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Version in force at the sender before the first of these entries, so that a receiver whose own
+     * version there differs sees that the sender has another history. Absent if the sender no longer
+     * knows it.
+     * </pre>
+     *
+     * <code>.shallothold.Version base = 2;</code>
+     */
+    public Builder setBase(
+        org.shallothold.wire.proto.Version.Builder builderForValue) {
+      if (baseBuilder_ == null) {
+        base_ = builderForValue.build();
+      } else {
+        baseBuilder_.setMessage(builderForValue.build());
+      }
+      bitField0_ |= 0x00000002;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Version in force at the sender before the first of these entries, so that a receiver whose own
+     * version there differs sees that the sender has another history. Absent if the sender no longer
+     * knows it.
+     * </pre>
+     *
+     * <code>.shallothold.Version base = 2;</code>
+     */
+    public Builder mergeBase(org.shallothold.wire.proto.Version value) {
+      if (baseBuilder_ == null) {
+        if (((bitField0_ & 0x00000002) != 0) &&
+          base_ != null &&
+          base_ != org.shallothold.wire.proto.Version.getDefaultInstance()) {
+          getBaseBuilder().mergeFrom(value);
+        } else {
+          base_ = value;
+        }
+      } else {
+        baseBuilder_.mergeFrom(value);
+      }
+      if (base_ != null) {
+        bitField0_ |= 0x00000002;
+        onChanged();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Version in force at the sender before the first of these entries, so that a receiver whose own
+     * version there differs sees that the sender has another history. Absent if the sender no longer
+     * knows it.
+     * </pre>
+     *
+     * <code>.shallothold.Version base = 2;</code>
+     */
+    public Builder clearBase() {
+      bitField0_ = (bitField0_ & ~0x00000002);
+      base_ = null;
+      if (baseBuilder_ != null) {
+        baseBuilder_.dispose();
+        baseBuilder_ = null;
+      }
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Version in force at the sender before the first of these entries, so that a receiver whose own
+     * version there differs sees that the sender has another history. Absent if the sender no longer
+     * knows it.
+     * </pre>
+     *
+     * <code>.shallothold.Version base = 2;</code>
+     */
+    public org.shallothold.wire.proto.Version.Builder getBaseBuilder() {
+      bitField0_ |= 0x00000002;
+      onChanged();
+      return internalGetBaseFieldBuilder().getBuilder();
+    }
+    /**
+     * <pre>
+     * Version in force at the sender before the first of these entries, so that a receiver whose own
+     * version there differs sees that the sender has another history. Absent if the sender no longer
+     * knows it.
+     * </pre>
+     *
+     * <code>.shallothold.Version base = 2;</code>
+     */
+    public org.shallothold.wire.proto.VersionOrBuilder getBaseOrBuilder() {
+      if (baseBuilder_ != null) {
+        return baseBuilder_.getMessageOrBuilder();
+      } else {
+        return base_ == null ?
+            org.shallothold.wire.proto.Version.getDefaultInstance() : base_;
+      }
+    }
+    /**
+     * <pre>
+     * Version in force at the sender before the first of these entries, so that a receiver whose own
+     * version there differs sees that the sender has another history. Absent if the sender no longer
+     * knows it.
+     * </pre>
+     *
+     * <code>.shallothold.Version base = 2;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.shallothold.wire.proto.Version, org.shallothold.wire.proto.Version.Builder, org.shallothold.wire.proto.VersionOrBuilder> 
+        internalGetBaseFieldBuilder() {
+      if (baseBuilder_ == null) {
+        baseBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.shallothold.wire.proto.Version, org.shallothold.wire.proto.Version.Builder, org.shallothold.wire.proto.VersionOrBuilder>(
+                getBase(),
+                getParentForChildren(),
+                isClean());
+        base_ = null;
+      }
+      return baseBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:shallothold.ConfigurationEntries)
   }
 
--- a/wire/src/main/java/org/shallothold/wire/proto/ConfigurationEntriesOrBuilder.java
+++ b/wire/src/main/java/org/shallothold/wire/proto/ConfigurationEntriesOrBuilder.java
@@ -33,4 +33,37 @@
    */
   org.shallothold.wire.proto.ConfigurationEntryOrBuilder getEntriesOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * Version in force at the sender before the first of these entries, so that a receiver whose own
+   * version there differs sees that the sender has another history. Absent if the sender no longer
+   * knows it.
+   * </pre>
+   *
+   * <code>.shallothold.Version base = 2;</code>
+   * @return Whether the base field is set.
+   */
+  boolean hasBase();
+  /**
+   * <pre>
+   * Version in force at the sender before the first of these entries, so that a receiver whose own
+   * version there differs sees that the sender has another history. Absent if the sender no longer
+   * knows it.
+   * </pre>
+   *
+   * <code>.shallothold.Version base = 2;</code>
+   * @return The base.
+   */
+  org.shallothold.wire.proto.Version getBase();
+  /**
+   * <pre>
+   * Version in force at the sender before the first of these entries, so that a receiver whose own
+   * version there differs sees that the sender has another history. Absent if the sender no longer
+   * knows it.
+   * </pre>
+   *
+   * <code>.shallothold.Version base = 2;</code>
+   */
+  org.shallothold.wire.proto.VersionOrBuilder getBaseOrBuilder();
 }
--- a/wire/src/main/java/org/shallothold/wire/proto/Shallothold.java
+++ b/wire/src/main/java/org/shallothold/wire/proto/Shallothold.java
@@ -250,70 +250,71 @@
       "version\030\001 \001(\0132\024.shallothold.Version\".\n\024C" +
       "onfigurationRequest\022\026\n\016after_position\030\001 " +
       "\001(\003\"B\n\022ConfigurationEntry\022\020\n\010position\030\001 " +
-      "\001(\003\022\014\n\004kind\030\002 \001(\t\022\014\n\004body\030\003 \001(\014\"H\n\024Confi" +
+      "\001(\003\022\014\n\004kind\030\002 \001(\t\022\014\n\004body\030\003 \001(\014\"l\n\024Confi" +
       "gurationEntries\0220\n\007entries\030\001 \003(\0132\037.shall" +
-      "othold.ConfigurationEntry\"V\n\007Attempt\022\033\n\023" +
-      "gateway_incarnation\030\001 \001(\014\022\026\n\016request_num" +
-      "ber\030\002 \001(\003\022\026\n\016attempt_number\030\003 \001(\005\"%\n\006Hea" +
-      "der\022\014\n\004name\030\001 \001(\t\022\r\n\005value\030\002 \001(\t\"\225\002\n\006Sub" +
-      "mit\022%\n\007attempt\030\001 \001(\0132\024.shallothold.Attem" +
-      "pt\022\022\n\nrequest_id\030\002 \001(\t\022%\n\007version\030\003 \001(\0132" +
-      "\024.shallothold.Version\022\025\n\rservice_class\030\004" +
-      " \001(\t\022\020\n\010customer\030\005 \001(\t\022\027\n\017deadline_milli" +
-      "s\030\006 \001(\003\022-\n\ncompletion\030\007 \001(\0132\027.shallothol" +
-      "d.CompletionH\000\0220\n\014service_call\030\010 \001(\0132\030.s" +
-      "hallothold.ServiceCallH\000B\006\n\004work\"@\n\nComp" +
-      "letion\022\r\n\005model\030\001 \001(\t\022\014\n\004body\030\002 \001(\014\022\025\n\rr" +
-      "esume_tokens\030\003 \003(\t\"\206\001\n\013ServiceCall\022\017\n\007se" +
-      "rvice\030\001 \001(\t\022\016\n\006method\030\002 \001(\t\022\014\n\004path\030\003 \001(" +
-      "\t\022$\n\007headers\030\004 \003(\0132\023.shallothold.Header\022" +
-      "\014\n\004body\030\005 \001(\014\022\024\n\014order_ticket\030\006 \001(\t\"1\n\010A" +
-      "ccepted\022%\n\007attempt\030\001 \001(\0132\024.shallothold.A" +
-      "ttempt\"0\n\007Started\022%\n\007attempt\030\001 \001(\0132\024.sha" +
-      "llothold.Attempt\"O\n\006Tokens\022%\n\007attempt\030\001 " +
-      "\001(\0132\024.shallothold.Attempt\022\016\n\006offset\030\002 \001(" +
-      "\005\022\016\n\006tokens\030\003 \003(\t\"\231\001\n\010Finished\022%\n\007attemp" +
-      "t\030\001 \001(\0132\024.shallothold.Attempt\022%\n\004kind\030\002 " +
-      "\001(\0162\027.shallothold.FinishKind\022\023\n\013token_co" +
-      "unt\030\003 \001(\005\022\025\n\rfinish_reason\030\004 \001(\t\022\023\n\013reas" +
-      "on_code\030\005 \001(\t\"z\n\rServiceAnswer\022%\n\007attemp" +
-      "t\030\001 \001(\0132\024.shallothold.Attempt\022\016\n\006status\030" +
-      "\002 \001(\005\022$\n\007headers\030\003 \003(\0132\023.shallothold.Hea" +
-      "der\022\014\n\004body\030\004 \001(\014\"\251\001\n\007Refused\022%\n\007attempt" +
-      "\030\001 \001(\0132\024.shallothold.Attempt\022)\n\007verdict\030" +
-      "\002 \001(\0162\030.shallothold.VerdictKind\022\023\n\013reaso" +
-      "n_code\030\003 \001(\t\022\032\n\022retry_after_millis\030\004 \001(\003" +
-      "\022\033\n\023lowest_waiting_tier\030\005 \001(\005\"/\n\006Cancel\022" +
-      "%\n\007attempt\030\001 \001(\0132\024.shallothold.Attempt\"5" +
-      "\n\rTicketRequest\022\023\n\013call_number\030\001 \001(\003\022\017\n\007" +
-      "service\030\002 \001(\t\"G\n\013TicketGrant\022\023\n\013call_num" +
-      "ber\030\001 \001(\003\022\016\n\006ticket\030\002 \001(\t\022\023\n\013reason_code" +
-      "\030\003 \001(\t\"4\n\rTicketInquiry\022\023\n\013call_number\030\001" +
-      " \001(\003\022\016\n\006ticket\030\002 \001(\t\"1\n\nTicketSeal\022\023\n\013ca" +
-      "ll_number\030\001 \001(\003\022\016\n\006ticket\030\002 \001(\t\"1\n\013Ticke" +
-      "tState\022\023\n\013call_number\030\001 \001(\003\022\r\n\005state\030\002 \001" +
-      "(\t\"2\n\rLeavingNotice\022\021\n\tserver_id\030\001 \001(\t\022\016" +
-      "\n\006source\030\002 \001(\t\",\n\007Leaving\022\021\n\tserver_id\030\001" +
-      " \001(\t\022\016\n\006source\030\002 \001(\t\"\202\001\n\nLoadReport\022\017\n\007r" +
-      "unning\030\001 \001(\005\022\023\n\013max_running\030\002 \001(\005\022\027\n\017wai" +
-      "ting_by_tier\030\003 \003(\005\022\035\n\025token_interval_mic" +
-      "ros\030\004 \001(\003\022\026\n\016engine_running\030\005 \001(\005\"$\n\rSta" +
-      "tusRequest\022\023\n\013call_number\030\001 \001(\003\"1\n\014Statu" +
-      "sReport\022\023\n\013call_number\030\001 \001(\003\022\014\n\004json\030\002 \001" +
-      "(\014\"9\n\016ExplainRequest\022\023\n\013call_number\030\001 \001(" +
-      "\003\022\022\n\nrequest_id\030\002 \001(\t\"2\n\rExplainReport\022\023" +
-      "\n\013call_number\030\001 \001(\003\022\014\n\004json\030\002 \001(\014\"#\n\014Aud" +
-      "itRequest\022\023\n\013call_number\030\001 \001(\003\"0\n\013AuditR" +
-      "eport\022\023\n\013call_number\030\001 \001(\003\022\014\n\004json\030\002 \001(\014" +
-      "*S\n\004Role\022\024\n\020ROLE_UNSPECIFIED\020\000\022\020\n\014ROLE_G" +
-      "ATEWAY\020\001\022\020\n\014ROLE_SIDECAR\020\002\022\021\n\rROLE_OPERA" +
-      "TOR\020\003*v\n\nFinishKind\022\033\n\027FINISH_KIND_UNSPE" +
-      "CIFIED\020\000\022\030\n\024FINISH_KIND_COMPLETE\020\001\022\026\n\022FI" +
-      "NISH_KIND_BROKEN\020\002\022\031\n\025FINISH_KIND_CANCEL" +
-      "LED\020\003*d\n\013VerdictKind\022\034\n\030VERDICT_KIND_UNS" +
-      "PECIFIED\020\000\022\030\n\024VERDICT_KIND_NOT_RUN\020\001\022\035\n\031" +
-      "VERDICT_KIND_MAY_HAVE_RUN\020\002B\036\n\032org.shall" +
-      "othold.wire.protoP\001b\006proto3"
+      "othold.ConfigurationEntry\022\"\n\004base\030\002 \001(\0132" +
+      "\024.shallothold.Version\"V\n\007Attempt\022\033\n\023gate" +
+      "way_incarnation\030\001 \001(\014\022\026\n\016request_number\030" +
+      "\002 \001(\003\022\026\n\016attempt_number\030\003 \001(\005\"%\n\006Header\022" +
+      "\014\n\004name\030\001 \001(\t\022\r\n\005value\030\002 \001(\t\"\225\002\n\006Submit\022" +
+      "%\n\007attempt\030\001 \001(\0132\024.shallothold.Attempt\022\022" +
+      "\n\nrequest_id\030\002 \001(\t\022%\n\007version\030\003 \001(\0132\024.sh" +
+      "allothold.Version\022\025\n\rservice_class\030\004 \001(\t" +
+      "\022\020\n\010customer\030\005 \001(\t\022\027\n\017deadline_millis\030\006 " +
+      "\001(\003\022-\n\ncompletion\030\007 \001(\0132\027.shallothold.Co" +
+      "mpletionH\000\0220\n\014service_call\030\010 \001(\0132\030.shall" +
+      "othold.ServiceCallH\000B\006\n\004work\"@\n\nCompleti" +
+      "on\022\r\n\005model\030\001 \001(\t\022\014\n\004body\030\002 \001(\014\022\025\n\rresum" +
+      "e_tokens\030\003 \003(\t\"\206\001\n\013ServiceCall\022\017\n\007servic" +
+      "e\030\001 \001(\t\022\016\n\006method\030\002 \001(\t\022\014\n\004path\030\003 \001(\t\022$\n" +
+      "\007headers\030\004 \003(\0132\023.shallothold.Header\022\014\n\004b" +
+      "ody\030\005 \001(\014\022\024\n\014order_ticket\030\006 \001(\t\"1\n\010Accep" +
+      "ted\022%\n\007attempt\030\001 \001(\0132\024.shallothold.Attem" +
+      "pt\"0\n\007Started\022%\n\007attempt\030\001 \001(\0132\024.shallot" +
+      "hold.Attempt\"O\n\006Tokens\022%\n\007attempt\030\001 \001(\0132" +
+      "\024.shallothold.Attempt\022\016\n\006offset\030\002 \001(\005\022\016\n" +
+      "\006tokens\030\003 \003(\t\"\231\001\n\010Finished\022%\n\007attempt\030\001 " +
+      "\001(\0132\024.shallothold.Attempt\022%\n\004kind\030\002 \001(\0162" +
+      "\027.shallothold.FinishKind\022\023\n\013token_count\030" +
+      "\003 \001(\005\022\025\n\rfinish_reason\030\004 \001(\t\022\023\n\013reason_c" +
+      "ode\030\005 \001(\t\"z\n\rServiceAnswer\022%\n\007attempt\030\001 " +
+      "\001(\0132\024.shallothold.Attempt\022\016\n\006status\030\002 \001(" +
+      "\005\022$\n\007headers\030\003 \003(\0132\023.shallothold.Header\022" +
+      "\014\n\004body\030\004 \001(\014\"\251\001\n\007Refused\022%\n\007attempt\030\001 \001" +
+      "(\0132\024.shallothold.Attempt\022)\n\007verdict\030\002 \001(" +
+      "\0162\030.shallothold.VerdictKind\022\023\n\013reason_co" +
+      "de\030\003 \001(\t\022\032\n\022retry_after_millis\030\004 \001(\003\022\033\n\023" +
+      "lowest_waiting_tier\030\005 \001(\005\"/\n\006Cancel\022%\n\007a" +
+      "ttempt\030\001 \001(\0132\024.shallothold.Attempt\"5\n\rTi" +
+      "cketRequest\022\023\n\013call_number\030\001 \001(\003\022\017\n\007serv" +
+      "ice\030\002 \001(\t\"G\n\013TicketGrant\022\023\n\013call_number\030" +
+      "\001 \001(\003\022\016\n\006ticket\030\002 \001(\t\022\023\n\013reason_code\030\003 \001" +
+      "(\t\"4\n\rTicketInquiry\022\023\n\013call_number\030\001 \001(\003" +
+      "\022\016\n\006ticket\030\002 \001(\t\"1\n\nTicketSeal\022\023\n\013call_n" +
+      "umber\030\001 \001(\003\022\016\n\006ticket\030\002 \001(\t\"1\n\013TicketSta" +
+      "te\022\023\n\013call_number\030\001 \001(\003\022\r\n\005state\030\002 \001(\t\"2" +
+      "\n\rLeavingNotice\022\021\n\tserver_id\030\001 \001(\t\022\016\n\006so" +
+      "urce\030\002 \001(\t\",\n\007Leaving\022\021\n\tserver_id\030\001 \001(\t" +
+      "\022\016\n\006source\030\002 \001(\t\"\202\001\n\nLoadReport\022\017\n\007runni" +
+      "ng\030\001 \001(\005\022\023\n\013max_running\030\002 \001(\005\022\027\n\017waiting" +
+      "_by_tier\030\003 \003(\005\022\035\n\025token_interval_micros\030" +
+      "\004 \001(\003\022\026\n\016engine_running\030\005 \001(\005\"$\n\rStatusR" +
+      "equest\022\023\n\013call_number\030\001 \001(\003\"1\n\014StatusRep" +
+      "ort\022\023\n\013call_number\030\001 \001(\003\022\014\n\004json\030\002 \001(\014\"9" +
+      "\n\016ExplainRequest\022\023\n\013call_number\030\001 \001(\003\022\022\n" +
+      "\nrequest_id\030\002 \001(\t\"2\n\rExplainReport\022\023\n\013ca" +
+      "ll_number\030\001 \001(\003\022\014\n\004json\030\002 \001(\014\"#\n\014AuditRe" +
+      "quest\022\023\n\013call_number\030\001 \001(\003\"0\n\013AuditRepor" +
+      "t\022\023\n\013call_number\030\001 \001(\003\022\014\n\004json\030\002 \001(\014*S\n\004" +
+      "Role\022\024\n\020ROLE_UNSPECIFIED\020\000\022\020\n\014ROLE_GATEW" +
+      "AY\020\001\022\020\n\014ROLE_SIDECAR\020\002\022\021\n\rROLE_OPERATOR\020" +
+      "\003*v\n\nFinishKind\022\033\n\027FINISH_KIND_UNSPECIFI" +
+      "ED\020\000\022\030\n\024FINISH_KIND_COMPLETE\020\001\022\026\n\022FINISH" +
+      "_KIND_BROKEN\020\002\022\031\n\025FINISH_KIND_CANCELLED\020" +
+      "\003*d\n\013VerdictKind\022\034\n\030VERDICT_KIND_UNSPECI" +
+      "FIED\020\000\022\030\n\024VERDICT_KIND_NOT_RUN\020\001\022\035\n\031VERD" +
+      "ICT_KIND_MAY_HAVE_RUN\020\002B\036\n\032org.shallotho" +
+      "ld.wire.protoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -366,7 +367,7 @@
     internal_static_shallothold_ConfigurationEntries_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_shallothold_ConfigurationEntries_descriptor,
-        new java.lang.String[] { "Entries", });
+        new java.lang.String[] { "Entries", "Base", });
     internal_static_shallothold_Attempt_descriptor =
       getDescriptor().getMessageType(8);
     internal_static_shallothold_Attempt_fieldAccessorTable = new
