--- a/runtime/src/main/java/org/shallothold/runtime/settings/SettingsDocument.java
+++ b/runtime/src/main/java/org/shallothold/runtime/settings/SettingsDocument.java
@@ -1,28 +1,27 @@
 package org.shallothold.runtime.settings;
 
-import com.fasterxml.jackson.core.JsonLocation;
-import com.fasterxml.jackson.core.JsonParser;
-import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.core.JsonToken;
-import com.fasterxml.jackson.dataformat.toml.TomlFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.util.NetUtil;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.URI;
+import java.net.URISyntaxException;
 import java.net.UnknownHostException;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Comparator;
-import java.util.Deque;
-import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import java.util.regex.Pattern;
+import java.util.stream.Collectors;
 import org.jspecify.annotations.Nullable;
+import org.shallothold.runtime.settings.TomlValues.Value;
 
 /**
  * A TOML file read key by key. Each getter checks its value and notes a problem instead of failing,
@@ -31,7 +30,8 @@
  */
 public final class SettingsDocument {
 
-  private static final Pattern IP_ADDRESS = Pattern.compile("[0-9.]+|[0-9a-fA-F:]+");
+  private static final Pattern PORT = Pattern.compile("[0-9]{1,5}");
+  private static final int MOST_PORT = 65_535;
 
   private final String file;
   private final Map<String, Value> values;
@@ -43,8 +43,6 @@
     this.values = values;
   }
 
-  private record Value(Object content, int line) {}
-
   /**
    * Reads a file.
    *
@@ -68,19 +66,7 @@
    * @throws SettingsException if the text is not TOML
    */
   public static SettingsDocument parse(String file, String text) {
-    Map<String, Value> values = new LinkedHashMap<>();
-    try (JsonParser parser = new TomlFactory().createParser(text)) {
-      flatten(parser, values, text);
-    } catch (JsonProcessingException e) {
-      JsonLocation location = e.getLocation();
-      int line = location == null ? 0 : location.getLineNr();
-      throw SettingsException.of(
-          List.of(
-              new SettingsProblem(file, line, "(syntax)", e.getOriginalMessage(), "valid TOML")));
-    } catch (IOException e) {
-      throw new IllegalStateException("reading from a string failed", e);
-    }
-    return new SettingsDocument(file, values);
+    return new SettingsDocument(file, TomlValues.read(file, text));
   }
 
   /** Returns a text; null and a problem if it is missing or no text. */
@@ -164,14 +150,41 @@
     return address;
   }
 
+  /**
+   * Returns an address as {@code http://127.0.0.1:7100/}, always with a path that ends in a slash;
+   * null and a problem if it is missing or no such address.
+   */
+  public @Nullable URI requiredHttpUrl(String key) {
+    String allowed = "an address as http://127.0.0.1:7100/";
+    Value value = take(key);
+    if (value == null) {
+      problems.add(new SettingsProblem(file, 0, key, "nothing", allowed));
+      return null;
+    }
+    try {
+      URI uri = new URI(String.valueOf(value.content()));
+      if ("http".equals(uri.getScheme())
+          && uri.getHost() != null
+          && uri.getQuery() == null
+          && uri.getFragment() == null) {
+        return uri.getPath().endsWith("/") ? uri : URI.create(uri + "/");
+      }
+    } catch (URISyntaxException e) {
+      // Reported below like any other text that is no address.
+    }
+    addProblem(key, value, allowed);
+    return null;
+  }
+
   /** Returns whether the file sets a key, rightly or wrongly. */
   public boolean has(String key) {
     return values.containsKey(key);
   }
 
-  /** Returns whether the file sets any key of a section. */
+  /** Returns whether the file has a section, perhaps without keys. */
   public boolean hasAny(String section) {
-    return values.keySet().stream().anyMatch(key -> key.startsWith(section + "."));
+    return values.keySet().stream()
+        .anyMatch(key -> key.equals(section) || key.startsWith(section + "."));
   }
 
   /** Notes a problem that involves more than one key. */
@@ -188,7 +201,7 @@
   public void finish() {
     values.forEach(
         (key, value) -> {
-          if (!known.contains(key)) {
+          if (!known.contains(key) && !isEmptyKnownSection(key, value)) {
             problems.add(
                 new SettingsProblem(file, value.line(), key, "an unknown key", "only known keys"));
           }
@@ -199,27 +212,33 @@
     }
   }
 
-  /** Returns the address that a text names, or null if it is not an IP address and port. */
+  /**
+   * Returns the address that a text names, or null if it is not an IP address and port. A name is
+   * never looked up.
+   */
   public static @Nullable InetSocketAddress address(String text) {
     int colon = text.lastIndexOf(':');
-    if (colon <= 0) {
+    if (colon <= 0 || !PORT.matcher(text.substring(colon + 1)).matches()) {
       return null;
     }
-    String host = text.substring(0, colon).replaceAll("^\\[|]$", "");
-    if (!IP_ADDRESS.matcher(host).matches()) {
+    int port = Integer.parseInt(text.substring(colon + 1));
+    byte[] host = NetUtil.createByteArrayFromIpAddressString(text.substring(0, colon));
+    if (host == null || port > MOST_PORT) {
       return null;
     }
     try {
-      int port = Integer.parseInt(text.substring(colon + 1));
-      // A literal address is not looked up by name.
-      return port < 0 || port > 65_535
-          ? null
-          : new InetSocketAddress(InetAddress.getByName(host), port);
-    } catch (NumberFormatException | UnknownHostException e) {
-      return null;
+      return new InetSocketAddress(InetAddress.getByAddress(host), port);
+    } catch (UnknownHostException e) {
+      throw new IllegalStateException("an IP address has 4 or 16 bytes", e);
     }
   }
 
+  // A section whose keys are all left out or commented out.
+  private boolean isEmptyKnownSection(String key, Value value) {
+    return value.content() instanceof ObjectNode
+        && known.stream().anyMatch(knownKey -> knownKey.startsWith(key + "."));
+  }
+
   private @Nullable Value take(String key) {
     known.add(key);
     return values.get(key);
@@ -242,63 +261,8 @@
   }
 
   private static <E extends Enum<E>> String names(Class<E> type) {
-    return java.util.Arrays.stream(type.getEnumConstants())
+    return Arrays.stream(type.getEnumConstants())
         .map(constant -> constant.name().toLowerCase(Locale.ROOT))
-        .collect(java.util.stream.Collectors.joining(", "));
-  }
-
-  private static void flatten(JsonParser parser, Map<String, Value> values, String text)
-      throws IOException {
-    Deque<String> path = new ArrayDeque<>();
-    int arrayDepth = 0;
-    for (JsonToken token = parser.nextToken(); token != null; token = parser.nextToken()) {
-      switch (token) {
-        case FIELD_NAME -> path.addLast(parser.currentName());
-        case START_ARRAY -> arrayDepth++;
-        case END_ARRAY -> {
-          arrayDepth--;
-          if (arrayDepth == 0) {
-            path.pollLast();
-          }
-        }
-        case END_OBJECT -> path.pollLast();
-        case START_OBJECT -> {}
-        default -> {
-          String key = String.join(".", path);
-          Object content = content(parser, token);
-          values.put(key, new Value(content, lineOf(text, path.getLast(), content)));
-          if (arrayDepth == 0) {
-            path.removeLast();
-          }
-        }
-      }
-    }
-  }
-
-  private static Object content(JsonParser parser, JsonToken token) throws IOException {
-    return switch (token) {
-      case VALUE_NUMBER_INT -> parser.getLongValue();
-      case VALUE_NUMBER_FLOAT -> parser.getDoubleValue();
-      case VALUE_TRUE -> true;
-      case VALUE_FALSE -> false;
-      default -> parser.getText();
-    };
-  }
-
-  // The TOML parser builds a tree first and keeps no locations, so the line is found in the text.
-  private static int lineOf(String text, String name, Object content) {
-    Pattern assignment = Pattern.compile("^\\s*(\\S+\\.)?" + Pattern.quote(name) + "\\s*=(.*)$");
-    List<String> lines = text.lines().toList();
-    int first = 0;
-    for (int index = 0; index < lines.size(); index++) {
-      var matcher = assignment.matcher(lines.get(index));
-      if (matcher.matches()) {
-        if (matcher.group(2).contains(String.valueOf(content))) {
-          return index + 1;
-        }
-        first = first == 0 ? index + 1 : first;
-      }
-    }
-    return first;
+        .collect(Collectors.joining(", "));
   }
 }
--- /dev/null
+++ b/runtime/src/test/java/org/shallothold/runtime/platform/HttpConfigurationSourceTest.java
@@ -0,0 +1,114 @@
+package org.shallothold.runtime.platform;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.http.HttpClient;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.shallothold.core.config.ConfigurationEntry;
+import org.shallothold.core.membership.Member;
+
+/** Guards the contract with the platform's HTTP protocol. */
+class HttpConfigurationSourceTest {
+
+  private final FakePlatform platform = new FakePlatform();
+  private final HttpClient client = HttpClient.newHttpClient();
+
+  @SuppressWarnings("NullAway.Init")
+  private FakePlatform.Server server;
+
+  @SuppressWarnings("NullAway.Init")
+  private ConfigurationSource source;
+
+  @BeforeEach
+  void start() throws IOException {
+    server = platform.serve();
+    source = HttpConfigurationSource.of(server.uri(), client);
+  }
+
+  @AfterEach
+  void stop() {
+    server.close();
+    client.shutdownNow();
+  }
+
+  private List<Long> positions(long after) {
+    return source.entriesAfter(after, 0).stream().map(ConfigurationEntry::position).toList();
+  }
+
+  @Test
+  void positionsAreConsecutiveAndEntriesStayAsTheyAre() {
+    for (int number = 1; number <= 5; number++) {
+      assertEquals(number, platform.publish(EntryCodec.PATCH, PatchTexts.setEngine(0, number)));
+    }
+    assertEquals(List.of(1L, 2L, 3L, 4L, 5L), positions(0));
+    assertEquals(List.of(4L, 5L), positions(3));
+    assertEquals(List.of(), positions(5));
+    ConfigurationEntry first = source.entriesAfter(0, 0).getFirst();
+    assertTrue(first.sameBody(source.entriesAfter(0, 0).getFirst()));
+    assertEquals(
+        new String(PatchTexts.setEngine(0, 1), java.nio.charset.StandardCharsets.UTF_8),
+        new String(first.body(), java.nio.charset.StandardCharsets.UTF_8));
+  }
+
+  @Test
+  void watchEndsWithTheFirstNewEntry() throws Exception {
+    CompletableFuture<List<ConfigurationEntry>> watch =
+        CompletableFuture.supplyAsync(() -> source.entriesAfter(0, 60_000));
+    platform.publish(EntryCodec.PATCH, PatchTexts.setEngine(0, 1));
+    assertEquals(1, watch.get(30, TimeUnit.SECONDS).size());
+  }
+
+  @Test
+  void missingSnapshotIsNoError() {
+    assertEquals(Optional.empty(), source.snapshot());
+  }
+
+  @Test
+  void membersAreRead() {
+    assertEquals(
+        List.of(
+            new Member("gateway-1", Member.Role.GATEWAY, "hopper-hall", false),
+            new Member("engine-1", Member.Role.SIDECAR, "hopper-hall", true)),
+        source.members().members());
+  }
+
+  @ParameterizedTest(name = "{0} {1}")
+  @CsvSource(
+      delimiter = '|',
+      quoteCharacter = '"',
+      value = {
+        "503 | {'entries': []}",
+        "200 | no JSON",
+        "200 | {}",
+        "200 | []",
+        "200 | {'entries': {}}",
+        "200 | {'entries': [{'kind': 'patch', 'body': 'e30='}]}",
+        "200 | {'entries': [{'position': 0, 'kind': 'patch', 'body': 'e30='}]}",
+        "200 | {'entries': [{'position': 1, 'body': 'e30='}]}",
+        "200 | {'entries': [{'position': 1, 'kind': 'patch', 'body': {}}]}",
+        "200 | {'entries': [{'position': 1, 'kind': 'patch', 'body': '***'}]}"
+      })
+  void wrongAnswerIsAnErrorAndNeverAnEntry(int status, String body) {
+    server.fix("/config/entries", status, body.replace('\'', '"'));
+    assertThrows(PlatformException.class, () -> source.entriesAfter(0, 0));
+  }
+
+  @Test
+  void platformThatIsGoneIsAnError() {
+    server.close();
+    assertThrows(PlatformException.class, () -> source.entriesAfter(0, 0));
+    assertThrows(PlatformException.class, () -> source.snapshot());
+    assertThrows(PlatformException.class, () -> source.members());
+  }
+}
