--- a/runtime/src/test/java/org/shallothold/runtime/platform/FakePlatform.java
+++ b/runtime/src/test/java/org/shallothold/runtime/platform/FakePlatform.java
@@ -1,5 +1,7 @@
 package org.shallothold.runtime.platform;
 
+import static java.nio.charset.StandardCharsets.UTF_8;
+
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.sun.net.httpserver.HttpExchange;
@@ -119,10 +121,7 @@
 
     /** Answers a path with a fixed text from now on. */
     public void fix(String path, int status, String body) {
-      server.createContext(
-          path,
-          exchange ->
-              respond(exchange, status, body.getBytes(java.nio.charset.StandardCharsets.UTF_8)));
+      server.createContext(path, exchange -> respond(exchange, status, body.getBytes(UTF_8)));
     }
 
     @Override
--- a/runtime/src/test/java/org/shallothold/runtime/platform/HttpConfigurationSourceTest.java
+++ b/runtime/src/test/java/org/shallothold/runtime/platform/HttpConfigurationSourceTest.java
@@ -1,5 +1,6 @@
 package org.shallothold.runtime.platform;
 
+import static java.nio.charset.StandardCharsets.UTF_8;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -56,9 +57,7 @@
     assertEquals(List.of(), positions(5));
     ConfigurationEntry first = source.entriesAfter(0, 0).getFirst();
     assertTrue(first.sameBody(source.entriesAfter(0, 0).getFirst()));
-    assertEquals(
-        new String(PatchTexts.setEngine(0, 1), java.nio.charset.StandardCharsets.UTF_8),
-        new String(first.body(), java.nio.charset.StandardCharsets.UTF_8));
+    assertEquals(new String(PatchTexts.setEngine(0, 1), UTF_8), new String(first.body(), UTF_8));
   }
 
   @Test
--- a/runtime/src/test/java/org/shallothold/runtime/tls/TestStores.java
+++ b/runtime/src/test/java/org/shallothold/runtime/tls/TestStores.java
@@ -1,5 +1,7 @@
 package org.shallothold.runtime.tls;
 
+import static java.nio.charset.StandardCharsets.UTF_8;
+
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -112,9 +114,7 @@
     command.addAll(List.of("-J-XX:TieredStopAtLevel=1", "-J-XX:+UseSerialGC"));
     command.addAll(List.of("-storetype", "PKCS12", "-storepass", PASSWORD));
     Process process = new ProcessBuilder(command).redirectErrorStream(true).start();
-    String output =
-        new String(
-            process.getInputStream().readAllBytes(), java.nio.charset.StandardCharsets.UTF_8);
+    String output = new String(process.getInputStream().readAllBytes(), UTF_8);
     if (process.waitFor() != 0) {
       throw new IllegalStateException(output);
     }
