--- a/standin/src/main/java/org/shallothold/standin/StandinMain.java
+++ b/standin/src/main/java/org/shallothold/standin/StandinMain.java
@@ -4,16 +4,17 @@
 
 import java.io.IOException;
 import java.io.PrintStream;
+import java.io.UncheckedIOException;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Locale;
-import java.util.concurrent.ScheduledExecutorService;
 import java.util.stream.Stream;
 import org.apache.commons.cli.help.HelpFormatter;
 import org.shallothold.standin.engine.EngineStandin;
 import org.shallothold.standin.http.Json;
 import org.shallothold.standin.http.LoopbackServer;
 import org.shallothold.standin.http.RequestException;
+import org.shallothold.standin.http.ServerLoop;
 import org.shallothold.standin.http.Standin;
 import org.shallothold.standin.options.Arguments;
 import org.shallothold.standin.options.OptionSpec;
@@ -24,6 +25,7 @@
 /** Main class of {@code bin/standin}. */
 public final class StandinMain {
 
+  private static final int EXIT_FAILURE = 1;
   private static final int EXIT_USAGE = 2;
 
   /** Exit code of a process ended by SIGKILL, as a shell reports it. */
@@ -54,7 +56,7 @@
       return Stream.concat(COMMON_OPTIONS.stream(), own.stream()).toList();
     }
 
-    Standin create(Arguments arguments, ScheduledExecutorService loop) {
+    Standin create(Arguments arguments, ServerLoop loop) {
       Runnable crash = () -> Runtime.getRuntime().halt(EXIT_CRASH);
       return switch (this) {
         case PLATFORM -> PlatformStandin.create(arguments, loop);
@@ -117,6 +119,9 @@
     } catch (UsageException | RequestException e) {
       err.println(e.getMessage());
       return EXIT_USAGE;
+    } catch (UncheckedIOException e) {
+      err.println(e.getMessage());
+      return EXIT_FAILURE;
     }
   }
 }
--- a/standin/src/main/java/org/shallothold/standin/engine/AnswerText.java
+++ b/standin/src/main/java/org/shallothold/standin/engine/AnswerText.java
@@ -6,9 +6,9 @@
 
 /**
  * The answer to a request, a pure function of its messages and length fields. So every engine gives
- * the same answer, and a resumed answer can be compared with an unbroken one. Immutable.
+ * the same answer, and a test can tell what the right answer is. Immutable.
  */
-final class AnswerText {
+public final class AnswerText {
 
   /** Cap on the derived length if the request has no {@code max_tokens}. */
   static final int DEFAULT_MAX_TOKENS = 1_024;
@@ -38,7 +38,7 @@
    * @param maxTokens cap on the length, if the request has one
    * @param lengthHint length in place of the derived one, if the request has one
    */
-  static AnswerText of(JsonNode messages, OptionalInt maxTokens, OptionalInt lengthHint) {
+  public static AnswerText of(JsonNode messages, OptionalInt maxTokens, OptionalInt lengthHint) {
     ByteBuffer digest = ByteBuffer.wrap(Digests.sha256(messages.toString()));
     long seed = digest.getLong();
     double uniform = ((digest.getLong() >>> 11) + 1) * 0x1.0p-53;
@@ -49,17 +49,17 @@
   }
 
   /** Returns the number of tokens of the whole answer. */
-  int length() {
+  public int length() {
     return length;
   }
 
   /** Returns {@code length} if the answer was capped, else {@code stop}. */
-  String finishReason() {
+  public String finishReason() {
     return capped ? "length" : "stop";
   }
 
   /** Returns the token at an index from 0: a word, after a space unless it is the first. */
-  String token(int index) {
+  public String token(int index) {
     long bits = mix(seed + GOLDEN_GAMMA * (index + 1L));
     StringBuilder word = new StringBuilder(index == 0 ? "" : " ");
     for (int syllable = 0; syllable < 2; syllable++) {
--- a/standin/src/main/java/org/shallothold/standin/engine/BatchScheduler.java
+++ b/standin/src/main/java/org/shallothold/standin/engine/BatchScheduler.java
@@ -1,12 +1,13 @@
 package org.shallothold.standin.engine;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
 import java.util.PriorityQueue;
-import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import org.shallothold.standin.engine.EngineCounters.Counter;
+import org.shallothold.standin.http.ServerLoop;
 
 /**
  * Continuous batching: all running requests advance together in steps, and a request joins or
@@ -24,7 +25,7 @@
    */
   private static final long CATCH_UP_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
 
-  private final ScheduledExecutorService loop;
+  private final ServerLoop loop;
   private final int maxBatch;
   private final StepCosts costs;
   private final PrefixCache cache;
@@ -37,10 +38,10 @@
   private final List<Completion> running = new ArrayList<>();
   private double slowFactor = 1;
   private boolean stepping;
-  private long stepEndNanos = System.nanoTime();
+  private long stepEndNanos;
 
   BatchScheduler(
-      ScheduledExecutorService loop,
+      ServerLoop loop,
       int maxBatch,
       StepCosts costs,
       PrefixCache cache,
@@ -65,11 +66,14 @@
 
   /** Drops a request whose caller is gone; it takes no part in the next step. */
   void cancel(Completion completion) {
-    if (waiting.remove(completion) || running.remove(completion)) {
-      counters.add(Counter.REQUESTS_CANCELLED, 1);
-      counters.add(Counter.TOKENS_OF_UNFINISHED, completion.generatedTokens());
-      recordLoad();
+    if (running.contains(completion)) {
+      leave(completion);
+    } else if (!waiting.remove(completion)) {
+      return;
     }
+    counters.add(Counter.REQUESTS_CANCELLED, 1);
+    counters.add(Counter.TOKENS_OF_UNFINISHED, completion.generatedTokens());
+    recordLoad();
   }
 
   /** Sets by how much each step takes longer than its costs; 1 is normal. */
@@ -83,20 +87,21 @@
       stepping = false;
       return;
     }
-    stepping = true;
     int prefillTokens = 0;
     long contextTokens = 0;
     for (Completion completion : running) {
       prefillTokens += completion.prefill(PREFILL_TOKENS_PER_STEP - prefillTokens);
-      contextTokens += completion.contextTokens();
+      contextTokens += completion.contextWords().size();
     }
     counters.add(Counter.PREFILL_TOKENS, prefillTokens);
     long duration =
         (long) (costs.stepNanos(running.size(), contextTokens, prefillTokens) * slowFactor);
     long now = System.nanoTime();
-    stepEndNanos = (now - stepEndNanos > CATCH_UP_NANOS ? now : stepEndNanos) + duration;
+    boolean planned = stepping && now - stepEndNanos <= CATCH_UP_NANOS;
+    stepping = true;
+    stepEndNanos = (planned ? stepEndNanos : now) + duration;
     List<Completion> batch = List.copyOf(running);
-    var unused = loop.schedule(() -> endStep(batch), stepEndNanos - now, TimeUnit.NANOSECONDS);
+    var unused = loop.schedule(Duration.ofNanos(stepEndNanos - now), () -> endStep(batch));
   }
 
   private void admit() {
@@ -106,7 +111,8 @@
       int cached = cache.lookUp(completion.model(), completion.contextWords());
       completion.beginPrefill(cached);
       counters.add(Counter.REQUESTS_STARTED, 1);
-      counters.add(Counter.RESUMED_TOKENS, completion.resumeTokens().size());
+      counters.add(Counter.RESUMED_TOKENS, completion.resumedTokens());
+      counters.add(Counter.RESUME_MISMATCHES, completion.resumesRightAnswer() ? 0 : 1);
       counters.add(Counter.PREFIX_CACHE_HITS, cached > 0 ? 1 : 0);
       counters.add(Counter.PREFIX_CACHE_HIT_TOKENS, cached);
       completion.writer().start();
@@ -128,17 +134,32 @@
     if (completion.generatedTokens() == 0) {
       cache.store(completion.model(), completion.contextWords());
     }
+    if (completion.cutHere()) {
+      leave(completion);
+      counters.add(Counter.STREAMS_CUT, 1);
+      counters.add(Counter.TOKENS_OF_UNFINISHED, completion.generatedTokens());
+      completion.writer().exchange().endEvents();
+      return;
+    }
     if (!completion.complete()) {
       counters.add(Counter.TOKENS_GENERATED, 1);
       completion.generateToken();
     }
-    if (completion.complete()) {
-      running.remove(completion);
+    if (completion.complete() && !completion.cutHere()) {
+      leave(completion);
       counters.add(Counter.REQUESTS_FINISHED, 1);
       completion.writer().finish(completion.answer().finishReason(), completion.usage());
     }
   }
 
+  /** Takes a request out of the batch; what was computed for it stays in the cache. */
+  private void leave(Completion completion) {
+    running.remove(completion);
+    if (completion.prefilled()) {
+      cache.store(completion.model(), completion.contextWords());
+    }
+  }
+
   private void recordLoad() {
     load.record(System.nanoTime(), running.size(), waiting.size());
   }
--- a/standin/src/main/java/org/shallothold/standin/engine/Completion.java
+++ b/standin/src/main/java/org/shallothold/standin/engine/Completion.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.OptionalInt;
+import java.util.stream.IntStream;
 import org.shallothold.standin.http.Json;
 import org.shallothold.standin.http.RequestException;
 
@@ -26,6 +27,7 @@
 
   private int nextToken;
   private int cachedTokens;
+  private int cutAfter = Integer.MAX_VALUE;
   private int prefillLeft;
 
   private Completion(
@@ -40,7 +42,7 @@
     this.priority = priority;
     this.arrival = arrival;
     this.contextWords = new ArrayList<>(promptWords);
-    this.contextWords.addAll(resumeTokens);
+    resumeTokens.forEach(token -> contextWords.add(token.strip()));
     this.resumeTokens = resumeTokens;
     this.promptTokens = promptWords.size();
     this.answer = answer;
@@ -82,14 +84,21 @@
     return arrival;
   }
 
-  /** Returns the words of the prompt with the resumed tokens, each counted as one token. */
+  /** Returns the words of the prompt and of the answer so far, each counted as one token. */
   List<String> contextWords() {
     return contextWords;
   }
 
-  /** Returns the tokens that the caller already has. */
-  List<String> resumeTokens() {
-    return resumeTokens;
+  /** Returns the number of tokens that the caller already has. */
+  int resumedTokens() {
+    return resumeTokens.size();
+  }
+
+  /** Returns whether the caller's tokens are those that any engine would have generated. */
+  boolean resumesRightAnswer() {
+    return resumeTokens.size() <= answer.length()
+        && IntStream.range(0, resumeTokens.size())
+            .allMatch(index -> resumeTokens.get(index).equals(answer.token(index)));
   }
 
   AnswerText answer() {
@@ -100,11 +109,6 @@
     return writer;
   }
 
-  /** Returns the number of tokens in the model's context: prompt and answer so far. */
-  int contextTokens() {
-    return promptTokens + nextToken;
-  }
-
   /** Returns the number of tokens generated for this request, without the resumed ones. */
   int generatedTokens() {
     return nextToken - resumeTokens.size();
@@ -115,6 +119,16 @@
     return nextToken >= answer.length();
   }
 
+  /** Makes the stream end after a number of generated tokens without its end mark. */
+  void cutAfter(int tokens) {
+    cutAfter = tokens;
+  }
+
+  /** Returns whether the stream is to end here without its end mark. */
+  boolean cutHere() {
+    return generatedTokens() == cutAfter;
+  }
+
   /** Begins prefill of the part of the context that was not cached. */
   void beginPrefill(int cached) {
     cachedTokens = cached;
@@ -135,7 +149,9 @@
 
   /** Generates the next token and sends it. */
   void generateToken() {
-    writer.token(answer.token(nextToken));
+    String token = answer.token(nextToken);
+    writer.token(token);
+    contextWords.add(token.strip());
     nextToken++;
   }
 
@@ -145,7 +161,7 @@
         Json.object()
             .put("prompt_tokens", promptTokens)
             .put("completion_tokens", nextToken)
-            .put("total_tokens", contextTokens())
+            .put("total_tokens", contextWords.size())
             .put("resumed_tokens", resumeTokens.size());
     usage.putObject("prompt_tokens_details").put("cached_tokens", cachedTokens);
     return usage;
@@ -168,6 +184,8 @@
       words.add(message.path("role").asText());
       words.addAll(List.of(text.strip().split("\\s+", -1)));
     }
+    // Chat templates end the prompt so, which makes a later turn share the answer's blocks too.
+    words.add("assistant");
     return words;
   }
 
--- a/standin/src/main/java/org/shallothold/standin/engine/EngineStandin.java
+++ b/standin/src/main/java/org/shallothold/standin/engine/EngineStandin.java
@@ -1,15 +1,17 @@
 package org.shallothold.standin.engine;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import java.util.LinkedHashSet;
+import java.time.Duration;
 import java.util.List;
-import java.util.Set;
-import java.util.concurrent.ScheduledExecutorService;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import org.shallothold.standin.http.Exchange;
+import org.shallothold.standin.http.FaultValues;
 import org.shallothold.standin.http.Json;
 import org.shallothold.standin.http.RequestException;
+import org.shallothold.standin.http.ServerLoop;
 import org.shallothold.standin.http.Standin;
 import org.shallothold.standin.options.Arguments;
 import org.shallothold.standin.options.OptionSpec;
@@ -24,54 +26,76 @@
   public static final List<OptionSpec> OPTIONS =
       List.of(
           OptionSpec.value("models", "model", "models loaded at start, separated by commas"),
+          OptionSpec.value("model-load-ms", 0, "time that the command to load a model takes"),
           OptionSpec.value("max-batch", 16, "requests that run at once"),
           OptionSpec.value("step-base-ms", 15, "time of a step"),
           OptionSpec.value("step-per-running-us", 200, "time of a step per running request"),
           OptionSpec.value(
               "step-per-kilotoken-us", 20, "time of a step per thousand tokens of context"),
-          OptionSpec.value("prefill-us-per-token", 50, "time per prompt token that isn't cached"),
-          OptionSpec.value("cache-tokens", 65_536, "size of the prefix cache"));
+          OptionSpec.value("prefill-us-per-token", 50, "time per context token that isn't cached"),
+          OptionSpec.value("cache-tokens", 65_536, "size of the prefix cache"),
+          OptionSpec.value("cache-event-delay-ms", 500, "age from which cache events can be read"),
+          OptionSpec.value(
+              "cache-event-gap-every", 20, "one in so many cache events is lost; 0 for none"),
+          OptionSpec.value("load-lag-ms", 1_000, "age of the load that GET /load reports"),
+          OptionSpec.flag("checks-fencing", "reject commands with an old fencing number"));
 
-  private final BatchScheduler scheduler;
-  private final LoadHistory load;
-  private final EngineCounters counters = new EngineCounters();
+  private static final List<String> FAULTS =
+      List.of("crash", "freeze_ms", "slow_factor", "cut_stream_after_tokens", "load_lag_ms");
+
+  private static final int MAX_BATCH = 4_096;
+  private static final int MAX_MILLIS = 600_000;
+  private static final int MAX_MICROS = 60_000_000;
+  private static final int MAX_CACHE_TOKENS = 1 << 24;
+
+  private final ServerLoop loop;
+  private final Runnable crash;
   private final int maxBatch;
+  private final long loadLagMillis;
 
-  private final Set<String> models;
-  private long loadLagMillis = 1_000;
+  private final EngineCounters counters = new EngineCounters();
+  private final LoadHistory load = new LoadHistory(System.nanoTime());
+  private final CacheEventLog cacheEvents;
+  private final PrefixCache cache;
+  private final BatchScheduler scheduler;
+  private final EngineCommands commands;
+  private final ObjectNode faults = Json.object();
   private long arrivals;
 
-  private EngineStandin(Arguments arguments, ScheduledExecutorService loop) {
-    models = new LinkedHashSet<>(arguments.list("models"));
-    maxBatch = arguments.integer("max-batch", 1, 4_096);
-    load = new LoadHistory(System.nanoTime());
-    PrefixCache cache =
-        new PrefixCache(
-            arguments.integer("cache-tokens", 0, 1 << 24),
-            new PrefixCache.Listener() {
-              @Override
-              public void stored(List<String> blocks) {}
-
-              @Override
-              public void removed(List<String> blocks) {}
-            });
+  private EngineStandin(Arguments arguments, ServerLoop loop, Runnable crash) {
+    this.loop = loop;
+    this.crash = crash;
+    maxBatch = arguments.integer("max-batch", 1, MAX_BATCH);
+    loadLagMillis = arguments.integer("load-lag-ms", 0, MAX_MILLIS);
+    cacheEvents =
+        new CacheEventLog(
+            TimeUnit.MILLISECONDS.toNanos(arguments.integer("cache-event-delay-ms", 0, MAX_MILLIS)),
+            arguments.integer("cache-event-gap-every", 0, Integer.MAX_VALUE),
+            System::nanoTime);
+    cache = new PrefixCache(arguments.integer("cache-tokens", 0, MAX_CACHE_TOKENS), cacheEvents);
     StepCosts costs =
         new StepCosts(
-            1_000L * arguments.integer("step-base-ms", 0, 60_000),
-            arguments.integer("step-per-running-us", 0, 1_000_000),
-            arguments.integer("step-per-kilotoken-us", 0, 1_000_000),
-            arguments.integer("prefill-us-per-token", 0, 1_000_000));
+            TimeUnit.MILLISECONDS.toMicros(arguments.integer("step-base-ms", 0, MAX_MILLIS)),
+            arguments.integer("step-per-running-us", 0, MAX_MICROS),
+            arguments.integer("step-per-kilotoken-us", 0, MAX_MICROS),
+            arguments.integer("prefill-us-per-token", 0, MAX_MICROS));
     scheduler = new BatchScheduler(loop, maxBatch, costs, cache, counters, load);
+    commands =
+        new EngineCommands(
+            arguments.list("models"),
+            arguments.flag("checks-fencing"),
+            arguments.integer("model-load-ms", 0, MAX_MILLIS),
+            loop);
   }
 
   /**
    * Returns an idle engine.
    *
+   * @param loop the server's thread
    * @param crash ends the process at once
    */
-  public static EngineStandin create(
-      Arguments arguments, ScheduledExecutorService loop, Runnable crash) {
-    return new EngineStandin(arguments, loop);
+  public static EngineStandin create(Arguments arguments, ServerLoop loop, Runnable crash) {
+    return new EngineStandin(arguments, loop, crash);
   }
 
   @Override
@@ -80,25 +104,57 @@
       case "POST /v1/chat/completions" -> complete(exchange);
       case "GET /v1/models" -> exchange.respond(200, models());
       case "GET /load" -> exchange.respond(200, load());
+      case "POST /commands" -> commands.command(exchange);
+      case "GET /commands" -> exchange.respond(200, commands.toJson());
+      case "GET /cache-events" ->
+          exchange.respond(200, cacheEvents.after(exchange.queryNumber("after", 0)));
       case "GET /counters" -> exchange.respond(200, counters.toJson());
       default -> throw RequestException.notFound(exchange);
     }
   }
 
   @Override
-  public void applyFaults(ObjectNode faults) {}
+  public void applyFault(String name, JsonNode value) {
+    switch (name) {
+      case "crash" -> {
+        if (FaultValues.flag(name, value)) {
+          crash.run();
+        }
+      }
+      case "freeze_ms" ->
+          FaultValues.number(name, value)
+              .ifPresent(millis -> loop.freeze(Duration.ofMillis(millis)));
+      case "slow_factor" -> {
+        double factor = FaultValues.factor(name, value).orElse(1);
+        scheduler.slowDown(factor);
+        faults.put(name, factor);
+      }
+      case "cut_stream_after_tokens", "load_lag_ms" -> {
+        OptionalLong number = FaultValues.number(name, value);
+        number.ifPresentOrElse(set -> faults.put(name, set), () -> faults.remove(name));
+      }
+      default -> throw FaultValues.unknown(name, FAULTS);
+    }
+  }
+
+  @Override
+  public ObjectNode faults() {
+    return faults;
+  }
 
   private void complete(Exchange exchange) {
     ObjectNode request = exchange.json();
-    String model = request.path("model").asText(models.iterator().next());
-    if (!models.contains(model)) {
+    String model = request.path("model").asText(commands.models().stream().findFirst().orElse(""));
+    if (!commands.models().contains(model)) {
       throw RequestException.of(404, "model_not_found", "the model is not loaded: " + model);
     }
     arrivals++;
-    AnswerWriter writer =
-        AnswerWriter.of(
-            exchange, "chatcmpl-" + arrivals, model, request.path("stream").asBoolean());
+    boolean stream = request.path("stream").asBoolean();
+    AnswerWriter writer = AnswerWriter.of(exchange, "chatcmpl-" + arrivals, model, stream);
     Completion completion = Completion.parse(request, model, arrivals, writer);
+    if (stream && faults.has("cut_stream_after_tokens")) {
+      completion.cutAfter(faults.remove("cut_stream_after_tokens").asInt());
+    }
     exchange.onClose(() -> scheduler.cancel(completion));
     scheduler.submit(completion);
   }
@@ -106,16 +162,22 @@
   private ObjectNode models() {
     ObjectNode document = Json.object().put("object", "list");
     ArrayNode data = document.putArray("data");
-    models.forEach(model -> data.addObject().put("id", model).put("object", "model"));
+    commands.models().forEach(model -> data.addObject().put("id", model).put("object", "model"));
     return document;
   }
 
   private ObjectNode load() {
-    long now = System.nanoTime();
-    LoadHistory.Sample sample = load.at(now - TimeUnit.MILLISECONDS.toNanos(loadLagMillis));
-    return Json.object()
-        .put("running", sample.running())
-        .put("waiting", sample.waiting())
-        .put("max_batch", maxBatch);
+    long lagMillis = faults.path("load_lag_ms").asLong(loadLagMillis);
+    LoadHistory.Sample sample =
+        load.at(System.nanoTime() - TimeUnit.MILLISECONDS.toNanos(lagMillis));
+    ObjectNode document =
+        Json.object()
+            .put("running", sample.running())
+            .put("waiting", sample.waiting())
+            .put("max_batch", maxBatch)
+            .put("cached_tokens", cache.tokens())
+            .put("role", commands.role());
+    document.set("models", Json.texts(commands.models()));
+    return document;
   }
 }
--- a/standin/src/main/java/org/shallothold/standin/engine/LoadHistory.java
+++ b/standin/src/main/java/org/shallothold/standin/engine/LoadHistory.java
@@ -2,11 +2,12 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Iterator;
 
 /** Numbers of running and waiting requests over time. Not to be shared between threads. */
 final class LoadHistory {
 
-  /** Samples kept; with one per step of at least 1 ms this is more than 8 s. */
+  /** Bounds the memory; enough for 8 s with a change each millisecond. */
   private static final int MAX_SAMPLES = 8_192;
 
   /**
@@ -38,13 +39,12 @@
 
   /** Returns the load at a time; if it is no longer kept, the oldest that is. */
   Sample at(long nanos) {
-    Sample found = samples.getFirst();
-    for (Sample sample : samples) {
-      if (sample.nanos() - nanos > 0) {
-        break;
+    for (Iterator<Sample> newestFirst = samples.descendingIterator(); newestFirst.hasNext(); ) {
+      Sample sample = newestFirst.next();
+      if (sample.nanos() - nanos <= 0) {
+        return sample;
       }
-      found = sample;
     }
-    return found;
+    return samples.getFirst();
   }
 }
--- a/standin/src/main/java/org/shallothold/standin/http/LoopbackServer.java
+++ b/standin/src/main/java/org/shallothold/standin/http/LoopbackServer.java
@@ -2,10 +2,10 @@
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
-import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.channel.socket.SocketChannel;
@@ -13,10 +13,10 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpServerCodec;
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.time.Duration;
-import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import org.jspecify.annotations.Nullable;
@@ -45,14 +45,13 @@
    *
    * @param port TCP port; 0 picks a free one
    * @param factory creates the behaviour; gets the server's thread, on which it is called
+   * @throws UncheckedIOException if the port is taken
    */
-  public static LoopbackServer start(
-      int port, Function<ScheduledExecutorService, Standin> factory) {
+  public static LoopbackServer start(int port, Function<ServerLoop, Standin> factory) {
     NioEventLoopGroup group = new NioEventLoopGroup(1);
     try {
-      EventLoop loop = group.next();
-      Standin handler = factory.apply(loop);
-      Channel channel =
+      Standin standin = factory.apply(new ServerLoop(group.next()));
+      ChannelFuture bound =
           new ServerBootstrap()
               .group(group)
               .channel(NioServerSocketChannel.class)
@@ -66,28 +65,22 @@
                           .pipeline()
                           .addLast(new HttpServerCodec())
                           .addLast(new HttpObjectAggregator(MAX_BODY_BYTES))
-                          .addLast(new RequestHandler(handler));
+                          .addLast(new RequestHandler(standin));
                     }
                   })
               .bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port))
-              .syncUninterruptibly()
-              .channel();
-      return new LoopbackServer(group, channel);
+              .awaitUninterruptibly();
+      if (!bound.isSuccess()) {
+        throw new UncheckedIOException(
+            "can't listen on port " + port, new IOException(bound.cause()));
+      }
+      return new LoopbackServer(group, bound.channel());
     } catch (RuntimeException e) {
       shutDown(group);
       throw e;
     }
   }
 
-  /** Stops the calling thread, which is the server's, as a paused process would stop. */
-  public static void freeze(Duration duration) {
-    try {
-      Thread.sleep(duration);
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-    }
-  }
-
   /** Returns the TCP port that the server listens on. */
   public int port() {
     return ((InetSocketAddress) channel.localAddress()).getPort();
@@ -105,11 +98,11 @@
   /** Handles the requests of one connection, one at a time. */
   private static final class RequestHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
 
-    private final Standin handler;
+    private final Standin standin;
     private @Nullable Exchange current;
 
-    RequestHandler(Standin handler) {
-      this.handler = handler;
+    RequestHandler(Standin standin) {
+      this.standin = standin;
     }
 
     @Override
@@ -122,7 +115,7 @@
       Exchange exchange = new Exchange(context.channel(), request);
       current = exchange;
       try {
-        handler.handle(exchange);
+        dispatch(exchange);
       } catch (RequestException e) {
         exchange.respond(e.status(), Json.error(e.code(), String.valueOf(e.getMessage())));
       } catch (RuntimeException e) {
@@ -131,6 +124,17 @@
       }
     }
 
+    private void dispatch(Exchange exchange) {
+      switch (exchange.route()) {
+        case "POST /faults" -> {
+          standin.applyFaults(exchange.json());
+          exchange.respond(200, standin.faults());
+        }
+        case "GET /faults" -> exchange.respond(200, standin.faults());
+        default -> standin.handle(exchange);
+      }
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext context) {
       if (current != null) {
--- a/standin/src/main/java/org/shallothold/standin/http/Standin.java
+++ b/standin/src/main/java/org/shallothold/standin/http/Standin.java
@@ -1,8 +1,12 @@
 package org.shallothold.standin.http;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 
-/** The behaviour of one outside system. Called only on its server's thread. */
+/**
+ * The behaviour of one outside system. Called only on its server's thread, which answers {@code
+ * /faults} with the two methods for faults.
+ */
 public interface Standin {
 
   /**
@@ -13,9 +17,18 @@
   void handle(Exchange exchange);
 
   /**
-   * Sets or clears faults; those that the document doesn't name stay as they are.
+   * Sets or clears a fault.
    *
-   * @throws RequestException with status 400 if a name is unknown or a value not allowed
+   * @param value the fault's value; null and false clear it
+   * @throws RequestException with status 400 if the name is unknown or the value not allowed
    */
-  void applyFaults(ObjectNode faults);
+  void applyFault(String name, JsonNode value);
+
+  /** Returns the faults in force. */
+  ObjectNode faults();
+
+  /** Sets or clears faults in order; those that the document doesn't name stay as they are. */
+  default void applyFaults(ObjectNode document) {
+    document.properties().forEach(fault -> applyFault(fault.getKey(), fault.getValue()));
+  }
 }
--- a/standin/src/main/java/org/shallothold/standin/platform/PlatformStandin.java
+++ b/standin/src/main/java/org/shallothold/standin/platform/PlatformStandin.java
@@ -3,15 +3,18 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import java.util.ArrayList;
+import java.time.Duration;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.OptionalLong;
-import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import org.shallothold.standin.http.Exchange;
 import org.shallothold.standin.http.FaultValues;
 import org.shallothold.standin.http.Json;
 import org.shallothold.standin.http.RequestException;
+import org.shallothold.standin.http.ServerLoop;
 import org.shallothold.standin.http.Standin;
 import org.shallothold.standin.options.Arguments;
 import org.shallothold.standin.options.OptionSpec;
@@ -34,14 +37,14 @@
       List.of("down", "stale_at", "rolled_back_to", "members_lag_ms");
   private static final long MAX_WAIT_MILLIS = 60_000;
 
-  private record Watch(Exchange exchange, long after) {}
+  private record Watch(long after, Future<?> timeout) {}
 
-  private final ScheduledExecutorService loop;
+  private final ServerLoop loop;
 
   private final ReadRateLimit readRateLimit;
   private final EntryList entries = new EntryList();
   private final MemberHistory members = new MemberHistory();
-  private final List<Watch> watches = new ArrayList<>();
+  private final Map<Exchange, Watch> watches = new HashMap<>();
   private final ObjectNode counters =
       Json.object()
           .put("entry_reads", 0)
@@ -52,29 +55,25 @@
           .put("most_pending_watches", 0);
   private final ObjectNode faults = Json.object();
 
-  private PlatformStandin(int readsPerSecond, ScheduledExecutorService loop) {
+  private PlatformStandin(int readsPerSecond, ServerLoop loop) {
     this.loop = loop;
     this.readRateLimit = ReadRateLimit.of(readsPerSecond, System.nanoTime());
   }
 
   /** Returns a platform without entries or members. */
-  public static PlatformStandin create(Arguments arguments, ScheduledExecutorService loop) {
+  public static PlatformStandin create(Arguments arguments, ServerLoop loop) {
     return new PlatformStandin(arguments.integer("reads-per-second", 0, Integer.MAX_VALUE), loop);
   }
 
   @Override
   public void handle(Exchange exchange) {
     switch (exchange.route()) {
-      case "POST /faults" -> {
-        applyFaults(exchange.json());
-        exchange.respond(200, faults);
-      }
-      case "GET /faults" -> exchange.respond(200, faults);
       case "GET /counters" -> exchange.respond(200, counters());
       default -> {
         if (faults.path("down").asBoolean()) {
           count("requests_while_down");
-          throw RequestException.of(503, "down", "the platform is down");
+          respondDown(exchange);
+          return;
         }
         handleUp(exchange);
       }
@@ -82,9 +81,8 @@
   }
 
   @Override
-  public void applyFaults(ObjectNode document) {
-    document.properties().forEach(fault -> applyFault(fault.getKey(), fault.getValue()));
-    answerWatches();
+  public ObjectNode faults() {
+    return faults;
   }
 
   private void handleUp(Exchange exchange) {
@@ -124,25 +122,15 @@
       respondEntries(exchange, page);
       return;
     }
-    Watch watch = new Watch(exchange, after);
-    watches.add(watch);
+    Future<?> timeout =
+        loop.schedule(
+            Duration.ofMillis(waitMillis),
+            () -> endWatch(exchange, () -> respondEntries(exchange, entries.page(after))));
+    watches.put(exchange, new Watch(after, timeout));
     counters.put(
         "most_pending_watches",
         Math.max(watches.size(), counters.path("most_pending_watches").asInt()));
-    var timeout =
-        loop.schedule(
-            () -> {
-              if (watches.remove(watch)) {
-                respondEntries(exchange, entries.page(after));
-              }
-            },
-            waitMillis,
-            TimeUnit.MILLISECONDS);
-    exchange.onClose(
-        () -> {
-          watches.remove(watch);
-          timeout.cancel(false);
-        });
+    exchange.onClose(() -> endWatch(exchange, () -> {}));
   }
 
   private void publish(Exchange exchange) {
@@ -158,23 +146,31 @@
     answerWatches();
   }
 
-  /** Answers the watches that wait for nothing more. */
+  /** Answers the watches whose answer has changed. */
   private void answerWatches() {
-    for (Watch watch : List.copyOf(watches)) {
-      if (faults.path("down").asBoolean()) {
-        watches.remove(watch);
-        watch.exchange().respond(503, Json.error("down", "the platform is down"));
-        continue;
-      }
-      ArrayNode page = entries.page(watch.after());
-      if (!page.isEmpty()) {
-        watches.remove(watch);
-        respondEntries(watch.exchange(), page);
-      }
+    boolean down = faults.path("down").asBoolean();
+    Map.copyOf(watches)
+        .forEach(
+            (exchange, watch) -> {
+              ArrayNode page = entries.page(watch.after());
+              if (down) {
+                endWatch(exchange, () -> respondDown(exchange));
+              } else if (!page.isEmpty()) {
+                endWatch(exchange, () -> respondEntries(exchange, page));
+              }
+            });
+  }
+
+  private void endWatch(Exchange exchange, Runnable answer) {
+    Watch watch = watches.remove(exchange);
+    if (watch != null) {
+      watch.timeout().cancel(false);
+      answer.run();
     }
   }
 
-  private void applyFault(String name, JsonNode value) {
+  @Override
+  public void applyFault(String name, JsonNode value) {
     switch (name) {
       case "down" -> faults.put(name, FaultValues.flag(name, value));
       case "stale_at" -> {
@@ -190,6 +186,7 @@
       case "members_lag_ms" -> setNumber(name, FaultValues.number(name, value));
       default -> throw FaultValues.unknown(name, FAULTS);
     }
+    answerWatches();
   }
 
   private void setNumber(String name, OptionalLong value) {
@@ -219,6 +216,10 @@
     counters.put(counter, counters.path(counter).asLong() + 1);
   }
 
+  private static void respondDown(Exchange exchange) {
+    exchange.respond(503, Json.error("down", "the platform is down"));
+  }
+
   private static void respondEntries(Exchange exchange, ArrayNode page) {
     ObjectNode document = Json.object();
     document.set("entries", page);
--- a/standin/src/main/java/org/shallothold/standin/service/ServiceStandin.java
+++ b/standin/src/main/java/org/shallothold/standin/service/ServiceStandin.java
@@ -2,15 +2,15 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.nio.file.Path;
 import java.time.Duration;
 import java.util.List;
 import java.util.Objects;
-import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.TimeUnit;
+import java.util.Optional;
 import org.shallothold.standin.http.Exchange;
 import org.shallothold.standin.http.FaultValues;
 import org.shallothold.standin.http.Json;
-import org.shallothold.standin.http.LoopbackServer;
+import org.shallothold.standin.http.ServerLoop;
 import org.shallothold.standin.http.Standin;
 import org.shallothold.standin.options.Arguments;
 import org.shallothold.standin.options.OptionSpec;
@@ -22,44 +22,45 @@
 public final class ServiceStandin implements Standin {
 
   /** Options besides the common ones. */
-  public static final List<OptionSpec> OPTIONS = List.of();
+  public static final List<OptionSpec> OPTIONS =
+      List.of(
+          OptionSpec.value(
+              "ledger", "", "file that keeps the counts of orders over a crash; none by default"));
 
   private static final List<String> FAULTS =
       List.of("delay_ms", "crash_before_acting", "crash_after_acting", "freeze_ms");
   private static final int STOCK_LEVELS = 1_000;
 
-  private final ScheduledExecutorService loop;
+  private final ServerLoop loop;
   private final Runnable crash;
 
-  private final ObjectNode orders = Json.object();
+  private final OrderCounts orders;
   private final ObjectNode faults = Json.object();
 
-  private ServiceStandin(ScheduledExecutorService loop, Runnable crash) {
+  private ServiceStandin(OrderCounts orders, ServerLoop loop, Runnable crash) {
+    this.orders = orders;
     this.loop = loop;
     this.crash = crash;
   }
 
   /**
-   * Returns a service that has acted on no order.
+   * Returns a service that has acted on the orders in its ledger file, if there is one.
    *
+   * @param loop the server's thread
    * @param crash ends the process at once
    */
-  public static ServiceStandin create(
-      Arguments arguments, ScheduledExecutorService loop, Runnable crash) {
-    return new ServiceStandin(loop, crash);
+  public static ServiceStandin create(Arguments arguments, ServerLoop loop, Runnable crash) {
+    Optional<Path> ledger =
+        Optional.of(arguments.text("ledger")).filter(text -> !text.isEmpty()).map(Path::of);
+    return new ServiceStandin(new OrderCounts(ledger), loop, crash);
   }
 
   @Override
   public void handle(Exchange exchange) {
     switch (exchange.route()) {
-      case "POST /faults" -> {
-        applyFaults(exchange.json());
-        exchange.respond(200, faults);
-      }
-      case "GET /faults" -> exchange.respond(200, faults);
       case "GET /ledger" -> {
         ObjectNode document = Json.object();
-        document.set("orders", orders);
+        document.set("orders", orders.toJson());
         exchange.respond(200, document);
       }
       default -> {
@@ -67,15 +68,15 @@
         if (delayMillis == 0) {
           serve(exchange);
         } else {
-          var unused = loop.schedule(() -> serve(exchange), delayMillis, TimeUnit.MILLISECONDS);
+          var unused = loop.schedule(Duration.ofMillis(delayMillis), () -> serve(exchange));
         }
       }
     }
   }
 
   @Override
-  public void applyFaults(ObjectNode document) {
-    document.properties().forEach(fault -> applyFault(fault.getKey(), fault.getValue()));
+  public ObjectNode faults() {
+    return faults;
   }
 
   private void serve(Exchange exchange) {
@@ -96,8 +97,7 @@
       return;
     }
     String key = Objects.requireNonNullElse(exchange.header("Idempotency-Key"), "");
-    int count = orders.path(key).asInt() + 1;
-    orders.put(key, count);
+    int count = orders.add(key);
     if (faults.path("crash_after_acting").asBoolean()) {
       crash.run();
       return;
@@ -105,7 +105,8 @@
     exchange.respond(200, Json.object().put("key", key).put("count", count));
   }
 
-  private void applyFault(String name, JsonNode value) {
+  @Override
+  public void applyFault(String name, JsonNode value) {
     switch (name) {
       case "delay_ms" ->
           FaultValues.number(name, value)
@@ -114,8 +115,7 @@
           faults.put(name, FaultValues.flag(name, value));
       case "freeze_ms" ->
           FaultValues.number(name, value)
-              .ifPresent(
-                  millis -> loop.execute(() -> LoopbackServer.freeze(Duration.ofMillis(millis))));
+              .ifPresent(millis -> loop.freeze(Duration.ofMillis(millis)));
       default -> throw FaultValues.unknown(name, FAULTS);
     }
   }
