--- /dev/null
+++ b/core/src/main/java/org/shallothold/core/queue/WaitingQueue.java
@@ -0,0 +1,97 @@
+package org.shallothold.core.queue;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * The waiting requests. The oldest of each class holds the class's reserved place, which is not
+ * counted and can't be displaced. Scans are linear: a queue holds at most a few hundred requests.
+ * Owned by the scheduler's thread.
+ */
+final class WaitingQueue {
+
+  private final Map<Long, Entry> entries = new LinkedHashMap<>();
+
+  void add(Entry entry) {
+    entries.put(entry.work.id(), entry);
+  }
+
+  Optional<Entry> remove(long id) {
+    return Optional.ofNullable(entries.remove(id));
+  }
+
+  boolean isEmpty() {
+    return entries.isEmpty();
+  }
+
+  int size() {
+    return entries.size();
+  }
+
+  Collection<Entry> entries() {
+    return entries.values();
+  }
+
+  boolean hasClass(String serviceClass) {
+    return entries.values().stream()
+        .anyMatch(entry -> entry.work.serviceClass().equals(serviceClass));
+  }
+
+  /** Returns the oldest request of each class by the name of the class. */
+  Map<String, Entry> oldestByClass() {
+    Map<String, Entry> oldest = new HashMap<>();
+    entries
+        .values()
+        .forEach(
+            entry ->
+                oldest.merge(
+                    entry.work.serviceClass(),
+                    entry,
+                    (first, second) -> first.sequence <= second.sequence ? first : second));
+    return oldest;
+  }
+
+  /** Returns how many requests wait outside reserved places. */
+  int ordinary() {
+    return entries.size() - oldestByClass().size();
+  }
+
+  /** Returns the most recent request of the lowest tier below a tier that may be displaced. */
+  Optional<Entry> displaceable(int tier) {
+    Collection<Entry> reserved = oldestByClass().values();
+    return entries.values().stream()
+        .filter(entry -> entry.work.tier() > tier && !reserved.contains(entry))
+        .max(
+            Comparator.comparingInt((Entry entry) -> entry.work.tier())
+                .thenComparingLong(entry -> entry.sequence));
+  }
+
+  /** Returns the oldest request of all. */
+  Optional<Entry> oldest() {
+    return entries.values().stream().min(Comparator.comparingLong(entry -> entry.sequence));
+  }
+
+  /** Returns the requests in the order of starts, apart from the floor. */
+  List<Entry> inOrder(RecentService service, long nowMillis) {
+    Map<String, Double> usage = new HashMap<>();
+    entries
+        .values()
+        .forEach(
+            entry ->
+                usage.computeIfAbsent(
+                    entry.work.customer(), customer -> service.of(customer, nowMillis)));
+    List<Entry> ordered = new ArrayList<>(entries.values());
+    ordered.sort(
+        Comparator.comparingInt((Entry entry) -> entry.work.tier())
+            .thenComparingDouble(entry -> usage.getOrDefault(entry.work.customer(), 0.0))
+            .thenComparingLong(entry -> entry.work.deadlineMillis())
+            .thenComparingLong(entry -> entry.sequence));
+    return ordered;
+  }
+}
--- /dev/null
+++ b/sidecar/src/main/java/org/shallothold/sidecar/SidecarProcess.java
@@ -0,0 +1,248 @@
+package org.shallothold.sidecar;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import java.net.http.HttpClient;
+import java.security.SecureRandom;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicReference;
+import org.jspecify.annotations.Nullable;
+import org.shallothold.core.config.BackendServer;
+import org.shallothold.core.config.Configuration;
+import org.shallothold.core.order.TicketKey;
+import org.shallothold.core.queue.SchedulerOptions;
+import org.shallothold.core.queue.SchedulingPolicy;
+import org.shallothold.runtime.ProcessIdentity;
+import org.shallothold.runtime.duty.Duty;
+import org.shallothold.runtime.logging.AuditOutput;
+import org.shallothold.runtime.metrics.Metrics;
+import org.shallothold.runtime.platform.HttpConfigurationSource;
+import org.shallothold.runtime.sync.ConfigurationSync;
+import org.shallothold.runtime.sync.SyncOptions;
+import org.shallothold.sidecar.backend.EngineCommander;
+import org.shallothold.sidecar.backend.EngineLoadReader;
+import org.shallothold.sidecar.backend.HttpBackend;
+import org.shallothold.sidecar.settings.SidecarSettings;
+import org.shallothold.sidecar.work.LeavingSource;
+import org.shallothold.sidecar.work.SidecarController;
+import org.shallothold.sidecar.work.SidecarEvent;
+import org.shallothold.wire.connection.ConnectionLimits;
+import org.shallothold.wire.connection.PeerServer;
+import org.shallothold.wire.proto.Role;
+
+/**
+ * Connects the sidecar's state machine with the network, the platform and the timers. Made once per
+ * process by {@link SidecarMain}; may be shared between threads; ends with {@link #close}.
+ */
+public final class SidecarProcess implements AutoCloseable {
+
+  private static final int RING_CAPACITY = 8_192;
+  private static final long TICK_MILLIS = 50;
+  private static final long LOAD_REPORT_MILLIS = 1_000;
+  private static final long ENGINE_LOAD_MILLIS = 500;
+  private static final int HTTP_THREADS = 2;
+  private static final long NANOS_PER_MILLI = 1_000_000;
+  // Time for the last frames to leave before the connections are closed.
+  private static final long FLUSH_MILLIS = 100;
+
+  private final ProcessIdentity identity;
+  private final EventLoopGroup group = new NioEventLoopGroup(1, DaemonThreads.named("peers"));
+  private final ExecutorService http =
+      Executors.newFixedThreadPool(HTTP_THREADS, DaemonThreads.named("http"));
+  private final ExecutorService audit =
+      Executors.newSingleThreadExecutor(DaemonThreads.named("audit"));
+  private final ScheduledExecutorService timer =
+      Executors.newSingleThreadScheduledExecutor(DaemonThreads.named("timer"));
+  private final AtomicBoolean leaving = new AtomicBoolean();
+  private final CountDownLatch done = new CountDownLatch(1);
+  private final AtomicReference<List<String>> models = new AtomicReference<>(List.of());
+
+  private final Duty<SidecarEvent> duty;
+  private final ConfigurationSync sync;
+  private final PeerServer server;
+  private final MetricsServer metricsServer;
+  private final EngineCommander commander;
+
+  private SidecarProcess(SidecarSettings settings) {
+    long startMillis = System.currentTimeMillis();
+    identity =
+        ProcessIdentity.create(
+            settings.serverId(), Role.ROLE_SIDECAR, settings.failureDomain(), settings.serverId());
+    Metrics metrics = Metrics.create();
+    AuditOutput auditOutput = AuditOutput.to(System.out, identity.processId());
+    HttpClient backendClient = client(settings.backend().connectTimeoutMillis());
+    AtomicReference<@Nullable SidecarController> controller = new AtomicReference<>();
+    duty =
+        Duty.start(
+            "sidecar",
+            RING_CAPACITY,
+            event -> {
+              SidecarController owner = controller.get();
+              if (owner != null) {
+                owner.handle(event);
+              }
+            });
+    controller.set(
+        SidecarController.create(
+            identity,
+            options(settings),
+            HttpBackend.of(settings.backend().url(), backendClient, http),
+            TicketKey.of(identity.serverId(), identity.incarnationText(), ticketKey()),
+            metrics,
+            new SidecarController.Surroundings(
+                duty::put,
+                () -> System.nanoTime() / NANOS_PER_MILLI,
+                (action, fields) -> audit.execute(() -> auditOutput.record(action, fields)),
+                () -> leaving.set(true),
+                done::countDown)));
+    sync =
+        ConfigurationSync.start(
+            identity,
+            HttpConfigurationSource.of(
+                settings.platform(), client(settings.backend().connectTimeoutMillis())),
+            auditOutput,
+            metrics,
+            SyncOptions.DEFAULT);
+    // The port is bound before the first command: holding it proves that no other sidecar of this
+    // VM is alive.
+    server =
+        PeerServer.bind(
+            group,
+            settings.listen(),
+            ConnectionLimits.DEFAULT,
+            () -> sync.hello(leaving.get()),
+            PeerEvents.of(duty, sync),
+            null);
+    metricsServer = MetricsServer.start(settings.metricsListen(), metrics);
+    commander =
+        EngineCommander.start(
+            settings.backend().url(),
+            backendClient,
+            startMillis,
+            number -> duty.put(new SidecarEvent.Fenced(number)));
+    watch(settings, backendClient);
+    auditOutput.record(
+        "sidecar_started",
+        Map.of(
+            "server", identity.serverId(),
+            "incarnation", identity.incarnationText(),
+            "port", Integer.toString(server.port())));
+  }
+
+  /**
+   * Starts a sidecar.
+   *
+   * @throws IllegalStateException if an address can't be bound
+   */
+  public static SidecarProcess start(SidecarSettings settings) {
+    return new SidecarProcess(settings);
+  }
+
+  /** Returns the port that gateways connect to. */
+  public int port() {
+    return server.port();
+  }
+
+  /** Makes the sidecar leave: finish what runs, take nothing new. Returns at once. */
+  public void leave() {
+    duty.put(new SidecarEvent.LeavingLearnt(LeavingSource.SIGNAL));
+  }
+
+  /** Waits until the sidecar has left. */
+  public void awaitDone() throws InterruptedException {
+    done.await();
+  }
+
+  /** Waits until the sidecar has left, or for a time; returns whether it has left. */
+  public boolean awaitDone(Duration limit) throws InterruptedException {
+    return done.await(limit.toMillis(), TimeUnit.MILLISECONDS);
+  }
+
+  @Override
+  public void close() {
+    timer.shutdownNow();
+    commander.close();
+    server.close();
+    group
+        .shutdownGracefully(FLUSH_MILLIS, 10 * FLUSH_MILLIS, TimeUnit.MILLISECONDS)
+        .awaitUninterruptibly();
+    sync.close();
+    duty.close();
+    metricsServer.close();
+    http.shutdownNow();
+    audit.shutdown();
+  }
+
+  private void watch(SidecarSettings settings, HttpClient backendClient) {
+    sync.onChange(this::configurationChanged);
+    configurationChanged(sync.current());
+    sync.onMembers(
+        members -> {
+          if (members.isLeaving(identity.processId())) {
+            duty.offer(new SidecarEvent.LeavingLearnt(LeavingSource.MEMBERS));
+          }
+        });
+    duty.offerEvery(timer, TICK_MILLIS, new SidecarEvent.Tick());
+    duty.offerEvery(timer, LOAD_REPORT_MILLIS, new SidecarEvent.LoadReportDue());
+    EngineLoadReader load =
+        EngineLoadReader.of(
+            settings.backend().url(),
+            backendClient,
+            running -> duty.offer(new SidecarEvent.EngineLoad(running)));
+    timer.scheduleWithFixedDelay(
+        () -> {
+          if (!models.get().isEmpty()) {
+            load.read();
+          }
+        },
+        ENGINE_LOAD_MILLIS,
+        ENGINE_LOAD_MILLIS,
+        TimeUnit.MILLISECONDS);
+  }
+
+  private void configurationChanged(Configuration configuration) {
+    List<String> wanted =
+        configuration
+            .server(identity.serverId())
+            .filter(item -> item.kind() == BackendServer.Kind.ENGINE)
+            .map(BackendServer::models)
+            .orElse(List.of());
+    if (!wanted.equals(models.getAndSet(wanted))) {
+      commander.load(wanted);
+    }
+    duty.put(new SidecarEvent.ConfigurationChanged(configuration));
+  }
+
+  private HttpClient client(long connectTimeoutMillis) {
+    return HttpClient.newBuilder()
+        .version(HttpClient.Version.HTTP_1_1)
+        .connectTimeout(Duration.ofMillis(connectTimeoutMillis))
+        .followRedirects(HttpClient.Redirect.NEVER)
+        .executor(http)
+        .build();
+  }
+
+  private static SidecarController.Options options(SidecarSettings settings) {
+    SchedulerOptions scheduler =
+        new SchedulerOptions(
+            SchedulingPolicy.valueOf(settings.queue().policy().name()),
+            settings.queue().floorIntervalMillis(),
+            settings.queue().maxPreemptions());
+    return new SidecarController.Options(
+        scheduler, settings.backend().silenceMillis(), settings.drainLimitMillis());
+  }
+
+  private static byte[] ticketKey() {
+    byte[] key = new byte[TicketKey.BYTES];
+    new SecureRandom().nextBytes(key);
+    return key;
+  }
+}
--- /dev/null
+++ b/sidecar/src/main/java/org/shallothold/sidecar/backend/EngineLoadReader.java
@@ -0,0 +1,64 @@
+package org.shallothold.sidecar.backend;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.IntConsumer;
+
+/** Reads the engine's own load report. May be shared between threads; doesn't block. */
+public final class EngineLoadReader {
+
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+  private static final Duration ANSWER_TIMEOUT = Duration.ofSeconds(2);
+  private static final int UNKNOWN = -1;
+
+  private final URI url;
+  private final HttpClient client;
+  private final IntConsumer onLoad;
+  private final AtomicBoolean reading = new AtomicBoolean();
+
+  private EngineLoadReader(URI url, HttpClient client, IntConsumer onLoad) {
+    this.url = url;
+    this.client = client;
+    this.onLoad = onLoad;
+  }
+
+  /**
+   * Returns a reader.
+   *
+   * @param onLoad gets the number of running requests, or -1 if it can't be read
+   */
+  public static EngineLoadReader of(URI base, HttpClient client, IntConsumer onLoad) {
+    return new EngineLoadReader(base.resolve("load"), client, onLoad);
+  }
+
+  /** Reads once, unless the last read has not ended. */
+  public void read() {
+    if (!reading.compareAndSet(false, true)) {
+      return;
+    }
+    HttpRequest request = HttpRequest.newBuilder(url).timeout(ANSWER_TIMEOUT).build();
+    client
+        .sendAsync(request, HttpResponse.BodyHandlers.ofByteArray())
+        .whenComplete(
+            (response, error) -> {
+              reading.set(false);
+              onLoad.accept(error == null ? running(response) : UNKNOWN);
+            });
+  }
+
+  private static int running(HttpResponse<byte[]> response) {
+    try {
+      return response.statusCode() == 200
+          ? MAPPER.readTree(response.body()).path("running").asInt(UNKNOWN)
+          : UNKNOWN;
+    } catch (IOException e) {
+      return UNKNOWN;
+    }
+  }
+}
