--- a/core/src/main/java/org/shallothold/core/verdict/ReasonCode.java
+++ b/core/src/main/java/org/shallothold/core/verdict/ReasonCode.java
@@ -11,6 +11,8 @@
   MALFORMED_REQUEST,
   /** The body is larger than the limit. */
   BODY_TOO_LARGE,
+  /** The headers are larger than the limit. */
+  HEADERS_TOO_LARGE,
   /** No key, or a key that belongs to no customer. */
   UNAUTHENTICATED,
   /** The customer may not use the class that it asked for. */
--- /dev/null
+++ b/gateway/src/main/java/org/shallothold/gateway/GatewaySettings.java
@@ -0,0 +1,124 @@
+package org.shallothold.gateway;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.util.Objects;
+import org.jspecify.annotations.Nullable;
+import org.shallothold.core.routing.SelectionPolicy;
+import org.shallothold.gateway.http.HttpOptions;
+import org.shallothold.gateway.request.RouterOptions;
+import org.shallothold.runtime.settings.SettingsDocument;
+
+/**
+ * Settings of a gateway; the keys and their defaults are in {@code conf/gateway.toml}.
+ *
+ * @param processId id of this process in the fleet
+ * @param failureDomain failure domain of its VM
+ * @param http callers' interface
+ * @param operatorListen address for the operators' command
+ * @param platformUrl base address of the platform
+ * @param router settings of the thread that owns the requests
+ * @param silenceMillis silence after which a sidecar is taken as lost, in milliseconds
+ * @param graceMillis time after SIGTERM in which new requests are still served, in milliseconds
+ * @param limitMillis time after that in which requests may finish, in milliseconds
+ * @param tls stores for mutual TLS, or null for plain TCP
+ */
+public record GatewaySettings(
+    String processId,
+    String failureDomain,
+    HttpOptions http,
+    InetSocketAddress operatorListen,
+    URI platformUrl,
+    RouterOptions router,
+    int silenceMillis,
+    long graceMillis,
+    long limitMillis,
+    @Nullable TlsFiles tls) {
+
+  /**
+   * Files of mutual TLS.
+   *
+   * @param keyStore PKCS 12 store with this process's key
+   * @param trustStore PKCS 12 store with the trusted certificates
+   * @param password file that holds the password of both
+   */
+  public record TlsFiles(String keyStore, String trustStore, String password) {}
+
+  /**
+   * Returns the settings of a document.
+   *
+   * @throws org.shallothold.runtime.settings.SettingsException with all problems at once
+   */
+  public static GatewaySettings read(SettingsDocument document) {
+    String processId = document.requiredText("process.id");
+    String failureDomain = document.requiredText("process.failure_domain");
+    InetSocketAddress listen = document.requiredAddress("http.listen");
+    int maxBodyBytes = (int) document.number("http.max_body_bytes", 1_048_576, 1_024, 4_194_304);
+    int maxInFlight = (int) document.number("http.max_in_flight", 4_096, 1, 65_536);
+    InetSocketAddress operatorListen = document.requiredAddress("operator.listen");
+    URI platformUrl = url(document, "platform.url");
+    SelectionPolicy policy =
+        document.choice("routing.policy", SelectionPolicy.class, SelectionPolicy.OWN_COUNTS);
+    int subsetSize = (int) document.number("routing.subset_size", 16, 2, 4_096);
+    int silenceMillis = (int) document.number("routing.silence_ms", 3_500, 500, 60_000);
+    int budgetPercent = (int) document.number("retry.budget_percent", 10, 0, 100);
+    int budgetFloor = (int) document.number("retry.budget_floor_per_second", 1, 0, 1_000);
+    long graceMillis = document.number("drain.grace_ms", 2_000, 0, 600_000);
+    long limitMillis = document.number("drain.limit_ms", 60_000, 0, 3_600_000);
+    TlsFiles tls = tls(document);
+    if (tls == null && operatorListen != null && !isLoopback(operatorListen.getAddress())) {
+      document.clash(
+          "operator.listen",
+          operatorListen.getAddress().getHostAddress() + " without [tls]",
+          "a loopback address, or an address with [tls]");
+    }
+    document.finish();
+    return new GatewaySettings(
+        Objects.requireNonNull(processId),
+        Objects.requireNonNull(failureDomain),
+        new HttpOptions(Objects.requireNonNull(listen), maxBodyBytes),
+        Objects.requireNonNull(operatorListen),
+        Objects.requireNonNull(platformUrl),
+        new RouterOptions(policy, subsetSize, maxInFlight, budgetPercent, budgetFloor),
+        silenceMillis,
+        graceMillis,
+        limitMillis,
+        tls);
+  }
+
+  private static boolean isLoopback(InetAddress address) {
+    return address.isLoopbackAddress();
+  }
+
+  private static @Nullable URI url(SettingsDocument document, String key) {
+    String text = document.requiredText(key);
+    if (text == null) {
+      return null;
+    }
+    try {
+      URI url = URI.create(text);
+      if ("http".equals(url.getScheme()) || "https".equals(url.getScheme())) {
+        return text.endsWith("/") ? url : URI.create(text + "/");
+      }
+    } catch (IllegalArgumentException e) {
+      // Reported below, as another scheme is.
+    }
+    document.clash(key, "'" + text + "'", "an http or https address, as http://127.0.0.1:7100/");
+    return null;
+  }
+
+  private static @Nullable TlsFiles tls(SettingsDocument document) {
+    String keyStore = document.optionalText("tls.key_store_file");
+    String trustStore = document.optionalText("tls.trust_store_file");
+    String password = document.optionalText("tls.password_file");
+    if (keyStore == null && trustStore == null && password == null) {
+      return null;
+    }
+    if (keyStore == null || trustStore == null || password == null) {
+      document.clash("tls", "some of the keys of [tls]", "all three keys, or none");
+      return null;
+    }
+    return new TlsFiles(keyStore, trustStore, password);
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/shallothold/gateway/http/HttpFrontEnd.java
@@ -0,0 +1,103 @@
+package org.shallothold.gateway.http;
+
+import java.time.Duration;
+import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
+import org.shallothold.core.config.Configuration;
+import org.shallothold.gateway.request.RequestMetrics;
+import org.shallothold.runtime.ProcessIdentity;
+import org.shallothold.runtime.metrics.Metrics;
+import ratpack.error.ClientErrorHandler;
+import ratpack.error.ServerErrorHandler;
+import ratpack.server.RatpackServer;
+
+/** The Ratpack server for callers. Made once per gateway; closed after the last request. */
+public final class HttpFrontEnd implements AutoCloseable {
+
+  /** Event loops only parse and write; two keep a small VM's cores free for the owner thread. */
+  private static final int EVENT_LOOP_THREADS = 2;
+
+  /** Ratpack's own bound; headers above {@link RequestHandler}'s lower one get a proper answer. */
+  private static final int MAX_HEADER_BYTES = 64 * 1024;
+
+  private static final int MAX_INITIAL_LINE_BYTES = 8 * 1024;
+  private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(60);
+
+  private final RatpackServer server;
+  private final RequestHandler handler;
+
+  private HttpFrontEnd(RatpackServer server, RequestHandler handler) {
+    this.server = server;
+    this.handler = handler;
+  }
+
+  /**
+   * Starts to listen.
+   *
+   * @param configuration returns the configuration in force
+   * @param ready returns whether the load balancer should send requests
+   * @throws IllegalStateException if the address can't be bound
+   */
+  public static HttpFrontEnd start(
+      HttpOptions options,
+      ProcessIdentity identity,
+      Supplier<Configuration> configuration,
+      BooleanSupplier ready,
+      RequestSink sink,
+      RequestMetrics requestMetrics,
+      Metrics metrics) {
+    RequestHandler handler =
+        new RequestHandler(
+            options.maxBodyBytes(), identity, configuration, ready, sink, requestMetrics, metrics);
+    try {
+      return new HttpFrontEnd(
+          RatpackServer.start(
+              spec ->
+                  spec.serverConfig(
+                          config ->
+                              config
+                                  .development(false)
+                                  .registerShutdownHook(false)
+                                  .address(options.listen().getAddress())
+                                  .port(options.listen().getPort())
+                                  .threads(EVENT_LOOP_THREADS)
+                                  .maxContentLength(options.maxBodyBytes())
+                                  .maxHeaderSize(MAX_HEADER_BYTES)
+                                  .maxInitialLineLength(MAX_INITIAL_LINE_BYTES)
+                                  .idleTimeout(IDLE_TIMEOUT))
+                      .registryOf(
+                          registry ->
+                              registry
+                                  .add(ServerErrorHandler.class, handler::error)
+                                  .add(ClientErrorHandler.class, handler::clientError))
+                      .handlers(chain -> chain.all(handler))),
+          handler);
+    } catch (Exception e) {
+      throw new IllegalStateException("cannot listen on " + options.listen(), e);
+    }
+  }
+
+  /** Returns the port that the server listens on. */
+  public int port() {
+    return server.getBindPort();
+  }
+
+  /** Refuses requests from here on; those in flight go on. */
+  public void refuseNew() {
+    handler.refuseNew();
+  }
+
+  /** Returns how many requests have not been answered completely. */
+  public int openRequests() {
+    return handler.openRequests();
+  }
+
+  @Override
+  public void close() {
+    try {
+      server.stop();
+    } catch (Exception e) {
+      throw new IllegalStateException("the HTTP server could not be stopped", e);
+    }
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/shallothold/gateway/request/Finisher.java
@@ -0,0 +1,211 @@
+package org.shallothold.gateway.request;
+
+import java.util.function.LongSupplier;
+import org.jspecify.annotations.Nullable;
+import org.shallothold.core.limit.AdmissionGate;
+import org.shallothold.core.verdict.ReasonCode;
+import org.shallothold.core.verdict.Verdict;
+import org.shallothold.wire.connection.PeerConnection;
+import org.shallothold.wire.proto.Cancel;
+import org.shallothold.wire.proto.Envelope;
+import org.shallothold.wire.proto.ServiceAnswer;
+
+/**
+ * Ends requests: answers the caller, frees what the request held and records the outcome. Owned by
+ * the thread of the requests.
+ */
+final class Finisher {
+
+  /**
+   * How long a request that was given up waits for its sidecar's word on whether it ran. Some ten
+   * round trips between failure domains: an accurate "not run" is worth that to the caller.
+   */
+  private static final long VERDICT_WAIT_MILLIS = 100;
+
+  private static final long DEFAULT_RETRY_AFTER_MILLIS = 1_000;
+
+  private final InFlight inFlight;
+  private final AdmissionGate gate;
+  private final ServerTable servers;
+  private final AttemptIdentity identity;
+  private final RequestMetrics metrics;
+  private final RequestJournal journal;
+  private final LongSupplier clock;
+
+  Finisher(
+      InFlight inFlight,
+      AdmissionGate gate,
+      ServerTable servers,
+      AttemptIdentity identity,
+      RequestMetrics metrics,
+      RequestJournal journal,
+      LongSupplier clock) {
+    this.inFlight = inFlight;
+    this.gate = gate;
+    this.servers = servers;
+    this.identity = identity;
+    this.metrics = metrics;
+    this.journal = journal;
+    this.clock = clock;
+  }
+
+  /** Ends a request whose whole answer arrived. */
+  void completed(ActiveRequest request, String finishReason) {
+    int tokens = request.assembler().tokens().size();
+    metrics.completed(request, tokens, clock.getAsLong());
+    end(request, "completed", tokens + " tokens");
+    request.responder().completed(request.assembler().tokens(), finishReason);
+  }
+
+  /** Ends a call of a plain service with the service's answer. */
+  void answered(ActiveRequest request, ServiceAnswer answer) {
+    metrics.completed(request, 0, clock.getAsLong());
+    end(request, "completed", "status " + answer.getStatus());
+    request.responder().answered(answer);
+  }
+
+  /** Ends a wish for a ticket, or an order that came without one. */
+  void ticket(ActiveRequest request, String ticket) {
+    if (request.call() instanceof Call.NewTicket) {
+      metrics.completed(request, 0, clock.getAsLong());
+      end(request, "completed", "ticket issued");
+      request.responder().ticket(ticket);
+    } else {
+      fail(
+          request,
+          new Failure(
+              ReasonCode.ORDER_TICKET_REQUIRED,
+              Verdict.notRun(ReasonCode.ORDER_TICKET_REQUIRED),
+              "this call is an order; repeat it with the ticket as Idempotency-Key",
+              ticket));
+    }
+  }
+
+  /** Ends a question about a ticket. */
+  void ticketState(ActiveRequest request, Call.TicketLookup lookup, String state) {
+    metrics.completed(request, 0, clock.getAsLong());
+    end(request, "completed", "ticket " + state);
+    request.responder().ticketState(lookup.ticket(), state);
+  }
+
+  /** Ends a request with a reason and the verdict that the evidence allows. */
+  void fail(ActiveRequest request, ReasonCode reason, String message) {
+    Verdict verdict = request.tracker().verdict(reason);
+    if (verdict instanceof Verdict.NotRun notRun && notRun.retryAfterMillis() == 0) {
+      verdict = Verdict.notRun(reason, defaultRetryAfter(reason));
+    }
+    fail(request, Failure.of(reason, verdict, message));
+  }
+
+  /**
+   * Cancels a request and answers its caller, at once or as soon as the sidecar can say if it ran.
+   */
+  void giveUp(ActiveRequest request, ReasonCode reason) {
+    if (request.givenUp() != null) {
+      return;
+    }
+    boolean asked = cancel(request);
+    gate.release(request.number());
+    if (asked && request.tracker().dependsOn(request.attempt())) {
+      long until = clock.getAsLong() + VERDICT_WAIT_MILLIS;
+      request.giveUp(reason, until);
+      journal.note(
+          request.number(), clock.getAsLong(), "given_up", serverId(request), reason.code());
+      inFlight.schedule(request, until);
+    } else {
+      request.giveUp(reason, 0);
+      conclude(request);
+    }
+  }
+
+  /** Ends a request that was given up, with the evidence there is by now. */
+  void conclude(ActiveRequest request) {
+    ReasonCode reason = request.givenUp();
+    fail(request, reason == null ? ReasonCode.INTERNAL : reason, message(reason));
+  }
+
+  /** Ends a request whose caller is gone. */
+  void abandoned(ActiveRequest request) {
+    cancel(request);
+    metrics.abandoned(request);
+    waste(request, RequestMetrics.WasteCause.ABANDONED);
+    end(request, "abandoned", "the caller closed its connection");
+  }
+
+  /**
+   * Sends a cancel for the current attempt; returns whether the sidecar can be expected to answer.
+   */
+  boolean cancel(ActiveRequest request) {
+    ServerState server = request.server();
+    PeerConnection connection = server == null ? null : server.connection();
+    boolean cancellable =
+        request.call() instanceof Call.Completion || request.call() instanceof Call.Service;
+    return cancellable
+        && connection != null
+        && connection.send(
+            Envelope.newBuilder()
+                .setCancel(Cancel.newBuilder().setAttempt(identity.of(request, request.attempt())))
+                .build());
+  }
+
+  private void fail(ActiveRequest request, Failure failure) {
+    boolean cancelled =
+        failure.reason() == ReasonCode.DEADLINE
+            || failure.reason() == ReasonCode.DISPLACED
+            || failure.reason() == ReasonCode.CANCELLED;
+    waste(
+        request,
+        cancelled ? RequestMetrics.WasteCause.CANCELLED : RequestMetrics.WasteCause.BROKEN);
+    metrics.failed(request, failure);
+    end(request, failure.verdict().wireName(), failure.reason().code());
+    request.responder().failed(failure);
+  }
+
+  private void waste(ActiveRequest request, RequestMetrics.WasteCause cause) {
+    metrics.wasted(
+        request.request().serviceClass().name(), cause, request.assembler().tokens().size());
+  }
+
+  private void end(ActiveRequest request, String outcome, String detail) {
+    ServerState server = request.server();
+    inFlight.remove(request);
+    gate.release(request.number());
+    request.detach();
+    if (server != null) {
+      servers.closeIfDone(server);
+    }
+    journal.ended(request.number(), clock.getAsLong(), outcome, detail);
+    metrics.inFlight(inFlight.size());
+  }
+
+  private static String serverId(ActiveRequest request) {
+    ServerState server = request.server();
+    return server == null ? "" : server.id();
+  }
+
+  private static long defaultRetryAfter(ReasonCode reason) {
+    return switch (reason) {
+      case QUEUE_FULL,
+          DISPLACED,
+          DEADLINE,
+          NO_SERVER,
+          SERVER_LEAVING,
+          CONFIGURATION_BEHIND,
+          NOT_CONFIGURED,
+          CONNECTION_LOST,
+          BACKEND_FAILED,
+          FENCED ->
+          DEFAULT_RETRY_AFTER_MILLIS;
+      default -> 0;
+    };
+  }
+
+  private static String message(@Nullable ReasonCode reason) {
+    return switch (reason) {
+      case DEADLINE -> "the deadline passed before the answer was complete";
+      case DISPLACED -> "the gateway is full, and a request of a higher tier took the place";
+      case CANCELLED -> "the caller reads its answer too slowly";
+      case null, default -> "the request was given up";
+    };
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/shallothold/gateway/request/RequestRouter.java
@@ -0,0 +1,277 @@
+package org.shallothold.gateway.request;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.protobuf.ByteString;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.LongSupplier;
+import java.util.random.RandomGenerator;
+import org.shallothold.core.config.Configuration;
+import org.shallothold.core.limit.Admission;
+import org.shallothold.core.limit.AdmissionGate;
+import org.shallothold.core.limit.CustomerLimiter;
+import org.shallothold.core.membership.MembershipView;
+import org.shallothold.core.retry.RetryBudget;
+import org.shallothold.core.routing.PrefixMemory;
+import org.shallothold.core.routing.ServerSelector;
+import org.shallothold.core.routing.SubsetSelector;
+import org.shallothold.core.verdict.ReasonCode;
+import org.shallothold.core.verdict.Verdict;
+import org.shallothold.runtime.ProcessIdentity;
+import org.shallothold.wire.connection.PeerConnection;
+import org.shallothold.wire.proto.Envelope;
+import org.shallothold.wire.proto.ExplainReport;
+import org.shallothold.wire.proto.Hello;
+import org.shallothold.wire.proto.StatusReport;
+
+/**
+ * Takes the events of requests, sidecars, configuration and time, one by one. Made once per
+ * gateway; all methods are called on one thread, which owns everything below.
+ */
+public final class RequestRouter {
+
+  private static final int KEPT_PREFIXES = 16_384;
+
+  private final ProcessIdentity identity;
+  private final LongSupplier clock;
+  private final RequestMetrics metrics;
+  private final CustomerLimiter limiter = CustomerLimiter.create();
+  private final RequestJournal journal = new RequestJournal();
+  private final InFlight inFlight = new InFlight();
+  private final AdmissionGate gate;
+  private final ServerTable servers;
+  private final Finisher finisher;
+  private final Dispatcher dispatcher;
+  private final FrameHandler frames;
+  private final Watchdog watchdog;
+
+  private RequestRouter(
+      ProcessIdentity identity,
+      RouterOptions options,
+      Links links,
+      RequestMetrics metrics,
+      LongSupplier clock,
+      RandomGenerator random) {
+    this.identity = identity;
+    this.clock = clock;
+    this.metrics = metrics;
+    AttemptIdentity attempts = new AttemptIdentity(identity.incarnation());
+    gate = AdmissionGate.ofCapacity(options.maxInFlight());
+    servers = new ServerTable(links, SubsetSelector.of(identity.processId(), options.subsetSize()));
+    finisher = new Finisher(inFlight, gate, servers, attempts, metrics, journal, clock);
+    dispatcher =
+        new Dispatcher(
+            servers,
+            ServerSelector.of(options.policy()),
+            PrefixMemory.ofCapacity(KEPT_PREFIXES),
+            RetryBudget.of(
+                options.budgetPercent(), options.budgetFloorPerSecond(), clock.getAsLong()),
+            random,
+            attempts,
+            finisher,
+            metrics,
+            journal,
+            clock);
+    frames =
+        new FrameHandler(inFlight, gate, dispatcher, finisher, attempts, metrics, journal, clock);
+    watchdog = new Watchdog(inFlight, dispatcher, finisher, clock);
+  }
+
+  /**
+   * Returns a router without configuration.
+   *
+   * @param clock steady clock in milliseconds
+   */
+  public static RequestRouter create(
+      ProcessIdentity identity,
+      RouterOptions options,
+      Links links,
+      RequestMetrics metrics,
+      LongSupplier clock,
+      RandomGenerator random) {
+    return new RequestRouter(identity, options, links, metrics, clock, random);
+  }
+
+  /** Takes one event. */
+  public void accept(GatewayEvent event) {
+    switch (event) {
+      case GatewayEvent.Arrived(CallerRequest request, Responder responder) ->
+          arrived(request, responder);
+      case GatewayEvent.CallerGone(long number) -> callerGone(number);
+      case GatewayEvent.PeerConnected(LinkKey link, PeerConnection connection, Hello hello) ->
+          connected(link, connection, hello);
+      case GatewayEvent.PeerMessage(LinkKey link, PeerConnection connection, Envelope envelope) ->
+          peerMessage(link, connection, envelope);
+      case GatewayEvent.PeerDisconnected(LinkKey link, PeerConnection connection) ->
+          disconnected(link, connection);
+      case GatewayEvent.ConfigurationChanged(Configuration configuration) ->
+          configurationChanged(configuration);
+      case GatewayEvent.MembersChanged(MembershipView members) -> membersChanged(members);
+      case GatewayEvent.OperatorMessage(PeerConnection connection, Envelope envelope) ->
+          operatorMessage(connection, envelope);
+      case GatewayEvent.Tick tick -> watchdog.tick();
+    }
+  }
+
+  private void arrived(CallerRequest request, Responder responder) {
+    long now = clock.getAsLong();
+    // Reading a ticket's state costs its sidecar nothing, and a caller in doubt must be able to.
+    long waitMillis =
+        request.call() instanceof Call.TicketLookup
+            ? 0
+            : limiter.tryAcquire(request.customer(), now);
+    if (waitMillis > 0) {
+      refuse(request, responder, ReasonCode.CUSTOMER_LIMIT, waitMillis);
+      return;
+    }
+    String serviceClass = request.serviceClass().name();
+    Admission admission =
+        gate.admit(
+            request.number(),
+            serviceClass,
+            request.serviceClass().tier(),
+            !request.call().isTicketedOrder());
+    if (admission instanceof Admission.Refused) {
+      refuse(request, responder, ReasonCode.QUEUE_FULL, 1_000);
+      return;
+    }
+    ActiveRequest active = new ActiveRequest(request, responder, now);
+    inFlight.add(active, Watchdog.firstDue(active));
+    metrics.inFlight(inFlight.size());
+    journal.arrived(request, now, System.currentTimeMillis());
+    if (admission instanceof Admission.Displacing(long number)) {
+      ActiveRequest displaced = inFlight.get(number);
+      if (displaced != null) {
+        finisher.giveUp(displaced, ReasonCode.DISPLACED);
+      }
+    }
+    dispatcher.requestArrived();
+    dispatcher.route(active, "first");
+  }
+
+  private void refuse(
+      CallerRequest request, Responder responder, ReasonCode reason, long retryAfterMillis) {
+    // The ticket may be in use through another gateway, so this gateway can't say "not run".
+    Verdict verdict =
+        request.call().isTicketedOrder()
+            ? Verdict.mayHaveRun(reason)
+            : Verdict.notRun(reason, retryAfterMillis);
+    String message =
+        reason == ReasonCode.CUSTOMER_LIMIT
+            ? "the customer is over its limit of requests"
+            : "the gateway serves as many requests as it may";
+    Failure failure = Failure.of(reason, verdict, message);
+    metrics.refused(request.serviceClass().name(), failure);
+    responder.failed(failure);
+  }
+
+  private void callerGone(long number) {
+    ActiveRequest request = inFlight.get(number);
+    if (request != null) {
+      finisher.abandoned(request);
+    }
+  }
+
+  private void connected(LinkKey link, PeerConnection connection, Hello hello) {
+    ServerState state = servers.state(link);
+    PeerConnection former = state == null ? null : state.connection();
+    if (former != null && former != connection) {
+      disconnected(link, former);
+    }
+    servers.connected(link, connection, hello, clock.getAsLong());
+  }
+
+  private void peerMessage(LinkKey link, PeerConnection connection, Envelope envelope) {
+    ServerState state = servers.state(link);
+    if (state == null || state.connection() != connection) {
+      return;
+    }
+    long now = clock.getAsLong();
+    state.heard(now);
+    switch (envelope.getMessageCase()) {
+      case LOAD_REPORT -> state.report(envelope.getLoadReport(), now);
+      case LEAVING -> state.leaving(true);
+      default -> frames.received(connection, envelope);
+    }
+  }
+
+  private void disconnected(LinkKey link, PeerConnection connection) {
+    ServerState state = servers.state(link);
+    if (state == null || state.connection() != connection) {
+      return;
+    }
+    state.disconnected();
+    for (ActiveRequest request : List.copyOf(state.requests().values())) {
+      journal.note(request.number(), clock.getAsLong(), "connection_lost", state.id(), "");
+      if (request.givenUp() != null) {
+        finisher.conclude(request);
+      } else {
+        dispatcher.resubmit(request, ReasonCode.CONNECTION_LOST);
+      }
+    }
+  }
+
+  private void configurationChanged(Configuration configuration) {
+    // The configuration as read at start may be queued behind its successor.
+    if (configuration.version().compareTo(servers.configuration().version()) < 0) {
+      return;
+    }
+    Map<String, Double> limits = new HashMap<>();
+    configuration
+        .customers()
+        .values()
+        .forEach(customer -> limits.put(customer.name(), customer.requestsPerSecond()));
+    limiter.limits(limits, clock.getAsLong());
+    servers.configurationChanged(configuration);
+  }
+
+  private void membersChanged(MembershipView members) {
+    limiter.gateways(members.liveGateways(), clock.getAsLong());
+    servers.membersChanged(members);
+  }
+
+  private void operatorMessage(PeerConnection connection, Envelope envelope) {
+    switch (envelope.getMessageCase()) {
+      case STATUS_REQUEST ->
+          connection.send(
+              Envelope.newBuilder()
+                  .setStatusReport(
+                      StatusReport.newBuilder()
+                          .setCallNumber(envelope.getStatusRequest().getCallNumber())
+                          .setJson(bytes(status())))
+                  .build());
+      case EXPLAIN_REQUEST ->
+          connection.send(
+              Envelope.newBuilder()
+                  .setExplainReport(
+                      ExplainReport.newBuilder()
+                          .setCallNumber(envelope.getExplainRequest().getCallNumber())
+                          .setJson(bytes(explain(envelope.getExplainRequest().getRequestId()))))
+                  .build());
+      default -> {}
+    }
+  }
+
+  private ObjectNode status() {
+    return StatusDocument.of(
+        identity.processId(), servers, inFlight, dispatcher.retriesLeft(), clock.getAsLong());
+  }
+
+  private ObjectNode explain(String requestId) {
+    return journal
+        .explain(requestId)
+        .map(
+            document -> {
+              document.put("found", true);
+              document.put("process", identity.processId());
+              return document;
+            })
+        .orElseGet(() -> JsonNodeFactory.instance.objectNode().put("found", false));
+  }
+
+  private static ByteString bytes(ObjectNode node) {
+    return ByteString.copyFromUtf8(node.toString());
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/shallothold/gateway/request/StatusDocument.java
@@ -0,0 +1,48 @@
+package org.shallothold.gateway.request;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.shallothold.core.config.Configuration;
+
+/** The gateway's state as a JSON document for the operators' command; stateless. */
+final class StatusDocument {
+
+  private StatusDocument() {}
+
+  static ObjectNode of(
+      String processId, ServerTable servers, InFlight inFlight, double retriesLeft, long now) {
+    Configuration configuration = servers.configuration();
+    ObjectNode node = JsonNodeFactory.instance.objectNode();
+    node.put("process", processId);
+    node.put("role", "gateway");
+    node.put("config_version", configuration.version().number());
+    node.put("config_digest", configuration.version().digest());
+    node.put("in_flight", inFlight.size());
+    node.put("retries_left", Math.floor(retriesLeft));
+    ObjectNode byClass = node.putObject("in_flight_by_class");
+    inFlight
+        .all()
+        .forEach(
+            request -> {
+              String name = request.request().serviceClass().name();
+              byClass.put(name, byClass.path(name).asInt() + 1);
+            });
+    ArrayNode list = node.putArray("servers");
+    servers.states().forEach(state -> add(list.addObject(), state, now));
+    return node;
+  }
+
+  private static void add(ObjectNode node, ServerState state, long now) {
+    node.put("server", state.id());
+    node.put("address", state.key().address());
+    node.put("connected", state.isConnected());
+    node.put("leaving", state.isLeaving());
+    node.put("draining", state.server().draining());
+    node.put("requests_here", state.requests().size());
+    node.put("running", state.report().getRunning());
+    node.put("waiting", state.waiting());
+    node.put("token_interval_us", (long) state.intervalMicros());
+    node.put("silent_ms", state.isConnected() ? state.silenceMillis(now) : -1);
+  }
+}
