--- a/gateway/src/main/java/org/shallothold/gateway/http/Authenticator.java
+++ b/gateway/src/main/java/org/shallothold/gateway/http/Authenticator.java
@@ -41,7 +41,7 @@
 
   private Index index(Configuration configuration) {
     Index known = index;
-    if (known.configuration() != configuration) {
+    if (!known.configuration().version().equals(configuration.version())) {
       known =
           new Index(
               configuration,
--- a/gateway/src/main/java/org/shallothold/gateway/http/CompletionReader.java
+++ b/gateway/src/main/java/org/shallothold/gateway/http/CompletionReader.java
@@ -84,7 +84,7 @@
             ? node.path("max_completion_tokens")
             : node.path("max_tokens");
     return bound.isIntegralNumber()
-        ? (int) Math.clamp(bound.longValue(), 1, MOST_EXPECTED_TOKENS)
+        ? Math.clamp(bound.longValue(), 1, MOST_EXPECTED_TOKENS)
         : DEFAULT_EXPECTED_TOKENS;
   }
 
--- a/gateway/src/main/java/org/shallothold/gateway/http/Reply.java
+++ b/gateway/src/main/java/org/shallothold/gateway/http/Reply.java
@@ -11,7 +11,7 @@
   @SuppressWarnings("ArrayRecordComponent") // Never compared; copied nowhere else.
   record Whole(int status, String contentType, Map<String, String> headers, byte[] body)
       implements Reply {
-    Whole {
+    public Whole {
       headers = Collections.unmodifiableMap(new LinkedHashMap<>(headers));
     }
   }
--- a/gateway/src/main/java/org/shallothold/gateway/request/InFlight.java
+++ b/gateway/src/main/java/org/shallothold/gateway/request/InFlight.java
@@ -14,7 +14,7 @@
   private final Map<Long, ActiveRequest> requests = new HashMap<>();
   private final TreeSet<ActiveRequest> due =
       new TreeSet<>(
-          Comparator.comparingLong(ActiveRequest::dueMillis)
+          Comparator.<ActiveRequest>comparingLong(request -> request.dueMillis())
               .thenComparingLong(ActiveRequest::number));
 
   void add(ActiveRequest request, long dueMillis) {
