Take new entries only from a page that overlaps with held ones

The check for reused positions read the list page by page; a list replaced between two pages of one round was followed (seen as a flaky failure of two tests in ConfigurationSyncTest). Each page with new entries now starts with entries that are held. isBehind no longer lags the version in force.

--- a/runtime/src/main/java/org/shallothold/runtime/sync/ConfigurationSync.java
+++ b/runtime/src/main/java/org/shallothold/runtime/sync/ConfigurationSync.java
@@ -55,7 +55,7 @@
   private volatile Configuration current = Configuration.EMPTY;
   private volatile MembershipView members = MembershipView.EMPTY;
   private volatile long lastPosition;
-  private volatile boolean behind;
+  private volatile long newestPeerVersion;
 
   private final Duty<SyncEvent> duty;
   private final PlatformReader reader;
@@ -106,7 +106,7 @@
    * arrived yet. A process without any configuration is not behind by this, only not configured.
    */
   public boolean isBehind() {
-    return behind;
+    return newestPeerVersion > current.version().number();
   }
 
   /**
@@ -248,8 +248,8 @@
   }
 
   private void askPeer() {
-    behind = pull.isBehind(current.version());
-    if (behind) {
+    newestPeerVersion = pull.newestVersion();
+    if (isBehind()) {
       pull.next(current.version(), nowMillis())
           .ifPresent(
               peer ->
--- a/runtime/src/main/java/org/shallothold/runtime/sync/PeerPull.java
+++ b/runtime/src/main/java/org/shallothold/runtime/sync/PeerPull.java
@@ -71,9 +71,13 @@
     return conflicting.contains(incarnation(peer));
   }
 
-  /** Returns whether a peer of our history is ahead. */
-  boolean isBehind(ConfigurationVersion ours) {
-    return peers.entrySet().stream().anyMatch(peer -> isAhead(peer, ours));
+  /** Returns the newest version number that a peer of our history has named; 0 if there is none. */
+  long newestVersion() {
+    return peers.entrySet().stream()
+        .filter(peer -> !isConflicting(peer.getKey()))
+        .mapToLong(peer -> peer.getValue().number())
+        .max()
+        .orElse(0);
   }
 
   /**
--- a/runtime/src/main/java/org/shallothold/runtime/sync/PlatformReader.java
+++ b/runtime/src/main/java/org/shallothold/runtime/sync/PlatformReader.java
@@ -24,6 +24,9 @@
   // unchanged, after a different one.
   static final int CHECKED_ENTRIES = 8;
 
+  // The second try is for an entry that was published between the two reads of the first one.
+  private static final int TRIES_PER_OVERLAP = 2;
+
   private static final Logger LOGGER = System.getLogger(PlatformReader.class.getName());
   private static final long RETRY_MILLIS = 1_000;
 
@@ -41,6 +44,7 @@
   private MembershipView members = MembershipView.EMPTY;
   private long membersDueMillis;
   private long checkDueMillis;
+  private boolean changeSeen;
   private boolean snapshotTried;
   private boolean reachable = true;
   private boolean behind;
@@ -130,9 +134,15 @@
     if (nowMillis() >= checkDueMillis) {
       boolean progress = check();
       if (progress || !following) {
+        changeSeen = false;
         return 0;
       }
       checkDueMillis = nowMillis() + options.watchMillis();
+      if (changeSeen) {
+        // The watch shows what the check can't take, as after a gap in the positions.
+        changeSeen = false;
+        return jitter(RETRY_MILLIS);
+      }
     }
     if (!watching) {
       checkDueMillis = 0;
@@ -142,31 +152,54 @@
     long started = nowMillis();
     boolean changed = !source.entriesAfter(lastPosition.getAsLong(), wait).isEmpty();
     if (changed) {
+      changeSeen = true;
       checkDueMillis = 0;
     }
     // The next round reads and applies the change. The pause is for a platform that doesn't wait.
     return changed || nowMillis() - started >= wait / 2 ? 0 : jitter(RETRY_MILLIS);
   }
 
-  /** Reads the list from a few entries before the last one held; returns whether any was new. */
+  /**
+   * Reads the list to its end; returns whether any entry was new. New entries are taken only from a
+   * page that starts with some that are held already, since the list may be replaced between two
+   * reads. Where large entries leave no room for that in one page, fewer are asked for.
+   */
   private boolean check() {
     if (!snapshotTried && lastPosition.getAsLong() == 0) {
       source.snapshot().ifPresent(entry -> apply(List.of(entry)));
     }
     snapshotTried = true;
-    long held = lastPosition.getAsLong();
-    long reached = Math.max(0, held - CHECKED_ENTRIES);
     boolean progress = false;
+    int tries = 0;
     while (following && !closed) {
+      int overlap = CHECKED_ENTRIES >> (tries / TRIES_PER_OVERLAP);
+      long held = lastPosition.getAsLong();
+      List<ConfigurationEntry> page = source.entriesAfter(Math.max(0, held - overlap), 0);
+      long reached = page.isEmpty() ? 0 : page.getLast().position();
+      if (!page.isEmpty() && apply(page).progress()) {
+        progress = true;
+        tries = 0;
+      } else if (overlap == 0 || source.entriesAfter(held, 0).isEmpty()) {
+        noteBehind(!reaches(held, reached), reached, held);
+        return progress;
+      } else {
+        tries++;
+      }
+    }
+    return progress;
+  }
+
+  /** Returns whether the list goes on from a position up to another one, page by page. */
+  private boolean reaches(long wanted, long from) {
+    long reached = from;
+    while (reached < wanted) {
       List<ConfigurationEntry> page = source.entriesAfter(reached, 0);
       if (page.isEmpty() || page.getLast().position() <= reached) {
-        break;
+        return false;
       }
-      progress |= apply(page).progress();
       reached = page.getLast().position();
     }
-    noteBehind(reached < held, reached, held);
-    return progress;
+    return true;
   }
 
   private SyncEvent.Applied apply(List<ConfigurationEntry> entries) {
--- a/runtime/src/test/java/org/shallothold/runtime/sync/ConfigurationSyncTest.java
+++ b/runtime/src/test/java/org/shallothold/runtime/sync/ConfigurationSyncTest.java
@@ -7,14 +7,19 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.stream.LongStream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.shallothold.core.config.ConfigurationEntry;
 import org.shallothold.core.config.ConfigurationHistory;
 import org.shallothold.core.config.ConfigurationVersion;
+import org.shallothold.core.membership.MembershipView;
+import org.shallothold.runtime.platform.ConfigurationSource;
 import org.shallothold.runtime.platform.EntryCodec;
 import org.shallothold.runtime.platform.FakePlatform;
 import org.shallothold.runtime.platform.PatchTexts;
@@ -30,7 +35,7 @@
     nodes.forEach(SyncNode::close);
   }
 
-  private SyncNode node(String id, FakePlatform source) {
+  private SyncNode node(String id, ConfigurationSource source) {
     SyncNode node = new SyncNode(id, source);
     nodes.add(node);
     return node;
@@ -114,14 +119,16 @@
   @Nested
   class PlatformFaults {
 
-    @Test
-    void pagedListIsReadToItsEnd() throws Exception {
-      platform.pageSize(3);
+    @ParameterizedTest
+    @ValueSource(ints = {1, 3, 8, 9})
+    void pagedListIsReadToItsEnd(int pageSize) throws Exception {
+      platform.pageSize(pageSize);
       publish(platform, 1, LongStream.range(0, 20).toArray());
       SyncNode node = node("reader", platform);
       node.awaitVersion(20);
       publish(platform, 21, 20);
       node.awaitVersion(21);
+      assertEquals(List.of(), node.events("platform_behind"));
     }
 
     @Test
@@ -165,6 +172,28 @@
   @Nested
   class ReusedPositions {
 
+    /** The list was replaced between two reads of one round, and the second one was taken. */
+    @Test
+    void listReplacedBetweenTwoPagesIsNotFollowed() throws Exception {
+      publish(platform, 1, 0, 1, 2);
+      AtomicBoolean replaced = new AtomicBoolean();
+      ConfigurationSource replacedAfterFirstPage =
+          new ForwardingSource(platform) {
+            @Override
+            public List<ConfigurationEntry> entriesAfter(long after, long waitMillis) {
+              List<ConfigurationEntry> page = super.entriesAfter(after, waitMillis);
+              if (!page.isEmpty() && replaced.compareAndSet(false, true)) {
+                platform.rollBackTo(1);
+                publish(platform, 10, 1, 2, 3);
+              }
+              return page;
+            }
+          };
+      SyncNode node = node("reader", replacedAfterFirstPage);
+      node.awaitEvent("configuration_history_conflict");
+      assertEquals(3, node.version());
+    }
+
     /** The list is down meanwhile, or is replaced while the process watches it. */
     @ParameterizedTest
     @ValueSource(booleans = {true, false})
@@ -255,6 +284,30 @@
     }
   }
 
+  private static class ForwardingSource implements ConfigurationSource {
+
+    private final ConfigurationSource target;
+
+    ForwardingSource(ConfigurationSource target) {
+      this.target = target;
+    }
+
+    @Override
+    public List<ConfigurationEntry> entriesAfter(long after, long waitMillis) {
+      return target.entriesAfter(after, waitMillis);
+    }
+
+    @Override
+    public Optional<ConfigurationEntry> snapshot() {
+      return target.snapshot();
+    }
+
+    @Override
+    public MembershipView members() {
+      return target.members();
+    }
+  }
+
   private static FakePlatform copyOf(FakePlatform original, int entries) {
     FakePlatform copy = new FakePlatform();
     original.entriesAfter(0, 0).stream()
