--- a/core/src/main/java/org/shallothold/core/queue/BackendScheduler.java
+++ b/core/src/main/java/org/shallothold/core/queue/BackendScheduler.java
@@ -234,9 +234,7 @@
     record(nowMillis, Kind.PREEMPTED, victim, null, beneficiary);
     release(victim, nowMillis);
     victim.preemptions++;
-    if (!waiting.hasClass(victim.work.serviceClass())) {
-      floor.firstArrived(victim.work.serviceClass(), nowMillis);
-    }
+    floor.preempted(victim.work.serviceClass());
     waiting.add(victim);
     actions.add(new SchedulerAction.Preempt(victim.work));
   }
--- a/core/src/main/java/org/shallothold/core/queue/FloorClock.java
+++ b/core/src/main/java/org/shallothold/core/queue/FloorClock.java
@@ -22,6 +22,7 @@
 
   private static final class ClassState {
     private long sinceMillis;
+    private long startedMillis;
     private boolean missed;
     private long missedMillis;
   }
@@ -44,9 +45,18 @@
   void started(String serviceClass, long nowMillis) {
     ClassState state = states.computeIfAbsent(serviceClass, name -> new ClassState());
     state.sinceMillis = nowMillis;
+    state.startedMillis = nowMillis;
     state.missed = false;
   }
 
+  /** Notes that a started request of the class was preempted and waits again. */
+  void preempted(String serviceClass) {
+    ClassState state = states.get(serviceClass);
+    if (state != null) {
+      state.sinceMillis = Math.min(state.sinceMillis, state.startedMillis);
+    }
+  }
+
   /** Notes that a request of the class left without a start. */
   void missed(String serviceClass, long nowMillis) {
     ClassState state = states.get(serviceClass);
