--- a/sidecar/src/main/java/org/shallothold/sidecar/PeerEvents.java
+++ b/sidecar/src/main/java/org/shallothold/sidecar/PeerEvents.java
@@ -1,6 +1,7 @@
 package org.shallothold.sidecar;
 
 import org.shallothold.runtime.duty.Duty;
+import org.shallothold.runtime.operator.OperatorEndpoint;
 import org.shallothold.runtime.sync.ConfigurationSync;
 import org.shallothold.runtime.sync.WireVersions;
 import org.shallothold.sidecar.work.SidecarEvent;
@@ -18,14 +19,17 @@
 
   private final Duty<SidecarEvent> duty;
   private final ConfigurationSync sync;
+  private final OperatorEndpoint operators;
 
-  private PeerEvents(Duty<SidecarEvent> duty, ConfigurationSync sync) {
+  private PeerEvents(Duty<SidecarEvent> duty, ConfigurationSync sync, OperatorEndpoint operators) {
     this.duty = duty;
     this.sync = sync;
+    this.operators = operators;
   }
 
-  static PeerEvents of(Duty<SidecarEvent> duty, ConfigurationSync sync) {
-    return new PeerEvents(duty, sync);
+  static PeerEvents of(
+      Duty<SidecarEvent> duty, ConfigurationSync sync, OperatorEndpoint operators) {
+    return new PeerEvents(duty, sync, operators);
   }
 
   @Override
@@ -39,6 +43,11 @@
     if (sync.received(connection, envelope)) {
       return;
     }
+    // The audit trail may be long and is shared between threads, so it is written out here.
+    if (envelope.hasAuditRequest()) {
+      operators.received(connection, envelope);
+      return;
+    }
     if (envelope.hasSubmit()) {
       sync.observe(connection, WireVersions.fromWire(envelope.getSubmit().getVersion()));
     }
--- a/sidecar/src/main/java/org/shallothold/sidecar/SidecarMain.java
+++ b/sidecar/src/main/java/org/shallothold/sidecar/SidecarMain.java
@@ -1,15 +1,8 @@
 package org.shallothold.sidecar;
 
-import java.nio.file.InvalidPathException;
-import java.nio.file.Path;
 import java.time.Duration;
-import org.apache.commons.cli.CommandLine;
-import org.apache.commons.cli.DefaultParser;
-import org.apache.commons.cli.Options;
-import org.apache.commons.cli.ParseException;
-import org.jspecify.annotations.Nullable;
 import org.shallothold.runtime.logging.Logging;
-import org.shallothold.runtime.settings.SettingsException;
+import org.shallothold.runtime.settings.SettingsCommandLine;
 import org.shallothold.sidecar.settings.SidecarSettings;
 
 /** Runs a sidecar until it has left. */
@@ -17,7 +10,6 @@
 
   private static final int EXIT_OK = 0;
   private static final int EXIT_FAILED = 1;
-  private static final int EXIT_USAGE = 2;
   // After the drain limit, running work is cut at the next tick and the last frames are sent.
   private static final Duration END_ALLOWANCE = Duration.ofSeconds(5);
 
@@ -25,18 +17,12 @@
 
   /** Starts the process: {@code --settings FILE.toml}. */
   public static void main(String[] arguments) throws InterruptedException {
-    // The HTTP client repeats some requests by itself after a failure; an order must not be
-    // repeated, so one try is all that it gets.
-    System.setProperty("jdk.httpclient.redirects.retrylimit", "1");
-    // Idle connections are dropped before a backend server does so, since a request sent on a
-    // connection that is just being closed fails without a trace of whether it ran.
-    System.setProperty("jdk.httpclient.keepalive.timeout", "2");
     Logging.configure();
-    SidecarSettings settings = settings(arguments);
-    if (settings == null) {
-      System.exit(EXIT_USAGE);
-      return;
-    }
+    SidecarSettings settings =
+        SettingsCommandLine.of(
+                "shallothold-sidecar",
+                "Runs beside one backend server and owns its waiting queue and its orders.")
+            .readOrExit(arguments, SidecarSettings::from);
     SidecarProcess process;
     try {
       process = SidecarProcess.start(settings);
@@ -64,22 +50,4 @@
     System.out.flush();
     Runtime.getRuntime().halt(code);
   }
-
-  private static @Nullable SidecarSettings settings(String[] arguments) {
-    Options options = new Options();
-    options.addRequiredOption("s", "settings", true, "settings file (TOML)");
-    try {
-      CommandLine line = new DefaultParser().parse(options, arguments);
-      if (!line.getArgList().isEmpty()) {
-        throw new ParseException("unexpected argument: " + line.getArgList().getFirst());
-      }
-      return SidecarSettings.read(Path.of(line.getOptionValue("settings")));
-    } catch (ParseException | InvalidPathException e) {
-      System.err.println(e.getMessage());
-      System.err.println("usage: shallothold-sidecar --settings FILE.toml");
-    } catch (SettingsException e) {
-      System.err.println(e.getMessage());
-    }
-    return null;
-  }
 }
--- a/sidecar/src/main/java/org/shallothold/sidecar/SidecarProcess.java
+++ b/sidecar/src/main/java/org/shallothold/sidecar/SidecarProcess.java
@@ -7,14 +7,16 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
-import org.jspecify.annotations.Nullable;
+import java.util.function.Consumer;
 import org.shallothold.core.config.BackendServer;
 import org.shallothold.core.config.Configuration;
 import org.shallothold.core.order.TicketKey;
@@ -23,19 +25,24 @@
 import org.shallothold.runtime.ProcessIdentity;
 import org.shallothold.runtime.duty.Duty;
 import org.shallothold.runtime.logging.AuditOutput;
+import org.shallothold.runtime.logging.LogContext;
 import org.shallothold.runtime.metrics.Metrics;
+import org.shallothold.runtime.operator.OperatorEndpoint;
 import org.shallothold.runtime.platform.HttpConfigurationSource;
 import org.shallothold.runtime.sync.ConfigurationSync;
 import org.shallothold.runtime.sync.SyncOptions;
 import org.shallothold.sidecar.backend.EngineCommander;
 import org.shallothold.sidecar.backend.EngineLoadReader;
 import org.shallothold.sidecar.backend.HttpBackend;
+import org.shallothold.sidecar.backend.HttpClients;
 import org.shallothold.sidecar.settings.SidecarSettings;
 import org.shallothold.sidecar.work.LeavingSource;
 import org.shallothold.sidecar.work.SidecarController;
 import org.shallothold.sidecar.work.SidecarEvent;
 import org.shallothold.wire.connection.ConnectionLimits;
+import org.shallothold.wire.connection.PeerConnection;
 import org.shallothold.wire.connection.PeerServer;
+import org.shallothold.wire.proto.Envelope;
 import org.shallothold.wire.proto.Role;
 
 /**
@@ -49,6 +56,7 @@
   private static final long LOAD_REPORT_MILLIS = 1_000;
   private static final long ENGINE_LOAD_MILLIS = 500;
   private static final int HTTP_THREADS = 2;
+  private static final int AUDIT_CAPACITY = 1_024;
   private static final long NANOS_PER_MILLI = 1_000_000;
   // Time for the last frames to leave before the connections are closed.
   private static final long FLUSH_MILLIS = 100;
@@ -57,8 +65,16 @@
   private final EventLoopGroup group = new NioEventLoopGroup(1, DaemonThreads.named("peers"));
   private final ExecutorService http =
       Executors.newFixedThreadPool(HTTP_THREADS, DaemonThreads.named("http"));
+  // Standard output may block; audit events beyond the bound are then dropped.
   private final ExecutorService audit =
-      Executors.newSingleThreadExecutor(DaemonThreads.named("audit"));
+      new ThreadPoolExecutor(
+          1,
+          1,
+          0,
+          TimeUnit.SECONDS,
+          new ArrayBlockingQueue<>(AUDIT_CAPACITY),
+          DaemonThreads.named("audit"),
+          new ThreadPoolExecutor.DiscardPolicy());
   private final ScheduledExecutorService timer =
       Executors.newSingleThreadScheduledExecutor(DaemonThreads.named("timer"));
   private final AtomicBoolean leaving = new AtomicBoolean();
@@ -77,24 +93,17 @@
         ProcessIdentity.create(
             settings.serverId(), Role.ROLE_SIDECAR, settings.failureDomain(), settings.serverId());
     Metrics metrics = Metrics.create();
+    LogContext.put("process", identity.processId());
+    LogContext.put("incarnation", identity.incarnationText());
     AuditOutput auditOutput = AuditOutput.to(System.out, identity.processId());
-    HttpClient backendClient = client(settings.backend().connectTimeoutMillis());
-    AtomicReference<@Nullable SidecarController> controller = new AtomicReference<>();
-    duty =
-        Duty.start(
-            "sidecar",
-            RING_CAPACITY,
-            event -> {
-              SidecarController owner = controller.get();
-              if (owner != null) {
-                owner.handle(event);
-              }
-            });
-    controller.set(
+    HttpClient client = HttpClients.create(settings.backend().connectTimeoutMillis(), http);
+    AtomicReference<Consumer<SidecarEvent>> owner = new AtomicReference<>(event -> {});
+    duty = Duty.start("sidecar", RING_CAPACITY, event -> owner.get().accept(event));
+    SidecarController controller =
         SidecarController.create(
             identity,
             options(settings),
-            HttpBackend.of(settings.backend().url(), backendClient, http),
+            HttpBackend.of(settings.backend().url(), client, http),
             TicketKey.of(identity.serverId(), identity.incarnationText(), ticketKey()),
             metrics,
             new SidecarController.Surroundings(
@@ -102,15 +111,24 @@
                 () -> System.nanoTime() / NANOS_PER_MILLI,
                 (action, fields) -> audit.execute(() -> auditOutput.record(action, fields)),
                 () -> leaving.set(true),
-                done::countDown)));
+                done::countDown));
     sync =
         ConfigurationSync.start(
             identity,
-            HttpConfigurationSource.of(
-                settings.platform(), client(settings.backend().connectTimeoutMillis())),
+            HttpConfigurationSource.of(settings.platform(), client),
             auditOutput,
             metrics,
             SyncOptions.DEFAULT);
+    OperatorEndpoint operators =
+        OperatorEndpoint.of(
+            identity,
+            auditOutput,
+            () -> sync.current().version(),
+            leaving::get,
+            controller::load,
+            controller::details,
+            controller::explain);
+    owner.set(event -> handle(event, controller, operators));
     // The port is bound before the first command: holding it proves that no other sidecar of this
     // VM is alive.
     server =
@@ -119,16 +137,16 @@
             settings.listen(),
             ConnectionLimits.DEFAULT,
             () -> sync.hello(leaving.get()),
-            PeerEvents.of(duty, sync),
-            null);
+            PeerEvents.of(duty, sync, operators),
+            settings.tls().server());
     metricsServer = MetricsServer.start(settings.metricsListen(), metrics);
     commander =
         EngineCommander.start(
             settings.backend().url(),
-            backendClient,
+            client,
             startMillis,
             number -> duty.put(new SidecarEvent.Fenced(number)));
-    watch(settings, backendClient);
+    watch(settings, client);
     auditOutput.record(
         "sidecar_started",
         Map.of(
@@ -181,7 +199,17 @@
     audit.shutdown();
   }
 
-  private void watch(SidecarSettings settings, HttpClient backendClient) {
+  /** Runs on the sidecar's thread; operators read the state there too. */
+  private static void handle(
+      SidecarEvent event, SidecarController controller, OperatorEndpoint operators) {
+    if (event instanceof SidecarEvent.Received(PeerConnection connection, Envelope envelope)
+        && operators.received(connection, envelope)) {
+      return;
+    }
+    controller.handle(event);
+  }
+
+  private void watch(SidecarSettings settings, HttpClient client) {
     sync.onChange(this::configurationChanged);
     configurationChanged(sync.current());
     sync.onMembers(
@@ -195,7 +223,7 @@
     EngineLoadReader load =
         EngineLoadReader.of(
             settings.backend().url(),
-            backendClient,
+            client,
             running -> duty.offer(new SidecarEvent.EngineLoad(running)));
     timer.scheduleWithFixedDelay(
         () -> {
@@ -221,15 +249,6 @@
     duty.put(new SidecarEvent.ConfigurationChanged(configuration));
   }
 
-  private HttpClient client(long connectTimeoutMillis) {
-    return HttpClient.newBuilder()
-        .version(HttpClient.Version.HTTP_1_1)
-        .connectTimeout(Duration.ofMillis(connectTimeoutMillis))
-        .followRedirects(HttpClient.Redirect.NEVER)
-        .executor(http)
-        .build();
-  }
-
   private static SidecarController.Options options(SidecarSettings settings) {
     SchedulerOptions scheduler =
         new SchedulerOptions(
--- a/sidecar/src/main/java/org/shallothold/sidecar/backend/EngineLoadReader.java
+++ b/sidecar/src/main/java/org/shallothold/sidecar/backend/EngineLoadReader.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
+import java.lang.System.Logger;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -13,6 +14,7 @@
 /** Reads the engine's own load report. May be shared between threads; doesn't block. */
 public final class EngineLoadReader {
 
+  private static final Logger LOGGER = System.getLogger(EngineLoadReader.class.getName());
   private static final ObjectMapper MAPPER = new ObjectMapper();
   private static final Duration ANSWER_TIMEOUT = Duration.ofSeconds(2);
   private static final int UNKNOWN = -1;
@@ -21,6 +23,7 @@
   private final HttpClient client;
   private final IntConsumer onLoad;
   private final AtomicBoolean reading = new AtomicBoolean();
+  private final AtomicBoolean reachable = new AtomicBoolean(true);
 
   private EngineLoadReader(URI url, HttpClient client, IntConsumer onLoad) {
     this.url = url;
@@ -47,11 +50,21 @@
         .sendAsync(request, HttpResponse.BodyHandlers.ofByteArray())
         .whenComplete(
             (response, error) -> {
+              int running = error == null ? running(response) : UNKNOWN;
+              report(running != UNKNOWN);
               reading.set(false);
-              onLoad.accept(error == null ? running(response) : UNKNOWN);
+              onLoad.accept(running);
             });
   }
 
+  private void report(boolean nowReachable) {
+    if (reachable.getAndSet(nowReachable) != nowReachable) {
+      LOGGER.log(
+          Logger.Level.WARNING,
+          nowReachable ? "the engine can be read again" : "the engine can't be read");
+    }
+  }
+
   private static int running(HttpResponse<byte[]> response) {
     try {
       return response.statusCode() == 200
--- a/sidecar/src/main/java/org/shallothold/sidecar/backend/HttpBackend.java
+++ b/sidecar/src/main/java/org/shallothold/sidecar/backend/HttpBackend.java
@@ -29,6 +29,8 @@
 public final class HttpBackend implements Backend {
 
   private static final ObjectMapper MAPPER = new ObjectMapper();
+  // Below the largest frame between processes.
+  private static final long MAX_ANSWER_BYTES = 4 * 1024 * 1024;
   private static final String IDEMPOTENCY_KEY = "Idempotency-Key";
 
   // Headers of one connection, and those that the HTTP client sets itself.
@@ -117,7 +119,8 @@
     run.send(
         client,
         request,
-        HttpResponse.BodyHandlers.ofByteArray(),
+        HttpResponse.BodyHandlers.limiting(
+            HttpResponse.BodyHandlers.ofByteArray(), MAX_ANSWER_BYTES),
         response ->
             run.answered(
                 response.statusCode(), headers(response), ByteString.copyFrom(response.body())));
--- /dev/null
+++ b/sidecar/src/main/java/org/shallothold/sidecar/backend/HttpClients.java
@@ -0,0 +1,35 @@
+package org.shallothold.sidecar.backend;
+
+import java.net.http.HttpClient;
+import java.time.Duration;
+import java.util.concurrent.Executor;
+
+/** Makes the HTTP clients of the process, all with the same rules. */
+public final class HttpClients {
+
+  static {
+    // The client repeats some requests by itself after a failure, such as a GET on a connection
+    // that
+    // the server has closed; an order must not be repeated. The properties are read once per JVM.
+    System.setProperty("jdk.httpclient.redirects.retrylimit", "1");
+    // Idle connections are dropped before a backend server does so, since a request sent on a
+    // connection that is just being closed fails without a trace of whether it ran.
+    System.setProperty("jdk.httpclient.keepalive.timeout", "2");
+  }
+
+  private HttpClients() {}
+
+  /**
+   * Returns a client.
+   *
+   * @param executor runs what the client does; its tasks don't block
+   */
+  public static HttpClient create(long connectTimeoutMillis, Executor executor) {
+    return HttpClient.newBuilder()
+        .version(HttpClient.Version.HTTP_1_1)
+        .connectTimeout(Duration.ofMillis(connectTimeoutMillis))
+        .followRedirects(HttpClient.Redirect.NEVER)
+        .executor(executor)
+        .build();
+  }
+}
--- a/sidecar/src/main/java/org/shallothold/sidecar/settings/SidecarSettings.java
+++ b/sidecar/src/main/java/org/shallothold/sidecar/settings/SidecarSettings.java
@@ -4,9 +4,9 @@
 import java.net.InetSocketAddress;
 import java.net.URI;
 import java.net.URISyntaxException;
-import java.nio.file.Path;
 import org.jspecify.annotations.Nullable;
 import org.shallothold.runtime.settings.SettingsDocument;
+import org.shallothold.runtime.tls.TlsContexts;
 
 /**
  * What the operators set for one sidecar. Read once at start; immutable.
@@ -19,6 +19,7 @@
  * @param platform base address of the platform
  * @param queue how work waits
  * @param drainLimitMillis running work still running so long after the start of draining is cut
+ * @param tls contexts for connections from other processes
  */
 public record SidecarSettings(
     String serverId,
@@ -28,7 +29,8 @@
     Backend backend,
     URI platform,
     Queue queue,
-    long drainLimitMillis) {
+    long drainLimitMillis,
+    TlsContexts tls) {
 
   private static final InetSocketAddress NO_ADDRESS =
       new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
@@ -60,20 +62,7 @@
     ARRIVAL
   }
 
-  /**
-   * Reads a file.
-   *
-   * @throws org.shallothold.runtime.settings.SettingsException with all problems
-   */
-  public static SidecarSettings read(Path file) {
-    return from(SettingsDocument.read(file));
-  }
-
-  /**
-   * Reads a document.
-   *
-   * @throws org.shallothold.runtime.settings.SettingsException with all problems
-   */
+  /** Reads a document. Problems are noted in it, and then the result is of no use. */
   public static SidecarSettings from(SettingsDocument document) {
     String serverId = document.requiredText("process.server_id");
     String failureDomain = document.requiredText("process.failure_domain");
@@ -92,11 +81,8 @@
             document.number("queue.floor_interval_ms", 2_000, 10, 600_000),
             (int) document.number("queue.max_preemptions", 2, 0, 100));
     long drainLimit = document.number("drain.limit_ms", 60_000, 100, 3_600_000);
-    if (listen != null && !listen.getAddress().isLoopbackAddress()) {
-      document.clash(
-          "listen.address", "an address off the loopback without [tls]", "a loopback address");
-    }
-    document.finish();
+    TlsContexts tls = TlsContexts.read(document);
+    tls.checkListenAddress(document, "listen.address", listen);
     return new SidecarSettings(
         orElse(serverId, ""),
         orElse(failureDomain, ""),
@@ -105,7 +91,8 @@
         backend,
         platform,
         queue,
-        drainLimit);
+        drainLimit,
+        tls);
   }
 
   private static URI url(SettingsDocument document, String key) {
--- a/sidecar/src/main/java/org/shallothold/sidecar/work/Job.java
+++ b/sidecar/src/main/java/org/shallothold/sidecar/work/Job.java
@@ -52,6 +52,12 @@
     Envelope of(Attempt attempt);
   }
 
+  /** Returns the size of a submission's body, in bytes. */
+  static long bodyBytes(Submit submit) {
+    return (long) submit.getCompletion().getBody().size()
+        + submit.getServiceCall().getBody().size();
+  }
+
   boolean isOrder() {
     return orderSerial != 0;
   }
--- a/sidecar/src/main/java/org/shallothold/sidecar/work/Jobs.java
+++ b/sidecar/src/main/java/org/shallothold/sidecar/work/Jobs.java
@@ -20,6 +20,7 @@
   private final Map<Long, Job> byId = new LinkedHashMap<>();
   private final Map<Attempt, Job> byAttempt = new HashMap<>();
   private final Map<Long, Job> bySerial = new HashMap<>();
+  private long bodyBytes;
   private final Map<Attempt, Boolean> known =
       new LinkedHashMap<>() {
         private static final long serialVersionUID = 1L;
@@ -37,6 +38,7 @@
 
   void add(Job job, Waiter waiter) {
     byId.put(job.work.id(), job);
+    bodyBytes += Job.bodyBytes(job.submit);
     if (job.isOrder()) {
       bySerial.put(job.orderSerial, job);
     }
@@ -54,11 +56,18 @@
   }
 
   void remove(Job job) {
-    byId.remove(job.work.id());
+    if (byId.remove(job.work.id()) != null) {
+      bodyBytes -= Job.bodyBytes(job.submit);
+    }
     bySerial.remove(job.orderSerial);
     job.waiters.forEach(waiter -> byAttempt.remove(waiter.attempt()));
   }
 
+  /** Returns the size of all jobs' bodies, in bytes. */
+  long bodyBytes() {
+    return bodyBytes;
+  }
+
   Optional<Job> find(long id) {
     return Optional.ofNullable(byId.get(id));
   }
--- a/sidecar/src/main/java/org/shallothold/sidecar/work/Reports.java
+++ b/sidecar/src/main/java/org/shallothold/sidecar/work/Reports.java
@@ -1,18 +1,15 @@
 package org.shallothold.sidecar.work;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import com.google.protobuf.ByteString;
 import java.time.Instant;
-import org.shallothold.core.config.Configuration;
+import java.util.List;
+import java.util.Optional;
 import org.shallothold.core.queue.BackendScheduler;
 import org.shallothold.runtime.ProcessIdentity;
 import org.shallothold.wire.proto.Envelope;
-import org.shallothold.wire.proto.ExplainReport;
 import org.shallothold.wire.proto.LoadReport;
-import org.shallothold.wire.proto.StatusReport;
 
 /** Builds the answers to operators and the load reports. Owned by the sidecar's thread. */
 final class Reports {
@@ -52,20 +49,12 @@
     return Envelope.newBuilder().setLoadReport(report).build();
   }
 
-  Envelope status(long callNumber, Configuration configuration, boolean fenced, int gateways) {
+  /** Returns what only a sidecar has to say of its status. */
+  ObjectNode details(boolean fenced, int gateways) {
     ObjectNode node = MAPPER.createObjectNode();
-    node.put("process", identity.processId());
-    node.put("role", "sidecar");
-    node.put("server_id", identity.serverId());
-    node.put("failure_domain", identity.failureDomain());
-    node.put("incarnation", identity.incarnationText());
-    node.put("config_version", configuration.version().number());
-    node.put("config_digest", configuration.version().digest());
-    node.put("leaving", drain.isLeaving());
     node.put("leaving_source", drain.source().map(LeavingSource::code).orElse(""));
     node.put("fenced", fenced);
     node.put("gateways", gateways);
-    node.put("running", scheduler.running());
     node.put("max_running", scheduler.maxRunning());
     ArrayNode waiting = node.putArray("waiting_by_tier");
     for (int count : scheduler.waitingByTier()) {
@@ -73,28 +62,27 @@
     }
     ArrayNode requests = node.putArray("requests");
     jobs.all().stream().limit(MAX_LISTED_REQUESTS).forEach(job -> requests.add(request(job)));
-    return Envelope.newBuilder()
-        .setStatusReport(StatusReport.newBuilder().setCallNumber(callNumber).setJson(bytes(node)))
-        .build();
+    return node;
   }
 
-  Envelope explain(long callNumber, String requestId) {
+  /** Returns what happened to a request; empty if nothing is known. */
+  Optional<ObjectNode> explain(String requestId) {
+    List<DecisionLog.Event> known = decisions.of(requestId);
+    if (known.isEmpty()) {
+      return Optional.empty();
+    }
     ObjectNode node = MAPPER.createObjectNode();
     node.put("process", identity.processId());
     node.put("request_id", requestId);
     ArrayNode events = node.putArray("events");
-    decisions
-        .of(requestId)
-        .forEach(
-            event ->
-                events
-                    .addObject()
-                    .put("time", Instant.ofEpochMilli(event.timeMillis()).toString())
-                    .put("event", event.event())
-                    .put("detail", event.detail()));
-    return Envelope.newBuilder()
-        .setExplainReport(ExplainReport.newBuilder().setCallNumber(callNumber).setJson(bytes(node)))
-        .build();
+    known.forEach(
+        event ->
+            events
+                .addObject()
+                .put("time", Instant.ofEpochMilli(event.timeMillis()).toString())
+                .put("event", event.event())
+                .put("detail", event.detail()));
+    return Optional.of(node);
   }
 
   private static ObjectNode request(Job job) {
@@ -108,12 +96,4 @@
         .put("order", job.isOrder())
         .put("tokens", job.tokens.size());
   }
-
-  private static ByteString bytes(ObjectNode node) {
-    try {
-      return ByteString.copyFrom(MAPPER.writeValueAsBytes(node));
-    } catch (JsonProcessingException e) {
-      throw new IllegalStateException("a JSON tree can always be written", e);
-    }
-  }
 }
--- a/sidecar/src/main/java/org/shallothold/sidecar/work/SidecarController.java
+++ b/sidecar/src/main/java/org/shallothold/sidecar/work/SidecarController.java
@@ -1,5 +1,7 @@
 package org.shallothold.sidecar.work;
 
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -18,6 +20,7 @@
 import org.shallothold.core.verdict.Verdict;
 import org.shallothold.runtime.ProcessIdentity;
 import org.shallothold.runtime.metrics.Metrics;
+import org.shallothold.runtime.operator.OperatorEndpoint;
 import org.shallothold.sidecar.backend.Backend;
 import org.shallothold.sidecar.work.Job.Waiter;
 import org.shallothold.wire.connection.PeerConnection;
@@ -34,6 +37,15 @@
  */
 public final class SidecarController {
 
+  // Keeps a deadline from a message from overflowing the clock.
+  private static final long MAX_DEADLINE_MILLIS = 24 * 60 * 60 * 1_000;
+
+  /**
+   * Bodies held at once, in bytes. The heap of the process is 48 MB, so a queue of the largest
+   * bodies would not fit.
+   */
+  private static final long MAX_BODY_BYTES = 16 * 1024 * 1024;
+
   private final ProcessIdentity identity;
   private final Options options;
   private final LongSupplier clock;
@@ -145,6 +157,22 @@
     }
   }
 
+  /** Returns the work at the moment. */
+  public OperatorEndpoint.Load load() {
+    return new OperatorEndpoint.Load(
+        scheduler.running(), Arrays.stream(scheduler.waitingByTier()).sum());
+  }
+
+  /** Returns further facts for operators. */
+  public ObjectNode details() {
+    return reports.details(fenced, gateways.count());
+  }
+
+  /** Returns what happened to a request; empty if nothing is known. */
+  public Optional<ObjectNode> explain(String requestId) {
+    return reports.explain(requestId);
+  }
+
   private void received(PeerConnection connection, Envelope envelope) {
     switch (envelope.getMessageCase()) {
       case SUBMIT -> submit(connection, envelope.getSubmit());
@@ -170,18 +198,6 @@
           leave(LeavingSource.PEER);
         }
       }
-      case STATUS_REQUEST ->
-          connection.send(
-              reports.status(
-                  envelope.getStatusRequest().getCallNumber(),
-                  configuration,
-                  fenced,
-                  gateways.count()));
-      case EXPLAIN_REQUEST ->
-          connection.send(
-              reports.explain(
-                  envelope.getExplainRequest().getCallNumber(),
-                  envelope.getExplainRequest().getRequestId()));
       default -> {}
     }
   }
@@ -205,7 +221,9 @@
     boolean fresh = ticket.isEmpty() || ledger.status(ticket) == TicketStatus.UNUSED;
     Optional<ReasonCode> refusal =
         fresh
-            ? unavailable().or(() -> Admission.refusal(configuration, identity.serverId(), submit))
+            ? unavailable()
+                .or(() -> outOfMemory(submit))
+                .or(() -> Admission.refusal(configuration, identity.serverId(), submit))
             : Optional.empty();
     if (refusal.isPresent()) {
       refuse(connection, submit, refusal.get());
@@ -247,7 +265,7 @@
             submit.getServiceClass(),
             tier,
             submit.getCustomer(),
-            now() + submit.getDeadlineMillis(),
+            now() + Math.min(submit.getDeadlineMillis(), MAX_DEADLINE_MILLIS),
             orderSerial == 0);
     runner.submit(
         new Job(work, submit, orderSerial, now()), new Waiter(connection, submit.getAttempt()));
@@ -272,6 +290,12 @@
     connection.send(Envelopes.refused(attempt, verdict, scheduler.lowestWaitingTier()));
   }
 
+  private Optional<ReasonCode> outOfMemory(Submit submit) {
+    return jobs.bodyBytes() + Job.bodyBytes(submit) > MAX_BODY_BYTES
+        ? Optional.of(ReasonCode.QUEUE_FULL)
+        : Optional.empty();
+  }
+
   private Optional<ReasonCode> unavailable() {
     if (drain.isLeaving()) {
       return Optional.of(ReasonCode.SERVER_LEAVING);
@@ -367,6 +391,7 @@
         .toList()
         .forEach(
             job -> runner.breakOff(job, ReasonCode.BACKEND_FAILED, "the backend server is silent"));
+    gateways.closeStalled(now());
     runner.apply(scheduler.tick(now()));
     metrics.observe(scheduler, gateways.count());
     if (drain.isOverLimit(now())) {
--- a/sidecar/src/test/java/org/shallothold/sidecar/Eventually.java
+++ b/sidecar/src/test/java/org/shallothold/sidecar/Eventually.java
@@ -1,6 +1,7 @@
 package org.shallothold.sidecar;
 
 import java.util.Objects;
+import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 
@@ -8,17 +9,12 @@
 final class Eventually {
 
   private static final long BOUND_NANOS = 20_000_000_000L;
+  private static final long PAUSE_NANOS = 2_000_000;
 
   private Eventually() {}
 
   static void holds(String what, BooleanSupplier condition) {
-    long start = System.nanoTime();
-    while (!condition.getAsBoolean()) {
-      if (System.nanoTime() - start > BOUND_NANOS) {
-        throw new AssertionError("did not come to hold: " + what);
-      }
-      pause();
-    }
+    equal(what, () -> condition.getAsBoolean() ? what : "not yet");
   }
 
   static <T> void equal(T expected, Supplier<T> actual) {
@@ -27,16 +23,7 @@
       if (System.nanoTime() - start > BOUND_NANOS) {
         throw new AssertionError("expected " + expected + " but got " + actual.get());
       }
-      pause();
-    }
-  }
-
-  private static void pause() {
-    try {
-      Thread.sleep(5);
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-      throw new AssertionError("interrupted", e);
+      LockSupport.parkNanos(PAUSE_NANOS);
     }
   }
 }
--- a/sidecar/src/test/java/org/shallothold/sidecar/FakeBackend.java
+++ b/sidecar/src/test/java/org/shallothold/sidecar/FakeBackend.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.locks.LockSupport;
 
 /**
  * An engine and a plain service in one. What it does with a request stands in the request's field
@@ -26,6 +27,7 @@
  */
 final class FakeBackend implements AutoCloseable {
 
+  private static final long PAUSE_NANOS = 5_000_000;
   private static final ObjectMapper MAPPER = new ObjectMapper();
 
   final List<JsonNode> completions = new CopyOnWriteArrayList<>();
@@ -43,7 +45,8 @@
     server.setExecutor(Executors.newVirtualThreadPerTaskExecutor());
     server.createContext("/v1/chat/completions", this::complete);
     server.createContext("/commands", this::command);
-    server.createContext("/load", exchange -> answer(exchange, 200, "{\"running\":7}"));
+    server.createContext(
+        "/load", exchange -> FakePlatform.answer(exchange, 200, "{\"running\":7}"));
     server.createContext("/", this::call);
     server.start();
   }
@@ -69,7 +72,7 @@
     int index = request.path("resume_tokens").size();
     List<String> words = List.of(request.path("script").asText().split(" ", -1));
     if (words.getFirst().startsWith("status")) {
-      answer(exchange, Integer.parseInt(words.getFirst().substring(6)), "{}");
+      FakePlatform.answer(exchange, Integer.parseInt(words.getFirst().substring(6)), "{}");
       return;
     }
     exchange.sendResponseHeaders(200, 0);
@@ -129,7 +132,8 @@
     if ("crash".equals(script)) {
       exchange.close();
     } else {
-      answer(exchange, 201, exchange.getRequestMethod() + " " + exchange.getRequestURI());
+      FakePlatform.answer(
+          exchange, 201, exchange.getRequestMethod() + " " + exchange.getRequestURI());
     }
   }
 
@@ -145,7 +149,8 @@
         highestFencingNumber.accumulateAndGet(number, Math::max);
       }
     }
-    answer(exchange, status, "{\"highest_fencing_number\":" + highestFencingNumber + "}");
+    FakePlatform.answer(
+        exchange, status, "{\"highest_fencing_number\":" + highestFencingNumber + "}");
   }
 
   private static void event(OutputStream body, String data) throws IOException {
@@ -154,18 +159,6 @@
   }
 
   private static void pause() {
-    try {
-      Thread.sleep(5);
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-    }
-  }
-
-  private static void answer(HttpExchange exchange, int status, String text) throws IOException {
-    try (exchange) {
-      byte[] body = text.getBytes(StandardCharsets.UTF_8);
-      exchange.sendResponseHeaders(status, body.length);
-      exchange.getResponseBody().write(body);
-    }
+    LockSupport.parkNanos(PAUSE_NANOS);
   }
 }
--- a/sidecar/src/test/java/org/shallothold/sidecar/FakePlatform.java
+++ b/sidecar/src/test/java/org/shallothold/sidecar/FakePlatform.java
@@ -10,17 +10,17 @@
 import java.util.ArrayList;
 import java.util.Base64;
 import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.Executors;
-import java.util.regex.Matcher;
-import java.util.regex.Pattern;
+import java.util.concurrent.locks.LockSupport;
 
 /** A platform in memory. */
 final class FakePlatform implements AutoCloseable {
 
-  private static final Pattern QUERY = Pattern.compile("after=(\\d+)&wait_ms=(-?\\d+)");
+  private static final long WATCH_NANOS = 20_000_000;
 
   private final HttpServer server;
-  private final List<String> patches = new ArrayList<>();
+  private final List<String> patches = new CopyOnWriteArrayList<>();
   private volatile String members = "{\"members\":[]}";
 
   FakePlatform() throws IOException {
@@ -38,12 +38,9 @@
 
   /** Appends a patch whose base is the number of patches before it. */
   void publish(String set) {
-    synchronized (patches) {
-      patches.add(
-          "{\"base\":%d,\"author\":\"test\",\"time\":\"now\",\"reason\":\"test\",\"set\":%s}"
-              .formatted(patches.size(), set));
-      patches.notifyAll();
-    }
+    patches.add(
+        "{\"base\":%d,\"author\":\"test\",\"time\":\"now\",\"reason\":\"test\",\"set\":%s}"
+            .formatted(patches.size(), set));
   }
 
   void listAsLeaving(String serverId) {
@@ -58,34 +55,22 @@
   }
 
   private void entries(HttpExchange exchange) throws IOException {
-    Matcher query = QUERY.matcher(exchange.getRequestURI().getQuery());
-    if (!query.matches()) {
-      answer(exchange, 400, "{}");
-      return;
+    String query = exchange.getRequestURI().getQuery();
+    int after = Integer.parseInt(query.replaceAll("after=(\\d+)&.*", "$1"));
+    if (after >= patches.size() && !query.endsWith("wait_ms=0")) {
+      LockSupport.parkNanos(WATCH_NANOS);
     }
-    int after = Integer.parseInt(query.group(1));
-    StringBuilder entries = new StringBuilder();
-    synchronized (patches) {
-      try {
-        if (after >= patches.size() && Long.parseLong(query.group(2)) > 0) {
-          patches.wait(Math.min(200, Long.parseLong(query.group(2))));
-        }
-      } catch (InterruptedException e) {
-        Thread.currentThread().interrupt();
-      }
-      for (int index = after; index < patches.size(); index++) {
-        byte[] body = patches.get(index).getBytes(StandardCharsets.UTF_8);
-        entries
-            .append(index == after ? "" : ",")
-            .append(
-                "{\"position\":%d,\"kind\":\"patch\",\"body\":\"%s\"}"
-                    .formatted(index + 1, Base64.getEncoder().encodeToString(body)));
-      }
+    List<String> entries = new ArrayList<>();
+    for (int position = after + 1; position <= patches.size(); position++) {
+      byte[] body = patches.get(position - 1).getBytes(StandardCharsets.UTF_8);
+      entries.add(
+          "{\"position\":%d,\"kind\":\"patch\",\"body\":\"%s\"}"
+              .formatted(position, Base64.getEncoder().encodeToString(body)));
     }
-    answer(exchange, 200, "{\"entries\":[" + entries + "]}");
+    answer(exchange, 200, "{\"entries\":[" + String.join(",", entries) + "]}");
   }
 
-  private static void answer(HttpExchange exchange, int status, String text) throws IOException {
+  static void answer(HttpExchange exchange, int status, String text) throws IOException {
     try (exchange) {
       byte[] body = text.getBytes(StandardCharsets.UTF_8);
       exchange.sendResponseHeaders(status, body.length);
--- a/sidecar/src/test/java/org/shallothold/sidecar/SidecarContractTest.java
+++ b/sidecar/src/test/java/org/shallothold/sidecar/SidecarContractTest.java
@@ -1,7 +1,6 @@
 package org.shallothold.sidecar;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.JsonNode;
@@ -9,8 +8,6 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
 import java.util.Map;
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.AfterEach;
@@ -20,14 +17,10 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.shallothold.runtime.settings.SettingsDocument;
 import org.shallothold.sidecar.settings.SidecarSettings;
 import org.shallothold.sidecar.work.LeavingSource;
-import org.shallothold.wire.proto.Completion;
 import org.shallothold.wire.proto.Envelope;
-import org.shallothold.wire.proto.ExplainRequest;
-import org.shallothold.wire.proto.LeavingNotice;
-import org.shallothold.wire.proto.StatusRequest;
-import org.shallothold.wire.proto.Submit;
 
 /** The sidecar's wire interface before a fake engine or service, and a fake platform. */
 class SidecarContractTest {
@@ -38,7 +31,8 @@
       "classes": {"high": {"tier": 0, %1$s}, "low": {"tier": 3, %1$s},
         "other": {"tier": 1, "first_token_target_ms": 1, "token_interval_target_ms": 1,
           "answer_target_ms": 1, "servers": []}},
-      "services": {"orders": {"orders": [{"method": "POST", "path_prefix": "/orders"}]}},
+      "services": {"orders": {"orders": [{"method": "POST", "path_prefix": "/orders"},
+        {"method": "GET", "path_prefix": "/claims"}]}},
       "customers": {"mill": {"key_sha256": "%2$s", "classes": ["high", "low", "other"],
         "requests_per_second": 9}}
       """
@@ -86,27 +80,27 @@
   }
 
   private void startEngine(int running) {
-    start(server("engine", "\"model\"", running, false), 60_000);
+    start(server("engine", "\"model\"", running, false), 60_000, 60_000);
   }
 
   private void startService(int running) {
-    start(server("service", "", running, false), 60_000);
+    start(server("service", "", running, false), 60_000, 60_000);
   }
 
-  private void start(String server, long silenceMillis) {
+  private void start(String server, long silenceMillis, long drainLimitMillis) {
     platform.publish("{" + SHARED + "," + server + "}");
-    InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
-    sidecar =
-        SidecarProcess.start(
-            new SidecarSettings(
-                "s",
-                "d",
-                any,
-                any,
-                new SidecarSettings.Backend(backend.url(), 1_000, silenceMillis),
-                platform.url(),
-                new SidecarSettings.Queue(SidecarSettings.Policy.TIERS, 60_000, 2),
-                60_000));
+    String settings =
+        """
+        process = {server_id = "s", failure_domain = "d"}
+        listen.address = "127.0.0.1:0"
+        metrics.listen = "127.0.0.1:0"
+        backend = {url = "%s", silence_ms = %d}
+        platform.url = "%s"
+        queue.floor_interval_ms = 60000
+        drain.limit_ms = %d
+        """
+            .formatted(backend.url(), silenceMillis, platform.url(), drainLimitMillis);
+    sidecar = SidecarProcess.start(SidecarSettings.from(SettingsDocument.parse("test", settings)));
     gateway = new TestGateway(GROUP, sidecar.port());
     gateway.await(item -> item.getConfigurationAnnouncement().getVersion().getNumber() == 1);
   }
@@ -139,7 +133,7 @@
     /** Guards against a slot held for ever by an engine that hangs. */
     @Test
     void silentEngineCountsAsLost() {
-      start(server("engine", "\"model\"", 1, false), 300);
+      start(server("engine", "\"model\"", 1, false), 300, 60_000);
       gateway.complete(1, "high", "to1 hang");
       gateway.expect(1, "accepted, started, tokens 0-1, BROKEN 1 backend_failed");
       gateway.complete(2, "high", "to1 done");
@@ -237,11 +231,7 @@
       startEngine(4);
       gateway.version = version;
       gateway.submit(
-          1,
-          serviceClass,
-          Submit.newBuilder()
-              .setCustomer(customer)
-              .setCompletion(Completion.newBuilder().setModel(model)));
+          1, serviceClass, "customer: '%s' completion { model: '%s' }".formatted(customer, model));
       gateway.expect(1, "NOT_RUN " + reason);
       assertTrue(backend.completions.isEmpty());
     }
@@ -284,11 +274,7 @@
       switch (source) {
         case CONFIGURATION -> platform.publish("{" + server("engine", "\"model\"", 1, true) + "}");
         case MEMBERS -> platform.listAsLeaving("s");
-        case PEER ->
-            gateway.send(
-                Envelope.newBuilder()
-                    .setLeavingNotice(LeavingNotice.newBuilder().setServerId("s"))
-                    .build());
+        case PEER -> gateway.send("leaving_notice { server_id: 's' }");
         case SIGNAL -> sidecar.leave();
       }
       Envelope leaving = gateway.await(Envelope::hasLeaving);
@@ -303,6 +289,17 @@
     }
   }
 
+  /** Guards against a process that never ends, and work that is cut without a word. */
+  @Test
+  void drainLimitCutsRunningWork() throws InterruptedException {
+    start(server("engine", "\"model\"", 1, false), 60_000, 100);
+    gateway.complete(1, "low", "to1 wait done");
+    gateway.expect(1, "accepted, started, tokens 0-1");
+    sidecar.leave();
+    gateway.expect(1, "accepted, started, tokens 0-1, BROKEN 1 server_leaving");
+    sidecar.awaitDone();
+  }
+
   @Nested
   class Orders {
 
@@ -318,13 +315,13 @@
       gateway.call(2, "POST", "/orders", "wait", ticket, "b");
       gateway.call(3, "POST", "/orders", "wait", ticket, "other");
       gateway.expect(3, "NOT_RUN ticket_reused");
-      assertEquals("handed_over", gateway.seal(ticket));
+      assertEquals("handed_over", gateway.ask("ticket_seal", ticket));
       backend.open();
       gateway.expect(1, "accepted, started, " + ANSWER);
       gateway.expect(2, "accepted, started, " + ANSWER);
       gateway.call(4, "POST", "/orders", "wait", ticket, "b");
       gateway.expect(4, ANSWER);
-      assertEquals("answered", gateway.inquire(ticket));
+      assertEquals("answered", gateway.ask("ticket_inquiry", ticket));
       assertEquals(Map.of(ticket, 1), backend.calls);
     }
 
@@ -338,22 +335,26 @@
       gateway.close();
       gateway = new TestGateway(GROUP, sidecar.port());
       backend.open();
-      Eventually.equal("answered", () -> gateway.inquire(ticket));
+      Eventually.equal("answered", () -> gateway.ask("ticket_inquiry", ticket));
       gateway.call(2, "POST", "/orders", "wait", ticket, "b");
       gateway.expect(2, ANSWER);
       assertEquals(Map.of(ticket, 1), backend.calls);
     }
 
     /** Guards against a retry of an order whose fate nobody knows. */
-    @Test
-    void brokenConnectionToTheServiceIsNotRetried() {
+    @ParameterizedTest
+    @CsvSource({"POST, /orders", "GET, /claims"})
+    void brokenConnectionToTheServiceIsNotRetried(String method, String path) {
       startService(1);
+      String first = gateway.ticket();
+      gateway.call(1, method, path, "go", first, "");
+      gateway.expect(1, "accepted, started, 201 " + method + " " + path);
       String ticket = gateway.ticket();
-      gateway.call(1, "POST", "/orders", "crash", ticket, "b");
-      gateway.expect(1, "accepted, started, MAY_HAVE_RUN backend_failed");
-      gateway.call(2, "POST", "/orders", "crash", ticket, "b");
-      gateway.expect(2, "MAY_HAVE_RUN backend_failed");
-      assertEquals(Map.of(ticket, 1), backend.calls);
+      gateway.call(2, method, path, "crash", ticket, "");
+      gateway.expect(2, "accepted, started, MAY_HAVE_RUN backend_failed");
+      gateway.call(3, method, path, "crash", ticket, "");
+      gateway.expect(3, "MAY_HAVE_RUN backend_failed");
+      assertEquals(Map.of(first, 1, ticket, 1), backend.calls);
     }
 
     /** Guards against an order that starts after it was refused, cancelled or sealed. */
@@ -372,11 +373,11 @@
       gateway.expect(2, "accepted");
       switch (how) {
         case "cancel" -> gateway.cancel(2);
-        case "seal" -> assertEquals("sealed", gateway.seal(ticket));
+        case "seal" -> assertEquals("sealed", gateway.ask("ticket_seal", ticket));
         default -> sidecar.leave();
       }
       gateway.expect(2, expected);
-      assertEquals("sealed", gateway.inquire(ticket));
+      assertEquals("sealed", gateway.ask("ticket_inquiry", ticket));
       gateway.call(3, "POST", "/orders", "go", ticket, "b");
       gateway.expect(3, "NOT_RUN ticket_sealed");
       backend.open();
@@ -421,7 +422,7 @@
       gateway.version = 9;
       gateway.call(1, "POST", "/orders", "go", ticket, "b");
       gateway.expect(1, "NOT_RUN configuration_behind");
-      assertEquals("sealed", gateway.inquire(ticket));
+      assertEquals("sealed", gateway.ask("ticket_inquiry", ticket));
     }
   }
 
@@ -470,17 +471,14 @@
         item ->
             item.getLoadReport().getMaxRunning() == 3
                 && item.getLoadReport().getEngineRunning() == 7);
-    gateway.send(Envelope.newBuilder().setStatusRequest(StatusRequest.newBuilder()).build());
-    gateway.send(
-        Envelope.newBuilder()
-            .setExplainRequest(ExplainRequest.newBuilder().setRequestId("request-1"))
-            .build());
+    gateway.send("status_request { call_number: 1 }");
+    gateway.send("explain_request { call_number: 2 request_id: 'request-1' }");
     ObjectMapper mapper = new ObjectMapper();
     JsonNode status =
         mapper.readTree(
             gateway.await(Envelope::hasStatusReport).getStatusReport().getJson().toByteArray());
     assertEquals("1", status.path("config_version").toString());
-    assertFalse(status.path("leaving").asBoolean());
+    assertEquals("[0,0,0,0]", status.path("details").path("waiting_by_tier").toString());
     JsonNode explain =
         mapper.readTree(
             gateway.await(Envelope::hasExplainReport).getExplainReport().getJson().toByteArray());
--- a/sidecar/src/test/java/org/shallothold/sidecar/TestGateway.java
+++ b/sidecar/src/test/java/org/shallothold/sidecar/TestGateway.java
@@ -1,6 +1,7 @@
 package org.shallothold.sidecar;
 
-import com.google.protobuf.ByteString;
+import com.google.protobuf.Message;
+import com.google.protobuf.TextFormat;
 import io.netty.channel.EventLoopGroup;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -17,23 +18,11 @@
 import org.shallothold.wire.connection.PeerClient;
 import org.shallothold.wire.connection.PeerConnection;
 import org.shallothold.wire.connection.PeerListener;
-import org.shallothold.wire.proto.Attempt;
-import org.shallothold.wire.proto.Cancel;
-import org.shallothold.wire.proto.Completion;
 import org.shallothold.wire.proto.Envelope;
-import org.shallothold.wire.proto.Finished;
-import org.shallothold.wire.proto.Header;
 import org.shallothold.wire.proto.Hello;
-import org.shallothold.wire.proto.Refused;
 import org.shallothold.wire.proto.Role;
-import org.shallothold.wire.proto.ServiceCall;
-import org.shallothold.wire.proto.Submit;
-import org.shallothold.wire.proto.TicketInquiry;
-import org.shallothold.wire.proto.TicketRequest;
-import org.shallothold.wire.proto.TicketSeal;
-import org.shallothold.wire.proto.Version;
-
-/** A gateway's end of a connection, driven by a test. */
+
+/** A gateway's end of a connection, driven by a test. Messages are in protobuf's text form. */
 final class TestGateway implements PeerListener, AutoCloseable {
 
   private final List<Envelope> received = new CopyOnWriteArrayList<>();
@@ -47,18 +36,11 @@
   TestGateway(EventLoopGroup group, int port) {
     Hello hello =
         Hello.newBuilder()
-            .setProcessId("gateway")
             .setRole(Role.ROLE_GATEWAY)
             .setVersion(WireVersions.toWire(ConfigurationVersion.INITIAL))
             .build();
-    client =
-        PeerClient.start(
-            group,
-            new InetSocketAddress(InetAddress.getLoopbackAddress(), port),
-            ConnectionLimits.DEFAULT,
-            () -> hello,
-            this,
-            null);
+    InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
+    client = PeerClient.start(group, address, ConnectionLimits.DEFAULT, () -> hello, this, null);
     Eventually.holds("connected", () -> connection.get() != null);
   }
 
@@ -82,85 +64,72 @@
     client.close();
   }
 
-  void send(Envelope envelope) {
+  void send(String text) {
     PeerConnection open = connection.get();
-    if (open == null || !open.send(envelope)) {
-      throw new IllegalStateException("not connected");
+    try {
+      if (open == null || !open.send(TextFormat.parse(text, Envelope.class))) {
+        throw new IllegalStateException("not connected");
+      }
+    } catch (TextFormat.ParseException e) {
+      throw new IllegalArgumentException(text, e);
     }
   }
 
+  void submit(int number, String serviceClass, String work) {
+    send(
+        """
+        submit { attempt { request_number: %d attempt_number: 1 } request_id: 'request-%1$d'
+          version { number: %d } deadline_millis: 60000 service_class: '%s' %s }
+        """
+            .formatted(number, version, serviceClass, work));
+  }
+
   void complete(int number, String serviceClass, String script, String... resumeTokens) {
+    String resume = resumeTokens.length == 0 ? "" : "'" + String.join("', '", resumeTokens) + "'";
     submit(
         number,
         serviceClass,
-        Submit.newBuilder()
-            .setCompletion(
-                Completion.newBuilder()
-                    .setModel("model")
-                    .setBody(ByteString.copyFromUtf8("{\"x\":[1],\"script\":\"" + script + "\"}"))
-                    .addAllResumeTokens(List.of(resumeTokens))));
+        """
+        customer: 'mill' completion { model: 'model' resume_tokens: [%s]
+          body: '{"x":[1],"script":"%s"}' }
+        """
+            .formatted(resume, script));
   }
 
   void call(int number, String method, String path, String script, String ticket, String body) {
     submit(
         number,
         "low",
-        Submit.newBuilder()
-            .setServiceCall(
-                ServiceCall.newBuilder()
-                    .setService("orders")
-                    .setMethod(method)
-                    .setPath(path)
-                    .addHeaders(Header.newBuilder().setName("script").setValue(script))
-                    .setBody(ByteString.copyFromUtf8(body))
-                    .setOrderTicket(ticket)));
-  }
-
-  void submit(int number, String serviceClass, Submit.Builder submit) {
-    send(
-        Envelope.newBuilder()
-            .setSubmit(
-                submit
-                    .setAttempt(attempt(number))
-                    .setRequestId("request-" + number)
-                    .setVersion(Version.newBuilder().setNumber(version))
-                    .setServiceClass(serviceClass)
-                    .setCustomer(submit.getCustomer().isEmpty() ? "mill" : submit.getCustomer())
-                    .setDeadlineMillis(60_000))
-            .build());
+        """
+        customer: 'mill' service_call { service: 'orders' method: '%s' path: '%s' body: '%s'
+          headers { name: 'script' value: '%s' } order_ticket: '%s' }
+        """
+            .formatted(method, path, body, script, ticket));
   }
 
   void cancel(int number) {
-    send(Envelope.newBuilder().setCancel(Cancel.newBuilder().setAttempt(attempt(number))).build());
+    send("cancel { attempt { request_number: " + number + " attempt_number: 1 } }");
   }
 
+  /** Asks for tickets until one is granted, since the configuration may arrive late. */
   String ticket() {
+    Eventually.holds("a ticket", () -> !requestTicket().isEmpty());
+    return requestTicket();
+  }
+
+  private String requestTicket() {
     long call = ++calls;
-    send(
-        Envelope.newBuilder()
-            .setTicketRequest(TicketRequest.newBuilder().setCallNumber(call).setService("orders"))
-            .build());
+    send("ticket_request { call_number: " + call + " service: 'orders' }");
     return await(item -> item.getTicketGrant().getCallNumber() == call)
         .getTicketGrant()
         .getTicket();
   }
 
-  String inquire(String ticket) {
-    long call = ++calls;
-    send(
-        Envelope.newBuilder()
-            .setTicketInquiry(TicketInquiry.newBuilder().setCallNumber(call).setTicket(ticket))
-            .build());
-    return state(call);
-  }
-
-  String seal(String ticket) {
+  /** Sends {@code ticket_inquiry} or {@code ticket_seal} and returns the state. */
+  String ask(String message, String ticket) {
     long call = ++calls;
-    send(
-        Envelope.newBuilder()
-            .setTicketSeal(TicketSeal.newBuilder().setCallNumber(call).setTicket(ticket))
-            .build());
-    return state(call);
+    send("%s { call_number: %d ticket: '%s' }".formatted(message, call, ticket));
+    return await(item -> item.getTicketState().getCallNumber() == call).getTicketState().getState();
   }
 
   Envelope await(Predicate<Envelope> condition) {
@@ -173,68 +142,59 @@
     Eventually.equal(expected, () -> frames(number));
   }
 
-  String frames(int number) {
+  private String frames(int number) {
     List<String> texts = new ArrayList<>();
-    int end = -1;
     int start = 0;
+    int end = -1;
     for (Envelope item : received) {
-      if (item.getTokens().getAttempt().equals(attempt(number))) {
+      if (!isAbout(item, number)) {
+        continue;
+      }
+      if (item.hasTokens()) {
         int offset = item.getTokens().getOffset();
-        start = end == offset ? start : offset;
         if (end == offset) {
           texts.removeLast();
+        } else {
+          start = offset;
         }
         end = offset + item.getTokens().getTokensCount();
         texts.add("tokens " + start + "-" + end);
       } else {
-        text(item, number).ifPresent(texts::add);
+        texts.add(text(item));
       }
     }
     return String.join(", ", texts);
   }
 
-  private static java.util.Optional<String> text(Envelope item, int number) {
-    Attempt attempt = attempt(number);
-    String text =
-        switch (item.getMessageCase()) {
-          case ACCEPTED -> item.getAccepted().getAttempt().equals(attempt) ? "accepted" : "";
-          case STARTED -> item.getStarted().getAttempt().equals(attempt) ? "started" : "";
-          case FINISHED -> {
-            Finished finished = item.getFinished();
-            yield finished.getAttempt().equals(attempt)
-                ? (finished.getKind().name().substring("FINISH_KIND_".length())
-                        + " "
-                        + finished.getTokenCount()
-                        + " "
-                        + finished.getFinishReason()
-                        + finished.getReasonCode())
-                    .strip()
-                : "";
-          }
-          case REFUSED -> {
-            Refused refused = item.getRefused();
-            yield refused.getAttempt().equals(attempt)
-                ? refused.getVerdict().name().substring("VERDICT_KIND_".length())
-                    + " "
-                    + refused.getReasonCode()
-                : "";
-          }
-          case SERVICE_ANSWER ->
-              item.getServiceAnswer().getAttempt().equals(attempt)
-                  ? item.getServiceAnswer().getStatus()
-                      + " "
-                      + item.getServiceAnswer().getBody().toString(StandardCharsets.UTF_8)
-                  : "";
-          default -> "";
-        };
-    return java.util.Optional.of(text).filter(found -> !found.isEmpty());
-  }
-
-  private String state(long call) {
-    return await(item -> item.getTicketState().getCallNumber() == call).getTicketState().getState();
+  private static boolean isAbout(Envelope item, int number) {
+    return item.getAllFields().values().stream()
+        .map(Message.class::cast)
+        .flatMap(message -> message.getAllFields().values().stream())
+        .anyMatch(
+            field ->
+                field instanceof org.shallothold.wire.proto.Attempt attempt
+                    && attempt.getRequestNumber() == number);
   }
 
-  private static Attempt attempt(int number) {
-    return Attempt.newBuilder().setRequestNumber(number).setAttemptNumber(1).build();
+  private static String text(Envelope item) {
+    return switch (item.getMessageCase()) {
+      case FINISHED -> {
+        var finished = item.getFinished();
+        String kind = finished.getKind().name().replace("FINISH_KIND_", "");
+        String reason = finished.getFinishReason() + finished.getReasonCode();
+        yield kind + " " + finished.getTokenCount() + " " + reason;
+      }
+      case REFUSED -> {
+        var refused = item.getRefused();
+        yield refused.getVerdict().name().replace("VERDICT_KIND_", "")
+            + " "
+            + refused.getReasonCode();
+      }
+      case SERVICE_ANSWER -> {
+        var answer = item.getServiceAnswer();
+        yield answer.getStatus() + " " + answer.getBody().toString(StandardCharsets.UTF_8);
+      }
+      default -> item.getMessageCase().name().toLowerCase(java.util.Locale.ROOT);
+    };
   }
 }
