--- a/gateway/src/main/java/org/shallothold/gateway/Gateway.java
+++ b/gateway/src/main/java/org/shallothold/gateway/Gateway.java
@@ -19,6 +19,7 @@
 import org.shallothold.runtime.ProcessIdentity;
 import org.shallothold.runtime.logging.AuditOutput;
 import org.shallothold.runtime.metrics.Metrics;
+import org.shallothold.runtime.operator.OperatorEndpoint;
 import org.shallothold.runtime.platform.HttpConfigurationSource;
 import org.shallothold.runtime.sync.ConfigurationSync;
 import org.shallothold.runtime.sync.SyncOptions;
@@ -97,7 +98,8 @@
             SyncOptions.DEFAULT);
     ConnectionLimits limits = limits(settings.silenceMillis());
     RequestQueue queue = new RequestQueue();
-    SidecarLinks links = SidecarLinks.create(group, limits, sync, queue::put, null);
+    SidecarLinks links =
+        SidecarLinks.create(group, limits, sync, queue::put, settings.tls().client());
     RequestRouter router =
         RequestRouter.create(
             identity,
@@ -106,7 +108,24 @@
             requestMetrics,
             () -> System.nanoTime() / 1_000_000,
             RandomGenerator.getDefault());
-    queue.consumer(router::accept);
+    OperatorEndpoint operators =
+        OperatorEndpoint.of(
+            identity,
+            audit,
+            () -> sync.current().version(),
+            leaving::get,
+            () -> new OperatorEndpoint.Load(router.inFlight(), 0),
+            router::status,
+            router::explain);
+    // Operators' questions are answered on the requests' thread, which owns what they ask about.
+    queue.consumer(
+        event -> {
+          if (event instanceof GatewayEvent.OperatorMessage(var connection, var envelope)) {
+            operators.received(connection, envelope);
+          } else {
+            router.accept(event);
+          }
+        });
     sync.onChange(changed -> queue.put(new GatewayEvent.ConfigurationChanged(changed)));
     sync.onMembers(members -> queue.put(new GatewayEvent.MembersChanged(members)));
     // Both may have been read before the listeners were added.
@@ -120,7 +139,7 @@
             limits,
             () -> sync.hello(leaving.get()),
             OperatorListener.of(sync, queue::put),
-            null);
+            settings.tls().server());
     HttpFrontEnd http =
         HttpFrontEnd.start(
             settings.http(),
--- a/gateway/src/main/java/org/shallothold/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/shallothold/gateway/GatewaySettings.java
@@ -1,6 +1,5 @@
 package org.shallothold.gateway;
 
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.URI;
 import java.util.Objects;
@@ -9,6 +8,7 @@
 import org.shallothold.gateway.http.HttpOptions;
 import org.shallothold.gateway.request.RouterOptions;
 import org.shallothold.runtime.settings.SettingsDocument;
+import org.shallothold.runtime.tls.TlsContexts;
 
 /**
  * Settings of a gateway; the keys and their defaults are in {@code conf/gateway.toml}.
@@ -22,7 +22,7 @@
  * @param silenceMillis silence after which a sidecar is taken as lost, in milliseconds
  * @param graceMillis time after SIGTERM in which new requests are still served, in milliseconds
  * @param limitMillis time after that in which requests may finish, in milliseconds
- * @param tls stores for mutual TLS, or null for plain TCP
+ * @param tls contexts for mutual TLS between processes
  */
 public record GatewaySettings(
     String processId,
@@ -34,16 +34,7 @@
     int silenceMillis,
     long graceMillis,
     long limitMillis,
-    @Nullable TlsFiles tls) {
-
-  /**
-   * Files of mutual TLS.
-   *
-   * @param keyStore PKCS 12 store with this process's key
-   * @param trustStore PKCS 12 store with the trusted certificates
-   * @param password file that holds the password of both
-   */
-  public record TlsFiles(String keyStore, String trustStore, String password) {}
+    TlsContexts tls) {
 
   /**
    * Returns the settings of a document.
@@ -66,13 +57,8 @@
     int budgetFloor = (int) document.number("retry.budget_floor_per_second", 1, 0, 1_000);
     long graceMillis = document.number("drain.grace_ms", 2_000, 0, 600_000);
     long limitMillis = document.number("drain.limit_ms", 60_000, 0, 3_600_000);
-    TlsFiles tls = tls(document);
-    if (tls == null && operatorListen != null && !isLoopback(operatorListen.getAddress())) {
-      document.clash(
-          "operator.listen",
-          operatorListen.getAddress().getHostAddress() + " without [tls]",
-          "a loopback address, or an address with [tls]");
-    }
+    TlsContexts tls = TlsContexts.read(document);
+    tls.checkListenAddress(document, "operator.listen", operatorListen);
     document.finish();
     return new GatewaySettings(
         Objects.requireNonNull(processId),
@@ -87,10 +73,6 @@
         tls);
   }
 
-  private static boolean isLoopback(InetAddress address) {
-    return address.isLoopbackAddress();
-  }
-
   private static @Nullable URI url(SettingsDocument document, String key) {
     String text = document.requiredText(key);
     if (text == null) {
@@ -107,18 +89,4 @@
     document.clash(key, "'" + text + "'", "an http or https address, as http://127.0.0.1:7100/");
     return null;
   }
-
-  private static @Nullable TlsFiles tls(SettingsDocument document) {
-    String keyStore = document.optionalText("tls.key_store_file");
-    String trustStore = document.optionalText("tls.trust_store_file");
-    String password = document.optionalText("tls.password_file");
-    if (keyStore == null && trustStore == null && password == null) {
-      return null;
-    }
-    if (keyStore == null || trustStore == null || password == null) {
-      document.clash("tls", "some of the keys of [tls]", "all three keys, or none");
-      return null;
-    }
-    return new TlsFiles(keyStore, trustStore, password);
-  }
 }
--- a/gateway/src/main/java/org/shallothold/gateway/request/RequestRouter.java
+++ b/gateway/src/main/java/org/shallothold/gateway/request/RequestRouter.java
@@ -1,11 +1,10 @@
 package org.shallothold.gateway.request;
 
-import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import com.google.protobuf.ByteString;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
 import org.shallothold.core.config.Configuration;
@@ -22,9 +21,7 @@
 import org.shallothold.runtime.ProcessIdentity;
 import org.shallothold.wire.connection.PeerConnection;
 import org.shallothold.wire.proto.Envelope;
-import org.shallothold.wire.proto.ExplainReport;
 import org.shallothold.wire.proto.Hello;
-import org.shallothold.wire.proto.StatusReport;
 
 /**
  * Takes the events of requests, sidecars, configuration and time, one by one. Made once per
@@ -34,7 +31,6 @@
 
   private static final int KEPT_PREFIXES = 16_384;
 
-  private final ProcessIdentity identity;
   private final LongSupplier clock;
   private final RequestMetrics metrics;
   private final CustomerLimiter limiter = CustomerLimiter.create();
@@ -54,7 +50,6 @@
       RequestMetrics metrics,
       LongSupplier clock,
       RandomGenerator random) {
-    this.identity = identity;
     this.clock = clock;
     this.metrics = metrics;
     AttemptIdentity attempts = new AttemptIdentity(identity.incarnation());
@@ -109,12 +104,26 @@
       case GatewayEvent.ConfigurationChanged(Configuration configuration) ->
           configurationChanged(configuration);
       case GatewayEvent.MembersChanged(MembershipView members) -> membersChanged(members);
-      case GatewayEvent.OperatorMessage(PeerConnection connection, Envelope envelope) ->
-          operatorMessage(connection, envelope);
+      case GatewayEvent.OperatorMessage message -> {}
       case GatewayEvent.Tick tick -> watchdog.tick();
     }
   }
 
+  /** Returns how many requests are being served. */
+  public int inFlight() {
+    return inFlight.size();
+  }
+
+  /** Returns the state of the servers and requests for the operators' "status". */
+  public ObjectNode status() {
+    return StatusDocument.of(servers, inFlight, dispatcher.retriesLeft(), clock.getAsLong());
+  }
+
+  /** Returns what is known of a request for the operators' "explain"; empty if it is not kept. */
+  public Optional<ObjectNode> explain(String requestId) {
+    return journal.explain(requestId);
+  }
+
   private void arrived(CallerRequest request, Responder responder) {
     long now = clock.getAsLong();
     // Reading a ticket's state costs its sidecar nothing, and a caller in doubt must be able to.
@@ -231,47 +240,4 @@
     limiter.gateways(members.liveGateways(), clock.getAsLong());
     servers.membersChanged(members);
   }
-
-  private void operatorMessage(PeerConnection connection, Envelope envelope) {
-    switch (envelope.getMessageCase()) {
-      case STATUS_REQUEST ->
-          connection.send(
-              Envelope.newBuilder()
-                  .setStatusReport(
-                      StatusReport.newBuilder()
-                          .setCallNumber(envelope.getStatusRequest().getCallNumber())
-                          .setJson(bytes(status())))
-                  .build());
-      case EXPLAIN_REQUEST ->
-          connection.send(
-              Envelope.newBuilder()
-                  .setExplainReport(
-                      ExplainReport.newBuilder()
-                          .setCallNumber(envelope.getExplainRequest().getCallNumber())
-                          .setJson(bytes(explain(envelope.getExplainRequest().getRequestId()))))
-                  .build());
-      default -> {}
-    }
-  }
-
-  private ObjectNode status() {
-    return StatusDocument.of(
-        identity.processId(), servers, inFlight, dispatcher.retriesLeft(), clock.getAsLong());
-  }
-
-  private ObjectNode explain(String requestId) {
-    return journal
-        .explain(requestId)
-        .map(
-            document -> {
-              document.put("found", true);
-              document.put("process", identity.processId());
-              return document;
-            })
-        .orElseGet(() -> JsonNodeFactory.instance.objectNode().put("found", false));
-  }
-
-  private static ByteString bytes(ObjectNode node) {
-    return ByteString.copyFromUtf8(node.toString());
-  }
 }
--- a/gateway/src/main/java/org/shallothold/gateway/request/StatusDocument.java
+++ b/gateway/src/main/java/org/shallothold/gateway/request/StatusDocument.java
@@ -3,22 +3,14 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import org.shallothold.core.config.Configuration;
 
 /** The gateway's state as a JSON document for the operators' command; stateless. */
 final class StatusDocument {
 
   private StatusDocument() {}
 
-  static ObjectNode of(
-      String processId, ServerTable servers, InFlight inFlight, double retriesLeft, long now) {
-    Configuration configuration = servers.configuration();
+  static ObjectNode of(ServerTable servers, InFlight inFlight, double retriesLeft, long now) {
     ObjectNode node = JsonNodeFactory.instance.objectNode();
-    node.put("process", processId);
-    node.put("role", "gateway");
-    node.put("config_version", configuration.version().number());
-    node.put("config_digest", configuration.version().digest());
-    node.put("in_flight", inFlight.size());
     node.put("retries_left", Math.floor(retriesLeft));
     ObjectNode byClass = node.putObject("in_flight_by_class");
     inFlight
