--- a/gateway/src/main/java/org/shallothold/gateway/http/HttpFrontEnd.java
+++ b/gateway/src/main/java/org/shallothold/gateway/http/HttpFrontEnd.java
@@ -17,10 +17,14 @@
   /** Event loops only parse and write; two keep a small VM's cores free for the owner thread. */
   private static final int EVENT_LOOP_THREADS = 2;
 
-  /** Ratpack's own bound; headers above {@link RequestHandler}'s lower one get a proper answer. */
-  private static final int MAX_HEADER_BYTES = 64 * 1024;
+  /**
+   * Netty's own bound, above which Ratpack answers 400 in plain text and closes the connection. It
+   * is far above {@link RequestHandler}'s bound, so that a usual mistake gets an answer with a
+   * code.
+   */
+  private static final int MAX_HEADER_BYTES = 256 * 1024;
 
-  private static final int MAX_INITIAL_LINE_BYTES = 8 * 1024;
+  private static final int MAX_INITIAL_LINE_BYTES = 64 * 1024;
   private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(60);
 
   private final RatpackServer server;
--- a/gateway/src/main/java/org/shallothold/gateway/http/RequestHandler.java
+++ b/gateway/src/main/java/org/shallothold/gateway/http/RequestHandler.java
@@ -34,6 +34,8 @@
 import ratpack.exec.Promise;
 import ratpack.handling.Context;
 import ratpack.handling.Handler;
+import ratpack.http.ConnectionClosedException;
+import ratpack.http.RequestBodyTooLargeException;
 
 /**
  * Checks callers' requests and passes them to the thread that owns them. Shared by the event loops.
@@ -117,6 +119,9 @@
 
   /** Answers a fault of this process. */
   void error(Context context, Throwable error) {
+    if (error instanceof ConnectionClosedException) {
+      return;
+    }
     LOGGER.log(Logger.Level.ERROR, "a request failed inside the gateway", error);
     send(
         context,
@@ -145,7 +150,7 @@
         context.getResponse().forceCloseConnection();
         throw ShallotholdException.of(ReasonCode.SERVER_LEAVING, "the gateway is leaving");
       }
-      checkHeaders(headers);
+      checkHeaders(uri, headers);
       RequestReader reader = reader(current, headers);
       boolean isService = path.startsWith(ServicePath.PREFIX);
       if (method.equals("GET") && path.equals("/v1/models")) {
@@ -162,19 +167,19 @@
       ServiceClass serviceClass = reader.serviceClass();
       long deadlineMillis = reader.deadlineMillis(serviceClass);
       ServicePath servicePath = isService ? ServicePath.parse(uri) : null;
+      // Checked ahead of reading, so that none of a body that is too large is held.
+      if (context.getRequest().getContentLength() > maxBodyBytes) {
+        context.getResponse().forceCloseConnection();
+        send(context, bodyTooLarge(current, context));
+        return;
+      }
       context.getRequest().setIdleTimeout(Duration.ofMillis(deadlineMillis).plus(IDLE_MARGIN));
       context
           .getRequest()
-          .getBody(
-              maxBodyBytes,
-              () ->
-                  send(
-                      context,
-                      refusal(
-                          current,
-                          context,
-                          ReasonCode.BODY_TOO_LARGE,
-                          "the body is larger than " + maxBodyBytes + " bytes")))
+          .getBody(maxBodyBytes)
+          .onError(
+              RequestBodyTooLargeException.class,
+              error -> send(context, bodyTooLarge(current, context)))
           .map(body -> body.getBytes())
           .flatMap(
               body ->
@@ -191,14 +196,15 @@
     }
   }
 
-  private static void checkHeaders(HttpHeaders headers) {
-    int bytes = 0;
+  private static void checkHeaders(String uri, HttpHeaders headers) {
+    int bytes = uri.length();
     for (Map.Entry<String, String> header : headers) {
       bytes += header.getKey().length() + header.getValue().length() + 4;
     }
     if (bytes > MAX_HEADER_BYTES) {
       throw ShallotholdException.of(
-          ReasonCode.HEADERS_TOO_LARGE, "the headers are larger than " + MAX_HEADER_BYTES);
+          ReasonCode.HEADERS_TOO_LARGE,
+          "the headers are larger than " + MAX_HEADER_BYTES + " bytes");
     }
   }
 
@@ -299,6 +305,14 @@
     return HttpErrors.reply(failure);
   }
 
+  private Reply.Whole bodyTooLarge(Configuration current, Context context) {
+    return refusal(
+        current,
+        context,
+        ReasonCode.BODY_TOO_LARGE,
+        "the body is larger than " + maxBodyBytes + " bytes");
+  }
+
   private static boolean isPassing(ReasonCode reason) {
     return reason == ReasonCode.NOT_CONFIGURED || reason == ReasonCode.SERVER_LEAVING;
   }
--- a/gateway/src/main/java/org/shallothold/gateway/peer/SidecarLinks.java
+++ b/gateway/src/main/java/org/shallothold/gateway/peer/SidecarLinks.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoopGroup;
 import io.netty.handler.ssl.SslContext;
+import java.lang.System.Logger;
 import java.net.InetSocketAddress;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
@@ -25,6 +26,8 @@
  */
 public final class SidecarLinks implements Links, AutoCloseable {
 
+  private static final Logger LOGGER = System.getLogger(SidecarLinks.class.getName());
+
   private final EventLoopGroup group;
   private final ConnectionLimits limits;
   private final ConfigurationSync sync;
@@ -95,6 +98,7 @@
 
     @Override
     public void connected(PeerConnection connection, Hello hello) {
+      LOGGER.log(Logger.Level.INFO, "connected to the sidecar of {0}", key.serverId());
       sync.connected(connection, hello);
       events.accept(new GatewayEvent.PeerConnected(key, connection, hello));
     }
@@ -108,6 +112,7 @@
 
     @Override
     public void disconnected(PeerConnection connection) {
+      LOGGER.log(Logger.Level.INFO, "lost the sidecar of {0}", key.serverId());
       sync.disconnected(connection);
       events.accept(new GatewayEvent.PeerDisconnected(key, connection));
     }
