--- /dev/null
+++ b/core/src/test/java/org/shallothold/core/limit/AdmissionGateTest.java
@@ -0,0 +1,53 @@
+package org.shallothold.core.limit;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Guards against a higher tier refused for a lower one's sake, and against a starved class. */
+class AdmissionGateTest {
+
+  /**
+   * A gate of three places. Steps: {@code N:cT} request N of class c in tier T arrives, with {@code
+   * !} after it if it can't be displaced; {@code N+} it is being answered; {@code N-} it ends.
+   * Outcomes: {@code a} admitted, a number displaced, {@code r} refused.
+   */
+  @ParameterizedTest(name = "{0}")
+  @CsvSource({
+    "free places,                        1:a3 2:a3 3:a3,                     a a a",
+    "full of the same tier,              1:a1 2:a1 3:a1 4:a1,                a a a r",
+    "latest of the lowest tier goes,     1:h0 2:a3 3:a3 4:h0,                a a a 3",
+    "lowest tier first,                  1:a3 2:a3 3:b2 4:h0 5:h0,           a a a a 2",
+    "higher tier is never displaced,     1:h0 2:h0 3:h0 4:a3 5:a3,           a a a a r",
+    "answered request stays,             1:h0 2:a3 3:a3 2+ 3+ 4:h0,          a a a r",
+    "order can't be displaced,           1:h0 2:a3 3:a3! 4:h0,               a a a r",
+    "oldest of a class stays,            1:h0 2:a3 3:b3 4:h0,                a a a r",
+    "class without a place gets one,     1:h0 2:h0 3:h0 4:a3 5:b3 6:a3,      a a a a a r",
+    "place of its own comes back,        1:h0 2:h0 3:h0 4:a3 4- 5:a3,        a a a a a",
+    "freed place,                        1:a1 2:a1 3:a1 2- 4:a1,             a a a a",
+    "displaced one holds no place,       1:h0 2:a3 3:a3 4:h0 3- 5:h0,        a a a 3 r",
+  })
+  void arrivalsAreDecided(String name, String steps, String outcomes) {
+    AdmissionGate gate = AdmissionGate.ofCapacity(3);
+    List<String> seen = new ArrayList<>();
+    for (String step : steps.split(" ", -1)) {
+      long number = Character.digit(step.charAt(0), 10);
+      switch (step.charAt(1)) {
+        case '+' -> gate.answered(number);
+        case '-' -> gate.release(number);
+        default ->
+            seen.add(
+                switch (gate.admit(
+                    number, step.substring(2, 3), step.charAt(3) - '0', !step.endsWith("!"))) {
+                  case Admission.Admitted admitted -> "a";
+                  case Admission.Displacing(long displaced) -> Long.toString(displaced);
+                  case Admission.Refused refused -> "r";
+                });
+      }
+    }
+    assertEquals(outcomes, String.join(" ", seen));
+  }
+}
