--- a/gateway/src/main/java/org/shallothold/gateway/Gateway.java
+++ b/gateway/src/main/java/org/shallothold/gateway/Gateway.java
@@ -20,6 +20,7 @@
 import org.shallothold.runtime.logging.AuditOutput;
 import org.shallothold.runtime.metrics.Metrics;
 import org.shallothold.runtime.operator.OperatorEndpoint;
+import org.shallothold.runtime.platform.ConfigurationSource;
 import org.shallothold.runtime.platform.HttpConfigurationSource;
 import org.shallothold.runtime.sync.ConfigurationSync;
 import org.shallothold.runtime.sync.SyncOptions;
@@ -78,6 +79,16 @@
    * @throws IllegalStateException if an address can't be bound
    */
   public static Gateway start(GatewaySettings settings, AuditOutput audit) {
+    return start(
+        settings,
+        audit,
+        HttpConfigurationSource.of(
+            settings.platformUrl(),
+            HttpClient.newBuilder().connectTimeout(PLATFORM_CONNECT_TIMEOUT).build()));
+  }
+
+  /** Starts all parts with another source of the configuration, as tests do. */
+  static Gateway start(GatewaySettings settings, AuditOutput audit, ConfigurationSource source) {
     ProcessIdentity identity =
         ProcessIdentity.create(
             settings.processId(), Role.ROLE_GATEWAY, settings.failureDomain(), "");
@@ -88,14 +99,7 @@
     ScheduledExecutorService timer =
         Executors.newSingleThreadScheduledExecutor(Thread.ofPlatform().daemon().factory());
     ConfigurationSync sync =
-        ConfigurationSync.start(
-            identity,
-            HttpConfigurationSource.of(
-                settings.platformUrl(),
-                HttpClient.newBuilder().connectTimeout(PLATFORM_CONNECT_TIMEOUT).build()),
-            audit,
-            metrics,
-            SyncOptions.DEFAULT);
+        ConfigurationSync.start(identity, source, audit, metrics, SyncOptions.DEFAULT);
     ConnectionLimits limits = limits(settings.silenceMillis());
     RequestQueue queue = new RequestQueue();
     SidecarLinks links =
--- a/gateway/src/main/java/org/shallothold/gateway/request/RequestMetrics.java
+++ b/gateway/src/main/java/org/shallothold/gateway/request/RequestMetrics.java
@@ -47,6 +47,7 @@
   private final Histogram firstToken;
   private final Histogram tokenInterval;
   private final Gauge inFlight;
+  private final Gauge connectedServers;
 
   private RequestMetrics(Metrics metrics) {
     requests =
@@ -86,6 +87,9 @@
             INTERVAL_BOUNDS,
             "class");
     inFlight = metrics.gauge("shallothold_in_flight_requests", "Requests being served.");
+    connectedServers =
+        metrics.gauge(
+            "shallothold_connected_servers", "Backend servers whose sidecar is connected.");
   }
 
   /** Returns the metrics, registered. */
@@ -122,6 +126,10 @@
     inFlight.set(count);
   }
 
+  void connectedServers(long count) {
+    connectedServers.set((double) count);
+  }
+
   void completed(ActiveRequest request, int tokens, long now) {
     ServiceClass item = request.request().serviceClass();
     String name = label(item.name());
--- a/gateway/src/main/java/org/shallothold/gateway/request/RequestRouter.java
+++ b/gateway/src/main/java/org/shallothold/gateway/request/RequestRouter.java
@@ -190,6 +190,11 @@
       disconnected(link, former);
     }
     servers.connected(link, connection, hello, clock.getAsLong());
+    countConnected();
+  }
+
+  private void countConnected() {
+    metrics.connectedServers(servers.states().stream().filter(ServerState::isConnected).count());
   }
 
   private void peerMessage(LinkKey link, PeerConnection connection, Envelope envelope) {
@@ -212,6 +217,7 @@
       return;
     }
     state.disconnected();
+    countConnected();
     for (ActiveRequest request : List.copyOf(state.requests().values())) {
       journal.note(request.number(), clock.getAsLong(), "connection_lost", state.id(), "");
       if (request.givenUp() != null) {
