--- a/gateway/src/main/java/org/shallothold/gateway/http/RequestHandler.java
+++ b/gateway/src/main/java/org/shallothold/gateway/http/RequestHandler.java
@@ -282,7 +282,7 @@
     responder.watchConnection();
     if (!sink.offer(new GatewayEvent.Arrived(request, responder))) {
       Verdict verdict =
-          request.call().isTicketedOrder()
+          request.call().namesTicket()
               ? Verdict.mayHaveRun(ReasonCode.QUEUE_FULL)
               : Verdict.notRun(ReasonCode.QUEUE_FULL, 1_000);
       responder.failed(
--- a/gateway/src/main/java/org/shallothold/gateway/request/ActiveRequest.java
+++ b/gateway/src/main/java/org/shallothold/gateway/request/ActiveRequest.java
@@ -44,9 +44,7 @@
     this.responder = responder;
     this.arrivedMillis = now;
     this.tracker =
-        request.call().isTicketedOrder()
-            ? AttemptTracker.forOrder()
-            : AttemptTracker.forRepeatable();
+        request.call().namesTicket() ? AttemptTracker.forOrder() : AttemptTracker.forRepeatable();
   }
 
   long number() {
--- a/gateway/src/main/java/org/shallothold/gateway/request/Call.java
+++ b/gateway/src/main/java/org/shallothold/gateway/request/Call.java
@@ -67,8 +67,16 @@
    */
   record TicketLookup(String ticket, boolean seal) implements Call {}
 
-  /** Returns whether this is an order with a ticket, which only its sidecar may call "not run". */
-  default boolean isTicketedOrder() {
-    return this instanceof Service service && service.order() && !service.ticket().isEmpty();
+  /**
+   * Returns whether this is an order with a ticket, or a question about one. Only the ticket's
+   * sidecar may say "not run" of it.
+   */
+  default boolean namesTicket() {
+    return switch (this) {
+      case Service service -> service.order() && !service.ticket().isEmpty();
+      case TicketLookup lookup -> true;
+      case Completion completion -> false;
+      case NewTicket wish -> false;
+    };
   }
 }
--- a/gateway/src/main/java/org/shallothold/gateway/request/Dispatcher.java
+++ b/gateway/src/main/java/org/shallothold/gateway/request/Dispatcher.java
@@ -127,7 +127,7 @@
   }
 
   static boolean isRepeatable(ActiveRequest request) {
-    return !request.call().isTicketedOrder();
+    return !request.call().namesTicket();
   }
 
   private Optional<ServerState> choose(ActiveRequest request) {
--- a/gateway/src/main/java/org/shallothold/gateway/request/FrameHandler.java
+++ b/gateway/src/main/java/org/shallothold/gateway/request/FrameHandler.java
@@ -195,7 +195,7 @@
   private void tryOthers(ActiveRequest request, ReasonCode reason) {
     request.lastReason(reason);
     dispatcher.leave(request);
-    if (request.call().isTicketedOrder()) {
+    if (request.call().namesTicket()) {
       finisher.fail(request, reason, "the order's backend server refused it: " + reason.code());
     } else {
       dispatcher.route(request, reason.code());
--- a/gateway/src/main/java/org/shallothold/gateway/request/RequestRouter.java
+++ b/gateway/src/main/java/org/shallothold/gateway/request/RequestRouter.java
@@ -141,7 +141,7 @@
             request.number(),
             serviceClass,
             request.serviceClass().tier(),
-            !request.call().isTicketedOrder());
+            !request.call().namesTicket());
     if (admission instanceof Admission.Refused) {
       refuse(request, responder, ReasonCode.QUEUE_FULL, 1_000);
       return;
@@ -164,7 +164,7 @@
       CallerRequest request, Responder responder, ReasonCode reason, long retryAfterMillis) {
     // The ticket may be in use through another gateway, so this gateway can't say "not run".
     Verdict verdict =
-        request.call().isTicketedOrder()
+        request.call().namesTicket()
             ? Verdict.mayHaveRun(reason)
             : Verdict.notRun(reason, retryAfterMillis);
     String message =
--- a/gateway/src/test/java/org/shallothold/gateway/FakeSidecar.java
+++ b/gateway/src/test/java/org/shallothold/gateway/FakeSidecar.java
@@ -2,10 +2,14 @@
 
 import com.google.protobuf.ByteString;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
 import org.shallothold.wire.connection.ConnectionLimits;
 import org.shallothold.wire.connection.PeerConnection;
@@ -30,13 +34,14 @@
   private final String serverId;
   private final Consumer<Arrival> onSubmit;
   private final PeerServer server;
+  private final EventLoopGroup group = new NioEventLoopGroup(1);
+  final AtomicReference<CountDownLatch> frozen = new AtomicReference<>(new CountDownLatch(0));
   final List<Envelope> received = new CopyOnWriteArrayList<>();
   final List<PeerConnection> connections = new CopyOnWriteArrayList<>();
   volatile Consumer<Arrival> onCancel = arrival -> {};
   volatile Consumer<Call> onCall = call -> {};
 
-  FakeSidecar(
-      String serverId, EventLoopGroup group, ConnectionLimits limits, Consumer<Arrival> onSubmit) {
+  FakeSidecar(String serverId, ConnectionLimits limits, Consumer<Arrival> onSubmit) {
     this.serverId = serverId;
     this.onSubmit = onSubmit;
     this.server =
@@ -126,6 +131,19 @@
     return received.stream().filter(envelope -> envelope.getMessageCase() == kind).count();
   }
 
+  /** Blocks the event loop until {@link #frozen} is counted down. */
+  void block() {
+    group.next().execute(this::waitWhileFrozen);
+  }
+
+  private void waitWhileFrozen() {
+    try {
+      frozen.get().await();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   private Hello hello() {
     return Hello.newBuilder()
         .setProcessId(serverId)
@@ -170,5 +188,6 @@
   public void close() {
     server.close();
     connections.forEach(PeerConnection::close);
+    group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
   }
 }
--- a/gateway/src/test/java/org/shallothold/gateway/GatewayFixture.java
+++ b/gateway/src/test/java/org/shallothold/gateway/GatewayFixture.java
@@ -2,8 +2,6 @@
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import io.netty.channel.EventLoopGroup;
-import io.netty.channel.nio.NioEventLoopGroup;
 import java.io.OutputStream;
 import java.io.PrintStream;
 import java.net.URI;
@@ -23,7 +21,9 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.UnaryOperator;
@@ -56,9 +56,10 @@
   final Deque<Consumer<FakeSidecar.Arrival>> script = new ArrayDeque<>();
   final List<FakeSidecar.Arrival> arrivals = new CopyOnWriteArrayList<>();
   final HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
-  private final EventLoopGroup group = new NioEventLoopGroup(2);
   private final MemoryPlatform platform = new MemoryPlatform();
   private final Map<String, String> settings = new LinkedHashMap<>();
+  // Questions differ, so that no server is preferred for a cached prefix.
+  private final AtomicLong questions = new AtomicLong();
   private long version;
   private @org.jspecify.annotations.Nullable Gateway gateway;
 
@@ -108,8 +109,12 @@
     settings.put(key, value);
   }
 
+  FakeSidecar sidecar(String id) {
+    return java.util.Objects.requireNonNull(sidecars.get(id));
+  }
+
   FakeSidecar engine(String id) {
-    FakeSidecar sidecar = new FakeSidecar(id, group, LIMITS, this::play);
+    FakeSidecar sidecar = new FakeSidecar(id, LIMITS, this::play);
     sidecars.put(id, sidecar);
     servers.put(
         id,
@@ -128,7 +133,7 @@
   }
 
   FakeSidecar service(String id) {
-    FakeSidecar sidecar = new FakeSidecar(id, group, LIMITS, this::play);
+    FakeSidecar sidecar = new FakeSidecar(id, LIMITS, this::play);
     sidecars.put(id, sidecar);
     servers.put(
         id,
@@ -173,8 +178,17 @@
     return this;
   }
 
-  /** Publishes all servers, changed by the given function; null removes one from its classes. */
+  /** Publishes the configuration without a server that was in it. */
+  void publishWithout(String removed) {
+    publish(item -> item, List.of(removed));
+  }
+
+  /** Publishes all servers, changed by the given function. */
   void publish(UnaryOperator<BackendServer> change) {
+    publish(change, List.of());
+  }
+
+  private void publish(UnaryOperator<BackendServer> change, List<String> removed) {
     Map<String, BackendServer> changed = new LinkedHashMap<>();
     servers.values().forEach(server -> changed.put(server.id(), change.apply(server)));
     List<String> ids = List.copyOf(changed.keySet());
@@ -197,7 +211,7 @@
                     "stock",
                     new PlainService(
                         "stock", List.of(new PlainService.OrderRule("POST", "/orders"))))),
-            Patch.RemovedNames.NONE);
+            new Patch.RemovedNames(List.of(), List.of(), removed, List.of()));
     version++;
     platform.entries.add(
         EntryCodec.decode(
@@ -212,6 +226,16 @@
     return java.util.Objects.requireNonNull(gateway);
   }
 
+  /** Keeps a sidecar's event loops from running, so that not even heartbeats leave. */
+  void freeze(FakeSidecar sidecar) {
+    sidecar.frozen.set(new CountDownLatch(1));
+    sidecar.block();
+  }
+
+  void thaw() {
+    sidecars.values().forEach(sidecar -> sidecar.frozen.get().countDown());
+  }
+
   URI uri(String path) {
     return URI.create("http://127.0.0.1:" + gateway().httpPort() + path);
   }
@@ -227,7 +251,9 @@
                 HttpRequest.BodyPublishers.ofString(
                     "{\"model\":\"m\",\"stream\":"
                         + stream
-                        + ",\"messages\":[{\"role\":\"user\",\"content\":\"q\"}]}"));
+                        + ",\"messages\":[{\"role\":\"user\",\"content\":\"question "
+                        + questions.incrementAndGet()
+                        + "\"}]}"));
     if (headers.length > 0) {
       request.headers(headers);
     }
@@ -281,7 +307,6 @@
     }
     sidecars.values().forEach(FakeSidecar::close);
     client.shutdownNow();
-    group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
   }
 
   private String toml() {
