--- a/experiment/src/main/java/org/shallothold/experiment/fleet/Fleet.java
+++ b/experiment/src/main/java/org/shallothold/experiment/fleet/Fleet.java
@@ -192,6 +192,19 @@
                 () -> "It holds " + versionInForce(name) + ". " + process(name).logTail()));
   }
 
+  /** Waits until every running sidecar is connected to every running gateway. */
+  public void awaitConnected() {
+    long gateways = running("gateway-").count();
+    running("sidecar-")
+        .forEach(
+            name ->
+                Await.until(
+                    name + " is connected to " + gateways + " gateways",
+                    START_BOUND,
+                    () -> metric(name, "shallothold_sidecar_gateways") >= gateways,
+                    () -> process(name).logTail()));
+  }
+
   /** Returns the number of the newest version that was published through this fleet. */
   public long version() {
     return version;
@@ -263,6 +276,12 @@
     productProcesses().forEach(name -> process(name).start());
     processes.values().forEach(process -> process.awaitReady(START_BOUND));
     awaitVersion(version, productProcesses());
+    awaitConnected();
+  }
+
+  private Stream<String> running(String prefix) {
+    return productProcesses().stream()
+        .filter(name -> name.startsWith(prefix) && process(name).alive());
   }
 
   private void addServer(ServerPlan server) {
@@ -276,7 +295,10 @@
         server.engine()
             ? Stream.concat(Stream.of("--models", FleetPlan.MODEL), server.options().stream())
                 .toList()
-            : server.options(),
+            : Stream.concat(
+                    Stream.of("--ledger", folder.resolve(server.id() + ".ledger").toString()),
+                    server.options().stream())
+                .toList(),
         server.engine() ? "load" : "ledger");
     if (plan.relayed()) {
       relays.put(sidecar, Relay.start(own.fourth(), own.first(), plan.delay(), Relay.Naming.HELLO));
