--- a/experiment/src/main/java/org/shallothold/experiment/ExperimentMain.java
+++ b/experiment/src/main/java/org/shallothold/experiment/ExperimentMain.java
@@ -1,13 +1,121 @@
 package org.shallothold.experiment;
 
+import java.util.Arrays;
+import java.util.List;
+import java.util.Locale;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
+import org.shallothold.experiment.load.Fault;
+import org.shallothold.experiment.load.LoadOptions;
+import org.shallothold.experiment.load.LoadRun;
+import org.shallothold.experiment.load.Overhead;
+import org.shallothold.experiment.load.SetUp;
+
 /** Main class of {@code bin/experiment}. */
 public final class ExperimentMain {
 
+  private static final int EXIT_USAGE = 2;
+  private static final int LONGEST_SECONDS = 25;
+  private static final List<String> ROUTING = List.of("own_counts", "round_robin", "reported_load");
+  private static final List<String> QUEUE = List.of("tiers", "arrival");
+
+  private static final String USAGE =
+      """
+      usage: bin/experiment NAME --seed N [OPTIONS]
+      Starts processes on loopback, loads them and prints a table and, as the last line, one JSON
+      object. A run takes less than a minute.
+
+      NAME is one of
+        mill, agency  the two deployments of docs/design.md, section 2
+        overhead      what gateway and sidecar add to the first token
+
+      Options of mill and agency:
+        --load F      offered tokens over capacity (default 1.0)
+        --burst F     factor on the bulk class in the middle third (default 1)
+        --routing P   own_counts, round_robin or reported_load (default own_counts)
+        --queue P     tiers or arrival (default tiers)
+        --fault X     none, straggler, crash, late_reports, partition or retrying_callers
+        --seconds S   measured time, 5 to 25 (default 20)
+      """;
+
   private ExperimentMain() {}
 
   /** Runs the experiment that the first argument names. */
   public static void main(String[] arguments) {
-    System.err.println("no experiments yet");
-    System.exit(2);
+    if (arguments.length == 1 && arguments[0].equals("--help")) {
+      System.out.print(USAGE);
+      return;
+    }
+    try {
+      run(arguments);
+    } catch (ParseException | IllegalArgumentException e) {
+      System.err.println(e.getMessage());
+      System.err.print(USAGE);
+      System.exit(EXIT_USAGE);
+    }
+    System.exit(0);
+  }
+
+  private static void run(String[] arguments) throws ParseException {
+    if (arguments.length == 0) {
+      throw new ParseException("the name of an experiment is missing");
+    }
+    CommandLine line =
+        new DefaultParser(false)
+            .parse(options(), Arrays.copyOfRange(arguments, 1, arguments.length));
+    if (!line.getArgList().isEmpty()) {
+      throw new ParseException("unexpected argument: " + line.getArgList().getFirst());
+    }
+    long seed = Long.parseLong(line.getOptionValue("seed"));
+    switch (arguments[0]) {
+      case "mill", "agency" -> LoadRun.run(load(arguments[0], seed, line)).print(System.out);
+      case "overhead" -> Overhead.run(seed, System.out);
+      default -> throw new ParseException("unknown experiment: " + arguments[0]);
+    }
+  }
+
+  private static LoadOptions load(String name, long seed, CommandLine line) throws ParseException {
+    int seconds = Integer.parseInt(line.getOptionValue("seconds", "20"));
+    if (seconds < 5 || seconds > LONGEST_SECONDS) {
+      throw new ParseException("--seconds must be from 5 to " + LONGEST_SECONDS);
+    }
+    return new LoadOptions(
+        SetUp.valueOf(name.toUpperCase(Locale.ROOT)),
+        seed,
+        positive(line, "load"),
+        positive(line, "burst"),
+        choice(line, "routing", ROUTING),
+        choice(line, "queue", QUEUE),
+        Fault.valueOf(line.getOptionValue("fault", "none").toUpperCase(Locale.ROOT)),
+        seconds);
+  }
+
+  private static double positive(CommandLine line, String option) throws ParseException {
+    double value = Double.parseDouble(line.getOptionValue(option, "1"));
+    if (!(value > 0)) {
+      throw new ParseException("--" + option + " must be above 0");
+    }
+    return value;
+  }
+
+  private static String choice(CommandLine line, String option, List<String> allowed)
+      throws ParseException {
+    String value = line.getOptionValue(option, allowed.getFirst());
+    if (!allowed.contains(value)) {
+      throw new ParseException("--" + option + " is '" + value + "'; allowed are " + allowed);
+    }
+    return value;
+  }
+
+  private static Options options() {
+    Options options = new Options();
+    options.addOption(Option.builder().longOpt("seed").hasArg().required().get());
+    for (String name : List.of("load", "burst", "routing", "queue", "fault", "seconds")) {
+      options.addOption(Option.builder().longOpt(name).hasArg().get());
+    }
+    return options;
   }
 }
--- a/experiment/src/main/java/org/shallothold/experiment/caller/Caller.java
+++ b/experiment/src/main/java/org/shallothold/experiment/caller/Caller.java
@@ -38,6 +38,7 @@
   private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(5);
   private static final Duration ORDER_TIMEOUT = Duration.ofSeconds(40);
 
+  private final String customer;
   private final HttpClient client;
   private final ExecutorService threads = Executors.newVirtualThreadPerTaskExecutor();
   private final ScheduledExecutorService timer =
@@ -48,7 +49,8 @@
             return thread;
           });
 
-  private Caller() {
+  private Caller(String customer) {
+    this.customer = customer;
     client =
         HttpClient.newBuilder()
             .version(HttpClient.Version.HTTP_1_1)
@@ -56,9 +58,14 @@
             .build();
   }
 
-  /** Returns a caller with connections of its own. */
+  /** Returns a caller with connections of its own; its orders are those of {@code miller}. */
   public static Caller create() {
-    return new Caller();
+    return new Caller("miller");
+  }
+
+  /** Returns a caller with connections of its own, and the customer of its orders. */
+  public static Caller create(String customer) {
+    return new Caller(customer);
   }
 
   /** Sends a request for a completion through a gateway. */
@@ -80,7 +87,7 @@
   /** Asks a gateway for an order ticket; empty if it gives none. */
   public String ticket(URI gateway, String service) {
     HttpRequest request =
-        authorized(gateway.resolve("v1/order-tickets"), FleetPlan.key("miller"))
+        authorized(gateway.resolve("v1/order-tickets"), FleetPlan.key(customer))
             .timeout(ORDER_TIMEOUT)
             .POST(BodyPublishers.ofString("{\"service\": \"" + service + "\"}"))
             .build();
@@ -108,7 +115,7 @@
   public CompletableFuture<OrderResult> call(
       URI gateway, String service, String method, String path, String body, String ticket) {
     HttpRequest.Builder request =
-        authorized(gateway.resolve("v1/services/" + service + "/" + path), FleetPlan.key("miller"))
+        authorized(gateway.resolve("v1/services/" + service + "/" + path), FleetPlan.key(customer))
             .timeout(ORDER_TIMEOUT)
             .method(method, BodyPublishers.ofString(body));
     if (!ticket.isEmpty()) {
@@ -120,7 +127,7 @@
   /** Asks for a ticket's state or seals it; returns the gateway's answer. */
   public JsonNode ticketCall(URI gateway, String method, String ticket) {
     HttpRequest request =
-        authorized(gateway.resolve("v1/order-tickets/" + ticket), FleetPlan.key("miller"))
+        authorized(gateway.resolve("v1/order-tickets/" + ticket), FleetPlan.key(customer))
             .timeout(ORDER_TIMEOUT)
             .method(method, BodyPublishers.noBody())
             .build();
--- a/experiment/src/main/java/org/shallothold/experiment/fleet/Fleet.java
+++ b/experiment/src/main/java/org/shallothold/experiment/fleet/Fleet.java
@@ -320,12 +320,12 @@
     ports.put(name, own);
     Map<String, String> settings = new LinkedHashMap<>();
     settings.put("process.id", quoted(name));
-    settings.put("process.failure_domain", quoted(FleetPlan.domain(number)));
+    settings.put("process.failure_domain", quoted(plan.gatewayDomain(number)));
     settings.put("http.listen", quoted(LOOPBACK + own.first()));
     settings.put("operator.listen", quoted(LOOPBACK + own.second()));
     settings.put("platform.url", quoted(platformFor(name).toString()));
     addProduct(name, "gateway", settings, "health/ready");
-    platform.putMember(name, LOOPBACK + own.first(), "", FleetPlan.domain(number), false);
+    platform.putMember(name, LOOPBACK + own.first(), "", plan.gatewayDomain(number), false);
   }
 
   private void addStandin(
--- a/experiment/src/main/java/org/shallothold/experiment/fleet/FleetPlan.java
+++ b/experiment/src/main/java/org/shallothold/experiment/fleet/FleetPlan.java
@@ -105,8 +105,15 @@
         List.of());
   }
 
-  /** Returns the failure domain of the process with a number from 1. */
-  static String domain(int number) {
+  /**
+   * Returns the failure domain of the gateway with a number from 1, one of its servers' domains.
+   */
+  String gatewayDomain(int number) {
+    List<String> domains = servers.stream().map(ServerPlan::failureDomain).distinct().toList();
+    return domains.isEmpty() ? domain(number) : domains.get((number - 1) % domains.size());
+  }
+
+  private static String domain(int number) {
     return FAILURE_DOMAINS.get((number - 1) % FAILURE_DOMAINS.size());
   }
 
