--- a/experiment/src/main/java/org/shallothold/experiment/caller/Caller.java
+++ b/experiment/src/main/java/org/shallothold/experiment/caller/Caller.java
@@ -115,7 +115,7 @@
   public CompletableFuture<OrderResult> call(
       URI gateway, String service, String method, String path, String body, String ticket) {
     HttpRequest.Builder request =
-        authorized(gateway.resolve("v1/services/" + service + "/" + path), FleetPlan.key(customer))
+        authorized(gateway.resolve("services/" + service + "/" + path), FleetPlan.key(customer))
             .timeout(ORDER_TIMEOUT)
             .method(method, BodyPublishers.ofString(body));
     if (!ticket.isEmpty()) {
@@ -324,8 +324,14 @@
       JsonNode choice = event.path("choices").path(0);
       String token = choice.path("delta").path("content").asText();
       if (!token.isEmpty()) {
+        // One event may hold several tokens; each but the first of the answer starts with a space.
+        long tokens = token.chars().filter(character -> character == ' ').count();
+        tokens += text.isEmpty() ? 1 : 0;
+        long now = System.nanoTime() - startNanos;
+        for (long number = 0; number < tokens; number++) {
+          tokenNanos.add(now);
+        }
         text.append(token);
-        tokenNanos.add(System.nanoTime() - startNanos);
         progress.accept(tokenNanos.size());
       }
       finished |= choice.path("finish_reason").isTextual();
