--- a/scenarios/src/test/java/org/shallothold/scenarios/CallerSteps.java
+++ b/scenarios/src/test/java/org/shallothold/scenarios/CallerSteps.java
@@ -136,6 +136,16 @@
     assertNotEquals("", world.ticket(ticket), "no ticket was issued");
   }
 
+  @When("ticket {word} is sealed through gateway {int}")
+  public void seal(String ticket, int gateway) {
+    assertTrue(
+        world
+            .caller()
+            .ticketCall(world.fleet().gateway(gateway), "DELETE", world.ticket(ticket))
+            .path("not_run")
+            .asBoolean());
+  }
+
   @When("caller {word} orders under ticket {word} through gateway {int}")
   public void order(String name, String ticket, int gateway) {
     world.order(name, gateway, world.ticket(ticket), ORDER);
--- a/scenarios/src/test/java/org/shallothold/scenarios/FleetSteps.java
+++ b/scenarios/src/test/java/org/shallothold/scenarios/FleetSteps.java
@@ -58,6 +58,25 @@
             running, waiting, "--max-batch", "" + running, "--step-base-ms", "" + millis);
   }
 
+  @Given("each service runs {int} request(s) at once")
+  public void services(int running) {
+    world.plan =
+        world.plan.withServers(
+            world.plan.servers().stream()
+                .map(
+                    item ->
+                        item.engine()
+                            ? item
+                            : new FleetPlan.ServerPlan(
+                                item.id(),
+                                false,
+                                item.failureDomain(),
+                                running,
+                                item.maxWaiting(),
+                                item.options()))
+                .toList());
+  }
+
   @Given("connections that can be cut")
   public void relayed() {
     world.plan = world.plan.withRelays(Duration.ZERO);
@@ -244,6 +263,24 @@
         () -> world.fleet().metric(sidecar, "shallothold_sidecar_running_requests") > 0);
   }
 
+  @When("{process} has a request waiting")
+  public void awaitWaiting(String sidecar) {
+    Await.until(
+        sidecar + " has a request waiting",
+        World.ANSWER_BOUND,
+        () -> world.fleet().metric(sidecar, "shallothold_sidecar_waiting_requests") > 0);
+  }
+
+  @When("{process} has ended")
+  public void awaitEnded(String name) {
+    int unused = resolve(name).awaitExit(STOP_BOUND);
+  }
+
+  @Then("{word} has cut {int} stream(s)")
+  public void streamsCut(String engine, int streams) {
+    assertEquals(streams, world.count(engine, "streams_cut"));
+  }
+
   @Then("every sidecar is idle")
   public void idle() {
     for (String name : world.fleet().productProcesses()) {
--- a/scenarios/src/test/resources/features/configuration.feature
+++ b/scenarios/src/test/resources/features/configuration.feature
@@ -43,6 +43,16 @@
     When sidecar-engine-1 goes on
     Then version 2 is in force in every process
 
+  Scenario: A process is frozen over a change, and the platform is down when it goes on
+    Given a fleet of 1 gateway, 2 engines and 0 services
+    When the fleet is up
+    And sidecar-engine-1 is frozen
+    And the operators publish a patch
+    Then version 2 is in force in gateway-1
+    When fault down of platform is on
+    And sidecar-engine-1 goes on
+    Then version 2 is in force in every process
+
   Scenario: Only one process reaches the platform
     Given a fleet of 2 gateways, 1 engine and 0 services
     And connections that can be cut
