--- a/runtime/src/main/java/org/shallothold/runtime/settings/SettingsDocument.java
+++ b/runtime/src/main/java/org/shallothold/runtime/settings/SettingsDocument.java
@@ -18,6 +18,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
 import java.util.regex.Pattern;
 import java.util.stream.Collectors;
 import org.jspecify.annotations.Nullable;
@@ -182,7 +183,7 @@
   }
 
   /** Returns whether the file has a section, perhaps without keys. */
-  public boolean hasAny(String section) {
+  public boolean hasSection(String section) {
     return values.keySet().stream()
         .anyMatch(key -> key.equals(section) || key.startsWith(section + "."));
   }
@@ -199,9 +200,23 @@
    * @throws SettingsException if anything was wrong, with all problems
    */
   public void finish() {
+    finish(key -> true);
+  }
+
+  /**
+   * Ends the reading of a file of which only one section matters here.
+   *
+   * @throws SettingsException if anything was wrong, with all problems; unknown keys of other
+   *     sections are none
+   */
+  public void finishSection(String section) {
+    finish(key -> key.startsWith(section + "."));
+  }
+
+  private void finish(Predicate<String> matters) {
     values.forEach(
         (key, value) -> {
-          if (!known.contains(key) && !isEmptyKnownSection(key, value)) {
+          if (matters.test(key) && !known.contains(key) && !isEmptyKnownSection(key, value)) {
             problems.add(
                 new SettingsProblem(file, value.line(), key, "an unknown key", "only known keys"));
           }
--- a/runtime/src/main/java/org/shallothold/runtime/tls/TlsContexts.java
+++ b/runtime/src/main/java/org/shallothold/runtime/tls/TlsContexts.java
@@ -47,7 +47,7 @@
     String keyStoreFile = settings.optionalText(KEY_STORE);
     String trustStoreFile = settings.optionalText(TRUST_STORE);
     String passwordFile = settings.optionalText(PASSWORD);
-    if (!settings.hasAny("tls")) {
+    if (!settings.hasSection("tls")) {
       return new TlsContexts(false, null, null);
     }
     if (keyStoreFile == null || trustStoreFile == null || passwordFile == null) {
