--- a/command/src/main/java/org/shallothold/command/config/ConfigPatch.java
+++ b/command/src/main/java/org/shallothold/command/config/ConfigPatch.java
@@ -57,9 +57,11 @@
 
   @Override
   public String usage() {
-    return "config patch --base N --author A --reason R [--set KIND.NAME.KEY=VALUE...]"
-        + " [--set-file FILE.json] [--remove KIND.NAME...]"
-        + " | --rebase-on PATCH.json [--keep-mine], with --platform URL | --process HOST:PORT";
+    return """
+    config patch SOURCE --base N --author A --reason R [--set KIND.NAME.KEY=VALUE...]
+          [--set-file FILE.json] [--remove KIND.NAME...]
+      config patch SOURCE --rebase-on PATCH.json [--keep-mine]
+          where SOURCE is --platform URL or --process HOST:PORT""";
   }
 
   @Override
--- a/command/src/main/java/org/shallothold/command/config/PatchEditor.java
+++ b/command/src/main/java/org/shallothold/command/config/PatchEditor.java
@@ -109,11 +109,6 @@
     remove.withArrayProperty(kind).add(path.substring(kind.length() + 1));
   }
 
-  /** Returns whether nothing was set or removed. */
-  boolean isEmpty() {
-    return set.isEmpty() && remove.isEmpty();
-  }
-
   /**
    * Returns the patch.
    *
