End a gateway with code 0 after a complete drain

Cause: a virtual machine stopped by SIGTERM ends with 143 even when its shutdown hook finished, so a drained gateway looked like a killed one. Seen by the scenario "A gateway stops under load".

--- a/gateway/src/main/java/org/shallothold/gateway/GatewayMain.java
+++ b/gateway/src/main/java/org/shallothold/gateway/GatewayMain.java
@@ -28,8 +28,10 @@
     }
   }
 
+  // Without the halt the virtual machine would end with 143, the code of a process that a signal cut.
   private static void leave(Gateway gateway) {
     gateway.drain();
     gateway.close();
+    Runtime.getRuntime().halt(0);
   }
 }
