Fold a small patch to a large fleet in linear time

Every accepted patch copied all items three times, checked all of them again and compared whole configurations for the audit trail. Versions now share the maps that a patch leaves alone, and unchanged items are checked only for what they refer to.

--- a/command/src/main/java/org/shallothold/command/config/ConfigLog.java
+++ b/command/src/main/java/org/shallothold/command/config/ConfigLog.java
@@ -95,11 +95,11 @@
       event.put("base", patch.base()).put("reason", patch.reason());
     }
     switch (step.outcome()) {
-      case PatchOutcome.Accepted accepted -> {
-        event.put("result", "accepted").put("version", step.after().version().number());
+      case PatchOutcome.Accepted(var after, var patch) -> {
+        event.put("result", "accepted").put("version", after.version().number());
         event.put(
             "changes",
-            ConfigurationDiff.between(step.before(), step.after()).stream()
+            ConfigurationDiff.of(patch, step.before(), after).stream()
                 .map(ConfigurationDiff.Change::toString)
                 .collect(Collectors.joining("; ")));
       }
--- a/core/src/main/java/org/shallothold/core/config/Configuration.java
+++ b/core/src/main/java/org/shallothold/core/config/Configuration.java
@@ -2,7 +2,6 @@
 
 import java.util.Map;
 import java.util.Optional;
-import java.util.TreeMap;
 
 /**
  * One version of the configuration. Immutable and free to share between threads.
@@ -26,10 +25,10 @@
 
   /** Copies the maps, sorted by name so that every process lists them alike. */
   public Configuration {
-    classes = java.util.Collections.unmodifiableMap(new TreeMap<>(classes));
-    customers = java.util.Collections.unmodifiableMap(new TreeMap<>(customers));
-    servers = java.util.Collections.unmodifiableMap(new TreeMap<>(servers));
-    services = java.util.Collections.unmodifiableMap(new TreeMap<>(services));
+    classes = ItemMap.copyOf(classes);
+    customers = ItemMap.copyOf(customers);
+    servers = ItemMap.copyOf(servers);
+    services = ItemMap.copyOf(services);
   }
 
   /** Returns the class, or empty if there is none of this name. */
--- a/core/src/main/java/org/shallothold/core/config/ConfigurationHistory.java
+++ b/core/src/main/java/org/shallothold/core/config/ConfigurationHistory.java
@@ -1,7 +1,6 @@
 package org.shallothold.core.config;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -123,7 +122,8 @@
     if (contradicts(start.version())) {
       return new PatchOutcome.Contradiction(entry.position());
     }
-    List<String> problems = new ArrayList<>(ConfigurationValidator.problems(start));
+    List<String> problems =
+        new ArrayList<>(ConfigurationValidator.problems(Configuration.EMPTY, start));
     if (snapshot.position() < 1 || snapshot.position() > entry.position()) {
       problems.add("position is " + snapshot.position() + "; allowed are 1 to " + entry.position());
     }
@@ -164,11 +164,12 @@
     if (patch.base() != current.version().number()) {
       return new PatchOutcome.Conflict(patch, current.version());
     }
-    List<String> problems = problems(current, patch);
+    Configuration merged = merge(current, patch);
+    List<String> problems = problems(current, patch, merged);
     if (!problems.isEmpty()) {
       return new PatchOutcome.Invalid(problems);
     }
-    current = merge(current, patch).withVersion(current.version().next(entry.body()));
+    current = merged.withVersion(current.version().next(entry.body()));
     record(lastPosition, current.version());
     return new PatchOutcome.Accepted(current, patch);
   }
@@ -178,6 +179,10 @@
    * would be accepted.
    */
   public static List<String> problems(Configuration base, Patch patch) {
+    return problems(base, patch, merge(base, patch));
+  }
+
+  private static List<String> problems(Configuration base, Patch patch, Configuration merged) {
     List<String> problems = new ArrayList<>();
     checkNames(
         "classes", base.classes(), patch.set().classes(), patch.remove().classes(), problems);
@@ -191,7 +196,7 @@
         "servers", base.servers(), patch.set().servers(), patch.remove().servers(), problems);
     checkNames(
         "services", base.services(), patch.set().services(), patch.remove().services(), problems);
-    problems.addAll(ConfigurationValidator.problems(merge(base, patch)));
+    problems.addAll(ConfigurationValidator.problems(base, merged));
     return problems;
   }
 
@@ -199,10 +204,10 @@
   public static Configuration merge(Configuration base, Patch patch) {
     return new Configuration(
         base.version(),
-        merge(base.classes(), patch.set().classes(), patch.remove().classes()),
-        merge(base.customers(), patch.set().customers(), patch.remove().customers()),
-        merge(base.servers(), patch.set().servers(), patch.remove().servers()),
-        merge(base.services(), patch.set().services(), patch.remove().services()));
+        ItemMap.patched(base.classes(), patch.set().classes(), patch.remove().classes()),
+        ItemMap.patched(base.customers(), patch.set().customers(), patch.remove().customers()),
+        ItemMap.patched(base.servers(), patch.set().servers(), patch.remove().servers()),
+        ItemMap.patched(base.services(), patch.set().services(), patch.remove().services()));
   }
 
   private static void checkNames(
@@ -220,14 +225,6 @@
     }
   }
 
-  private static <T> Map<String, T> merge(
-      Map<String, T> base, Map<String, T> set, List<String> remove) {
-    Map<String, T> result = new HashMap<>(base);
-    remove.forEach(result::remove);
-    result.putAll(set);
-    return result;
-  }
-
   private void record(long position, ConfigurationVersion version) {
     versions.put(version.number(), version);
     versionsByPosition.put(position, version);
--- a/core/src/main/java/org/shallothold/core/config/ConfigurationValidator.java
+++ b/core/src/main/java/org/shallothold/core/config/ConfigurationValidator.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.regex.Pattern;
 
@@ -16,16 +17,19 @@
 
   private ConfigurationValidator() {}
 
-  /** Returns all problems, each with the path of its key; empty if the configuration is valid. */
-  static List<String> problems(Configuration configuration) {
+  /**
+   * Returns all problems, each with the path of its key; empty if the configuration is valid.
+   *
+   * @param base a valid configuration; the items that it holds unchanged are checked only for what
+   *     they refer to, which keeps a small patch to a large fleet cheap
+   */
+  static List<String> problems(Configuration base, Configuration configuration) {
     List<String> problems = new ArrayList<>();
-    configuration.classes().values().forEach(item -> checkClass(configuration, item, problems));
-    configuration
-        .customers()
-        .values()
-        .forEach(item -> checkCustomer(configuration, item, problems));
-    configuration.servers().values().forEach(item -> checkServer(configuration, item, problems));
-    configuration.services().values().forEach(item -> checkService(item, problems));
+    forEachNew(base.classes(), configuration.classes(), item -> checkClass(item, problems));
+    forEachNew(base.customers(), configuration.customers(), item -> checkCustomer(item, problems));
+    forEachNew(base.servers(), configuration.servers(), item -> checkServer(item, problems));
+    forEachNew(base.services(), configuration.services(), item -> checkService(item, problems));
+    checkReferences(configuration, problems);
     // A key names one customer, and one sidecar listens on an address.
     checkDistinct(
         "customers", "key_sha256", configuration.customers(), Customer::keySha256, problems);
@@ -33,6 +37,43 @@
     return List.copyOf(problems);
   }
 
+  private static <T> void forEachNew(Map<String, T> base, Map<String, T> items, Consumer<T> check) {
+    items.forEach(
+        (name, item) -> {
+          if (!item.equals(base.get(name))) {
+            check.accept(item);
+          }
+        });
+  }
+
+  private static void checkReferences(Configuration configuration, List<String> problems) {
+    for (ServiceClass item : configuration.classes().values()) {
+      item.servers().stream()
+          .filter(id -> !configuration.servers().containsKey(id))
+          .map(id -> "classes." + item.name() + ".servers names " + id + ", which is not a server")
+          .forEach(problems::add);
+    }
+    for (Customer item : configuration.customers().values()) {
+      item.classes().stream()
+          .filter(name -> !configuration.classes().containsKey(name))
+          .map(
+              name ->
+                  "customers." + item.name() + ".classes names " + name + ", which is not a class")
+          .forEach(problems::add);
+    }
+    for (BackendServer item : configuration.servers().values()) {
+      if (item.kind() == BackendServer.Kind.SERVICE
+          && !configuration.services().containsKey(item.service())) {
+        problems.add(
+            "servers."
+                + item.id()
+                + ".service names '"
+                + item.service()
+                + "', which is not a service");
+      }
+    }
+  }
+
   private static <T> void checkDistinct(
       String kind,
       String key,
@@ -64,8 +105,7 @@
     }
   }
 
-  private static void checkClass(
-      Configuration configuration, ServiceClass item, List<String> problems) {
+  private static void checkClass(ServiceClass item, List<String> problems) {
     String path = "classes." + item.name();
     checkName(path, item.name(), problems);
     if (item.tier() < 0 || item.tier() >= ServiceClass.TIER_COUNT) {
@@ -74,13 +114,9 @@
     checkPositive(path + ".first_token_target_ms", item.firstTokenTargetMillis(), problems);
     checkPositive(path + ".token_interval_target_ms", item.tokenIntervalTargetMillis(), problems);
     checkPositive(path + ".answer_target_ms", item.answerTargetMillis(), problems);
-    item.servers().stream()
-        .filter(id -> !configuration.servers().containsKey(id))
-        .forEach(id -> problems.add(path + ".servers names " + id + ", which is not a server"));
   }
 
-  private static void checkCustomer(
-      Configuration configuration, Customer item, List<String> problems) {
+  private static void checkCustomer(Customer item, List<String> problems) {
     String path = "customers." + item.name();
     checkName(path, item.name(), problems);
     if (!SHA256.matcher(item.keySha256()).matches()) {
@@ -89,17 +125,13 @@
     if (item.classes().isEmpty()) {
       problems.add(path + ".classes is empty; at least one class is needed");
     }
-    item.classes().stream()
-        .filter(name -> !configuration.classes().containsKey(name))
-        .forEach(name -> problems.add(path + ".classes names " + name + ", which is not a class"));
     if (!(item.requestsPerSecond() > 0) || Double.isInfinite(item.requestsPerSecond())) {
       problems.add(
           path + ".requests_per_second is " + item.requestsPerSecond() + "; must be above 0");
     }
   }
 
-  private static void checkServer(
-      Configuration configuration, BackendServer item, List<String> problems) {
+  private static void checkServer(BackendServer item, List<String> problems) {
     String path = "servers." + item.id();
     checkName(path, item.id(), problems);
     checkName(path + ".failure_domain", item.failureDomain(), problems);
@@ -109,17 +141,8 @@
     }
     checkPositive(path + ".max_running", item.maxRunning(), problems);
     checkPositive(path + ".max_waiting", item.maxWaiting(), problems);
-    switch (item.kind()) {
-      case ENGINE -> {
-        if (item.models().isEmpty()) {
-          problems.add(path + ".models is empty; an engine serves at least one model");
-        }
-      }
-      case SERVICE -> {
-        if (!configuration.services().containsKey(item.service())) {
-          problems.add(path + ".service names '" + item.service() + "', which is not a service");
-        }
-      }
+    if (item.kind() == BackendServer.Kind.ENGINE && item.models().isEmpty()) {
+      problems.add(path + ".models is empty; an engine serves at least one model");
     }
   }
 
--- a/core/src/test/java/org/shallothold/core/config/ConfigurationValidatorTest.java
+++ b/core/src/test/java/org/shallothold/core/config/ConfigurationValidatorTest.java
@@ -55,6 +55,7 @@
       String name, ServiceClass item, Customer customer, BackendServer server, String expected) {
     List<String> problems =
         ConfigurationValidator.problems(
+            Configuration.EMPTY,
             new Configuration(
                 ConfigurationVersion.INITIAL,
                 Map.of(item.name(), item),
@@ -75,6 +76,7 @@
       assertEquals(
           List.of("customers.two.key_sha256 is the same as that of one"),
           ConfigurationValidator.problems(
+              Configuration.EMPTY,
               new Configuration(
                   ConfigurationVersion.INITIAL,
                   Map.of("urgent", ConfigurationFixtures.serviceClass("urgent", 0)),
--- a/runtime/src/main/java/org/shallothold/runtime/platform/ConfigurationDiff.java
+++ b/runtime/src/main/java/org/shallothold/runtime/platform/ConfigurationDiff.java
@@ -2,12 +2,16 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.stream.Stream;
 import org.jspecify.annotations.Nullable;
 import org.shallothold.core.config.Configuration;
+import org.shallothold.core.config.Patch;
 
 /** Compares two configurations key by key; stateless. */
 public final class ConfigurationDiff {
@@ -48,6 +52,31 @@
     return changes;
   }
 
+  /**
+   * Returns the differences that a patch makes, without looking at the items that it doesn't name.
+   */
+  public static List<Change> of(Patch patch, Configuration before, Configuration after) {
+    return between(named(before, patch), named(after, patch));
+  }
+
+  private static Configuration named(Configuration all, Patch patch) {
+    return new Configuration(
+        all.version(),
+        named(all.classes(), patch.set().classes(), patch.remove().classes()),
+        named(all.customers(), patch.set().customers(), patch.remove().customers()),
+        named(all.servers(), patch.set().servers(), patch.remove().servers()),
+        named(all.services(), patch.set().services(), patch.remove().services()));
+  }
+
+  private static <T> Map<String, T> named(
+      Map<String, T> all, Map<String, T> set, List<String> remove) {
+    Map<String, T> named = new HashMap<>();
+    Stream.concat(set.keySet().stream(), remove.stream())
+        .filter(all::containsKey)
+        .forEach(name -> named.put(name, Objects.requireNonNull(all.get(name))));
+    return named;
+  }
+
   private static void compareItem(
       String path, @Nullable JsonNode left, @Nullable JsonNode right, List<Change> changes) {
     if (left == null || right == null) {
--- a/runtime/src/main/java/org/shallothold/runtime/sync/SyncReport.java
+++ b/runtime/src/main/java/org/shallothold/runtime/sync/SyncReport.java
@@ -67,7 +67,7 @@
             "author", patch.author(),
             "written", patch.time(),
             "reason", patch.reason(),
-            "changes", changes(before, after),
+            "changes", changes(patch, before, after),
             "source", source));
   }
 
@@ -161,8 +161,8 @@
             "held_position", Long.toString(ourPosition)));
   }
 
-  private static String changes(Configuration before, Configuration after) {
-    List<ConfigurationDiff.Change> changes = ConfigurationDiff.between(before, after);
+  private static String changes(Patch patch, Configuration before, Configuration after) {
+    List<ConfigurationDiff.Change> changes = ConfigurationDiff.of(patch, before, after);
     String text =
         changes.stream()
             .limit(MOST_CHANGES)
