Keep resumed submissions within a frame and forget old speeds

A resumed submission above the frame bound would have closed the connection and broken every request on it; such an answer now ends as broken. A server's speed is forgotten after 15 s without a report. A request that went on after a failure may go back to a server that failed before. Tickets that a sidecar doesn't grant in time are asked for elsewhere.

--- a/gateway/src/main/java/org/shallothold/gateway/http/RequestHandler.java
+++ b/gateway/src/main/java/org/shallothold/gateway/http/RequestHandler.java
@@ -239,7 +239,8 @@
     if (path.equals(TICKETS)) {
       return reader.newTicket(body, serviceClass);
     }
-    String ticket = path.substring(TICKETS.length() + 1);
+    // Some clients escape the tilde.
+    String ticket = path.substring(TICKETS.length() + 1).replaceAll("(?i)%7e", "~");
     if (org.shallothold.gateway.request.TicketText.serverId(ticket).isEmpty()) {
       throw ShallotholdException.of(
           ReasonCode.ORDER_TICKET_INVALID, "the path names no order ticket");
--- a/gateway/src/main/java/org/shallothold/gateway/request/Call.java
+++ b/gateway/src/main/java/org/shallothold/gateway/request/Call.java
@@ -67,6 +67,12 @@
    */
   record TicketLookup(String ticket, boolean seal) implements Call {}
 
+  /** Returns whether a new ticket is wanted: asked for, or needed by an order without one. */
+  default boolean isTicketWish() {
+    return this instanceof NewTicket
+        || (this instanceof Service service && service.order() && service.ticket().isEmpty());
+  }
+
   /**
    * Returns whether this is an order with a ticket, or a question about one. Only the ticket's
    * sidecar may say "not run" of it.
--- a/gateway/src/main/java/org/shallothold/gateway/request/Dispatcher.java
+++ b/gateway/src/main/java/org/shallothold/gateway/request/Dispatcher.java
@@ -29,6 +29,12 @@
    */
   private static final long SUSPECT_SILENCE_MILLIS = 2_500;
 
+  /** Leaves room for a submission's other fields below the connection's bound of 8 MiB. */
+  private static final long MAX_SUBMIT_BYTES = 7 * 1024 * 1024;
+
+  private static final int MOST_BYTES_PER_CHARACTER = 3;
+  private static final int TOKEN_OVERHEAD_BYTES = 5;
+
   /** Expected tokens of a call that generates none, for comparing servers by outstanding work. */
   private static final long CALL_WEIGHT = 1;
 
@@ -92,6 +98,7 @@
     request.lastReason(reason);
     leave(request);
     if (isRepeatable(request)
+        && fitsOneFrame(request)
         && choose(request).isPresent()
         && budget.tryWithdraw(clock.getAsLong())) {
       route(request, reason.code());
@@ -108,7 +115,10 @@
     boolean better =
         candidates(request).stream()
             .anyMatch(state -> state != request.server() && state.waiting() == 0);
-    if (isRepeatable(request) && better && budget.tryWithdraw(clock.getAsLong())) {
+    if (isRepeatable(request)
+        && better
+        && fitsOneFrame(request)
+        && budget.tryWithdraw(clock.getAsLong())) {
       finisher.cancel(request);
       request.lastReason(ReasonCode.BACKEND_FAILED);
       leave(request);
@@ -121,11 +131,29 @@
     ServerState server = request.server();
     request.detach();
     if (server != null) {
+      if (request.hasTokensHere()) {
+        // The answer went on since, so a server that failed earlier is worth another try.
+        request.excluded().clear();
+      }
       request.excluded().add(server.id());
       servers.closeIfDone(server);
     }
   }
 
+  /**
+   * Returns whether a request and its tokens so far can be sent; a longer frame would be cut off.
+   */
+  private static boolean fitsOneFrame(ActiveRequest request) {
+    if (!(request.call() instanceof Call.Completion completion)) {
+      return true;
+    }
+    long bytes = completion.body().size();
+    for (String token : request.assembler().tokens()) {
+      bytes += (long) token.length() * MOST_BYTES_PER_CHARACTER + TOKEN_OVERHEAD_BYTES;
+    }
+    return bytes <= MAX_SUBMIT_BYTES;
+  }
+
   static boolean isRepeatable(ActiveRequest request) {
     return !request.call().namesTicket();
   }
@@ -152,8 +180,7 @@
           open(request, serviceClass)
               .filter(state -> state.server().models().contains(completion.model()))
               .toList();
-      case Call.Service service when service.order() && !service.ticket().isEmpty() ->
-          named(request, service.ticket());
+      case Call.Service service when service.namesTicket() -> named(request, service.ticket());
       case Call.Service service -> offering(request, serviceClass, service.service());
       case Call.NewTicket wish -> offering(request, serviceClass, wish.service());
       case Call.TicketLookup lookup -> named(request, lookup.ticket());
@@ -230,7 +257,7 @@
                               .setBody(completion.body())
                               .addAllResumeTokens(request.assembler().tokens())))
               .build();
-      case Call.Service service when service.order() && service.ticket().isEmpty() ->
+      case Call.Service service when service.isTicketWish() ->
           envelope.setTicketRequest(ticketRequest(callNumber, service.service())).build();
       case Call.Service service ->
           envelope
--- a/gateway/src/main/java/org/shallothold/gateway/request/RequestRouter.java
+++ b/gateway/src/main/java/org/shallothold/gateway/request/RequestRouter.java
@@ -1,6 +1,7 @@
 package org.shallothold.gateway.request;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.lang.System.Logger;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -29,6 +30,7 @@
  */
 public final class RequestRouter {
 
+  private static final Logger LOGGER = System.getLogger(RequestRouter.class.getName());
   private static final int KEPT_PREFIXES = 16_384;
 
   private final LongSupplier clock;
@@ -157,7 +159,12 @@
       }
     }
     dispatcher.requestArrived();
-    dispatcher.route(active, "first");
+    try {
+      dispatcher.route(active, "first");
+    } catch (RuntimeException e) {
+      LOGGER.log(Logger.Level.ERROR, "routing request " + request.requestId() + " failed", e);
+      finisher.fail(active, ReasonCode.INTERNAL, "internal error");
+    }
   }
 
   private void refuse(
--- a/gateway/src/main/java/org/shallothold/gateway/request/ServerState.java
+++ b/gateway/src/main/java/org/shallothold/gateway/request/ServerState.java
@@ -15,7 +15,11 @@
  */
 final class ServerState {
 
-  private static final double INTERVAL_SMOOTHING = 0.1;
+  /** Weight of the latest report; reports come once a second, so a straggler shows in seconds. */
+  private static final double INTERVAL_SMOOTHING = 0.3;
+
+  /** A speed measured longer ago says nothing, and the server is tried like one without a speed. */
+  private static final long INTERVAL_KEPT_MILLIS = 15_000;
 
   private final LinkKey key;
   private final Map<Long, ActiveRequest> requests = new HashMap<>();
@@ -30,6 +34,7 @@
   private LoadReport report = LoadReport.getDefaultInstance();
   private long outstandingTokens;
   private double intervalMicros;
+  private long measuredMillis;
 
   ServerState(LinkKey key, BackendServer server) {
     this.key = key;
@@ -120,7 +125,7 @@
     report = latest;
     reportMillis = now;
     if (latest.getTokenIntervalMicros() > 0) {
-      measured(latest.getTokenIntervalMicros());
+      measured(latest.getTokenIntervalMicros(), now);
     }
   }
 
@@ -132,15 +137,18 @@
     return report.getWaitingByTierList().stream().mapToInt(Integer::intValue).sum();
   }
 
-  void measured(long micros) {
+  private void measured(long micros, long now) {
+    intervalMicros = intervalMicros(now);
+    measuredMillis = now;
     intervalMicros =
         intervalMicros == 0
             ? micros
             : intervalMicros + INTERVAL_SMOOTHING * (micros - intervalMicros);
   }
 
-  double intervalMicros() {
-    return intervalMicros;
+  /** Returns the smoothed time between tokens, in microseconds; 0 if it isn't known now. */
+  double intervalMicros(long now) {
+    return now - measuredMillis > INTERVAL_KEPT_MILLIS ? 0 : intervalMicros;
   }
 
   void add(ActiveRequest request, long tokens) {
@@ -172,7 +180,7 @@
         now - reportMillis,
         report.getEngineRunning(),
         server.maxRunning(),
-        (long) intervalMicros,
+        (long) intervalMicros(now),
         prefixCached);
   }
 }
--- a/gateway/src/main/java/org/shallothold/gateway/request/StatusDocument.java
+++ b/gateway/src/main/java/org/shallothold/gateway/request/StatusDocument.java
@@ -34,7 +34,7 @@
     node.put("requests_here", state.requests().size());
     node.put("running", state.report().getRunning());
     node.put("waiting", state.waiting());
-    node.put("token_interval_us", (long) state.intervalMicros());
+    node.put("token_interval_us", (long) state.intervalMicros(now));
     node.put("silent_ms", state.isConnected() ? state.silenceMillis(now) : -1);
   }
 }
--- a/gateway/src/main/java/org/shallothold/gateway/request/Watchdog.java
+++ b/gateway/src/main/java/org/shallothold/gateway/request/Watchdog.java
@@ -65,7 +65,7 @@
   }
 
   private static long nextDue(ActiveRequest request) {
-    return request.call() instanceof Call.Completion
+    return request.call() instanceof Call.Completion || request.call().isTicketWish()
         ? Math.min(request.deadlineMillis(), request.progressMillis() + stallMillis(request))
         : request.deadlineMillis();
   }
--- a/gateway/src/test/java/org/shallothold/gateway/CompletionContractTest.java
+++ b/gateway/src/test/java/org/shallothold/gateway/CompletionContractTest.java
@@ -4,7 +4,12 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.AfterEach;
@@ -249,4 +254,50 @@
         "queue_full",
         SeenAnswer.of(fixture.join(fixture.complete(false, "Shallothold-Class", "batch"))).code());
   }
+
+  @Test
+  void callerWhoDoesNotReadIsCancelled() throws IOException {
+    FakeSidecar engine = fixture.engine("engine-1");
+    fixture.start();
+    fixture.script(
+        arrival -> {
+          arrival.started();
+          // Each character takes six bytes in JSON, so these outgrow all buffers of the system.
+          for (int offset = 0; offset < 1_900_000; offset += 10_000) {
+            arrival.tokens(offset, "\u0001".repeat(10_000));
+          }
+        });
+    try (Socket socket = new Socket()) {
+      socket.setReceiveBufferSize(4_096);
+      socket.connect(
+          new InetSocketAddress(InetAddress.getLoopbackAddress(), fixture.gateway().httpPort()));
+      String body =
+          "{\"model\":\"m\",\"stream\":true,\"messages\":[{\"role\":\"user\",\"content\":\"q\"}]}";
+      socket
+          .getOutputStream()
+          .write(
+              ("POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer "
+                      + GatewayFixture.KEY
+                      + "\r\nContent-Length: "
+                      + body.length()
+                      + "\r\n\r\n"
+                      + body)
+                  .getBytes(StandardCharsets.UTF_8));
+      GatewayFixture.await("cancelled", () -> engine.count(Envelope.MessageCase.CANCEL) == 1);
+      assertEquals(1, fixture.metric("refusals_total", "cancelled", "may_have_run"));
+    }
+  }
+
+  @Test
+  void customerOverItsLimitIsToldWhenToComeBack() {
+    fixture.requestsPerSecond = 0.01;
+    fixture.engine("engine-1");
+    fixture.start();
+    HttpResponse<String> response = fixture.join(fixture.complete(false));
+    assertEquals(
+        new SeenAnswer(429, "", false, "customer_limit", "not_run"), SeenAnswer.of(response));
+    long retryAfter = response.headers().firstValueAsLong("Retry-After").orElse(0);
+    assertTrue(retryAfter > 1 && retryAfter <= 100, "retry after " + retryAfter);
+    assertEquals(0, fixture.arrivals.size());
+  }
 }
--- a/gateway/src/test/java/org/shallothold/gateway/GatewayFixture.java
+++ b/gateway/src/test/java/org/shallothold/gateway/GatewayFixture.java
@@ -60,6 +60,7 @@
   private final Map<String, String> settings = new LinkedHashMap<>();
   // Questions differ, so that no server is preferred for a cached prefix.
   private final AtomicLong questions = new AtomicLong();
+  double requestsPerSecond = 100_000;
   private long version;
   private @org.jspecify.annotations.Nullable Gateway gateway;
 
@@ -205,7 +206,8 @@
                     "secret", new ServiceClass("secret", 1, 200, 40, ANSWER_MILLIS, ids)),
                 Map.of(
                     "miller",
-                    new Customer("miller", sha256(KEY), List.of("chat", "batch"), 100_000)),
+                    new Customer(
+                        "miller", sha256(KEY), List.of("chat", "batch"), requestsPerSecond)),
                 changed,
                 Map.of(
                     "stock",
