--- a/gateway/src/main/java/org/shallothold/gateway/Gateway.java
+++ b/gateway/src/main/java/org/shallothold/gateway/Gateway.java
@@ -170,11 +170,11 @@
   /**
    * Leaves: reports itself as not ready, serves on for the grace period, then refuses new requests
    * and returns once those in flight are done or the limit has passed.
+   *
+   * @return whether no request was cut
    */
-  public void drain() {
-    if (!leaving.compareAndSet(false, true)) {
-      return;
-    }
+  public boolean drain() {
+    leaving.set(true);
     audit.record("gateway_leaving", Map.of("grace_ms", Long.toString(settings.graceMillis())));
     sleep(settings.graceMillis());
     http.refuseNew();
@@ -182,7 +182,9 @@
     while (http.openRequests() > 0 && System.nanoTime() < end) {
       sleep(DRAIN_POLL_MILLIS);
     }
-    audit.record("gateway_left", Map.of("requests_cut", Integer.toString(http.openRequests())));
+    int cut = http.openRequests();
+    audit.record("gateway_left", Map.of("requests_cut", Integer.toString(cut)));
+    return cut == 0;
   }
 
   @Override
--- a/gateway/src/main/java/org/shallothold/gateway/GatewayMain.java
+++ b/gateway/src/main/java/org/shallothold/gateway/GatewayMain.java
@@ -9,6 +9,7 @@
 public final class GatewayMain {
 
   private static final int CANNOT_START = 1;
+  private static final int REQUESTS_CUT = 1;
 
   private GatewayMain() {}
 
@@ -28,8 +29,11 @@
     }
   }
 
+  /** Runs on SIGTERM; sets the exit code that SIGTERM would not give. */
   private static void leave(Gateway gateway) {
-    gateway.drain();
+    int code = gateway.drain() ? SettingsCommandLine.EXIT_SUCCESS : REQUESTS_CUT;
     gateway.close();
+    System.out.flush();
+    Runtime.getRuntime().halt(code);
   }
 }
--- a/gateway/src/main/java/org/shallothold/gateway/request/Finisher.java
+++ b/gateway/src/main/java/org/shallothold/gateway/request/Finisher.java
@@ -17,8 +17,8 @@
 final class Finisher {
 
   /**
-   * How long a request that was given up waits for its sidecar's word on whether it ran. Some ten
-   * round trips between failure domains: an accurate "not run" is worth that to the caller.
+   * How long a request that was given up waits for its sidecar's word on whether it ran. Some tens
+   * of round trips between failure domains: an accurate "not run" is worth that to the caller.
    */
   private static final long VERDICT_WAIT_MILLIS = 100;
 
--- a/gateway/src/main/java/org/shallothold/gateway/request/RequestJournal.java
+++ b/gateway/src/main/java/org/shallothold/gateway/request/RequestJournal.java
@@ -23,15 +23,22 @@
 
   private record Event(long offsetMillis, String what, String server, String detail) {}
 
+  /** Holds names only: bodies of thousands of finished requests would fill the memory. */
   private static final class Entry {
-    private final CallerRequest request;
+    private final String requestId;
+    private final String serviceClass;
+    private final int tier;
+    private final String customer;
     private final long arrivedMillis;
     private final long arrivedEpochMillis;
     private final List<Event> events = new ArrayList<>();
     private String outcome = "in_flight";
 
     private Entry(CallerRequest request, long arrivedMillis, long arrivedEpochMillis) {
-      this.request = request;
+      this.requestId = request.requestId();
+      this.serviceClass = request.serviceClass().name();
+      this.tier = request.serviceClass().tier();
+      this.customer = request.customer();
       this.arrivedMillis = arrivedMillis;
       this.arrivedEpochMillis = arrivedEpochMillis;
     }
@@ -71,10 +78,10 @@
 
   private static ObjectNode toJson(Entry entry) {
     ObjectNode node = JsonNodeFactory.instance.objectNode();
-    node.put("request_id", entry.request.requestId());
-    node.put("class", entry.request.serviceClass().name());
-    node.put("tier", entry.request.serviceClass().tier());
-    node.put("customer", entry.request.customer());
+    node.put("request_id", entry.requestId);
+    node.put("class", entry.serviceClass);
+    node.put("tier", entry.tier);
+    node.put("customer", entry.customer);
     node.put("arrived", java.time.Instant.ofEpochMilli(entry.arrivedEpochMillis).toString());
     node.put("outcome", entry.outcome);
     ArrayNode events = node.putArray("events");
--- a/gateway/src/test/java/org/shallothold/gateway/FleetChangeTest.java
+++ b/gateway/src/test/java/org/shallothold/gateway/FleetChangeTest.java
@@ -120,6 +120,13 @@
     arrival.finished(FinishKind.FINISH_KIND_COMPLETE, 6);
     assertEquals(Play.ANSWER, SeenAnswer.of(fixture.join(answer)).text());
     assertEquals(0, one.count(Envelope.MessageCase.CANCEL));
+    // A cut stream would have been resumed elsewhere under another attempt.
+    assertEquals(
+        1,
+        fixture.arrivals.stream()
+            .filter(
+                other -> other.attempt().getRequestNumber() == arrival.attempt().getRequestNumber())
+            .count());
     if (news.equals("removed") || news.equals("address")) {
       GatewayFixture.await("the idle connection closes", one.connections::isEmpty);
     }
