--- a/standin/src/test/java/org/shallothold/standin/StandinClient.java
+++ b/standin/src/test/java/org/shallothold/standin/StandinClient.java
@@ -13,6 +13,7 @@
 import java.net.http.HttpResponse.BodyHandlers;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import java.util.function.Predicate;
 import java.util.stream.Stream;
@@ -28,6 +29,9 @@
   private static final ObjectMapper MAPPER = new ObjectMapper();
   private static final int POLL_MILLIS = 5;
 
+  /** Ends a wait for an answer that never comes, since join() ignores the test's timeout. */
+  private static final int ANSWER_TIMEOUT_SECONDS = 30;
+
   private final HttpClient http = HttpClient.newHttpClient();
   private final LoopbackServer server;
 
@@ -89,6 +93,7 @@
   /** Sends a POST request; returns the data of its server-sent events as they arrive. */
   public Stream<String> events(String path, String body) {
     return http.sendAsync(method("POST", path, body), BodyHandlers.ofLines())
+        .orTimeout(ANSWER_TIMEOUT_SECONDS, TimeUnit.SECONDS)
         .join()
         .body()
         .filter(line -> !line.isEmpty())
@@ -129,7 +134,9 @@
   private CompletableFuture<Answer> send(HttpRequest request) {
     Function<HttpResponse<String>, Answer> toAnswer =
         response -> new Answer(response.statusCode(), json(response.body()));
-    return http.sendAsync(request, BodyHandlers.ofString()).thenApply(toAnswer);
+    return http.sendAsync(request, BodyHandlers.ofString())
+        .orTimeout(ANSWER_TIMEOUT_SECONDS, TimeUnit.SECONDS)
+        .thenApply(toAnswer);
   }
 
   private HttpRequest method(String method, String path, String body, String... headers) {
