Put the public methods of two stand-ins before their internals

applyFault stood among private methods; the house style asks for the public API first. No change of behaviour.

--- a/standin/src/main/java/org/shallothold/standin/platform/PlatformStandin.java
+++ b/standin/src/main/java/org/shallothold/standin/platform/PlatformStandin.java
@@ -80,6 +80,26 @@
     }
   }
 
+  @Override
+  public void applyFault(String name, JsonNode value) {
+    switch (name) {
+      case "down" -> faults.put(name, FaultValues.flag(name, value));
+      case "stale_at" -> {
+        OptionalLong position = FaultValues.number(name, value);
+        position.ifPresentOrElse(entries::staleAt, entries::clearStale);
+        setNumber(name, position);
+      }
+      case "rolled_back_to" -> {
+        OptionalLong position = FaultValues.number(name, value);
+        position.ifPresentOrElse(entries::rollBackTo, entries::clearRollback);
+        setNumber(name, position);
+      }
+      case "members_lag_ms" -> setNumber(name, FaultValues.number(name, value));
+      default -> throw FaultValues.unknown(name, FAULTS);
+    }
+    answerWatches();
+  }
+
   @Override
   public ObjectNode faults() {
     return faults;
@@ -169,26 +189,6 @@
     }
   }
 
-  @Override
-  public void applyFault(String name, JsonNode value) {
-    switch (name) {
-      case "down" -> faults.put(name, FaultValues.flag(name, value));
-      case "stale_at" -> {
-        OptionalLong position = FaultValues.number(name, value);
-        position.ifPresentOrElse(entries::staleAt, entries::clearStale);
-        setNumber(name, position);
-      }
-      case "rolled_back_to" -> {
-        OptionalLong position = FaultValues.number(name, value);
-        position.ifPresentOrElse(entries::rollBackTo, entries::clearRollback);
-        setNumber(name, position);
-      }
-      case "members_lag_ms" -> setNumber(name, FaultValues.number(name, value));
-      default -> throw FaultValues.unknown(name, FAULTS);
-    }
-    answerWatches();
-  }
-
   private void setNumber(String name, OptionalLong value) {
     value.ifPresentOrElse(number -> faults.put(name, number), () -> faults.remove(name));
   }
--- a/standin/src/main/java/org/shallothold/standin/service/ServiceStandin.java
+++ b/standin/src/main/java/org/shallothold/standin/service/ServiceStandin.java
@@ -74,6 +74,21 @@
     }
   }
 
+  @Override
+  public void applyFault(String name, JsonNode value) {
+    switch (name) {
+      case "delay_ms" ->
+          FaultValues.number(name, value)
+              .ifPresentOrElse(millis -> faults.put(name, millis), () -> faults.remove(name));
+      case "crash_before_acting", "crash_after_acting" ->
+          faults.put(name, FaultValues.flag(name, value));
+      case "freeze_ms" ->
+          FaultValues.number(name, value)
+              .ifPresent(millis -> loop.freeze(Duration.ofMillis(millis)));
+      default -> throw FaultValues.unknown(name, FAULTS);
+    }
+  }
+
   @Override
   public ObjectNode faults() {
     return faults;
@@ -105,21 +120,6 @@
     exchange.respond(200, Json.object().put("key", key).put("count", count));
   }
 
-  @Override
-  public void applyFault(String name, JsonNode value) {
-    switch (name) {
-      case "delay_ms" ->
-          FaultValues.number(name, value)
-              .ifPresentOrElse(millis -> faults.put(name, millis), () -> faults.remove(name));
-      case "crash_before_acting", "crash_after_acting" ->
-          faults.put(name, FaultValues.flag(name, value));
-      case "freeze_ms" ->
-          FaultValues.number(name, value)
-              .ifPresent(millis -> loop.freeze(Duration.ofMillis(millis)));
-      default -> throw FaultValues.unknown(name, FAULTS);
-    }
-  }
-
   private static boolean isUnder(String path, String parent) {
     return path.equals(parent) || path.startsWith(parent + "/");
   }
