--- a/core/src/main/java/org/shallothold/core/config/ConfigurationEntry.java
+++ b/core/src/main/java/org/shallothold/core/config/ConfigurationEntry.java
@@ -65,6 +65,11 @@
     return body.clone();
   }
 
+  /** Returns the number of bytes as published. */
+  public int bodyLength() {
+    return body.length;
+  }
+
   /** Returns what the bytes hold. */
   public Content content() {
     return content;
--- a/core/src/test/java/org/shallothold/core/config/ConfigurationHistoryTest.java
+++ b/core/src/test/java/org/shallothold/core/config/ConfigurationHistoryTest.java
@@ -231,6 +231,19 @@
           ConfigurationHistory.KEPT_ENTRIES, history.entriesAfter(10).orElseThrow().size());
     }
 
+    @Test
+    void largeEntriesAreKeptOnlyUpToABound() {
+      ConfigurationHistory history = ConfigurationHistory.create();
+      byte[] body = new byte[ConfigurationHistory.KEPT_BYTES / 4];
+      for (int position = 1; position <= 10; position++) {
+        history.apply(
+            ConfigurationEntry.of(
+                position, "patch", body, new ConfigurationEntry.Content.Malformed("zeros")));
+      }
+      assertEquals(Optional.empty(), history.entriesAfter(5));
+      assertEquals(4, history.entriesAfter(6).orElseThrow().size());
+    }
+
     @Test
     void versionAtAPositionIsUnknownBeforeASnapshotStart() {
       ConfigurationHistory history = historyOf(snapshot(3, AT_TWO, 2));
