--- a/gateway/src/main/java/org/shallothold/gateway/http/HttpResponder.java
+++ b/gateway/src/main/java/org/shallothold/gateway/http/HttpResponder.java
@@ -26,6 +26,7 @@
   private final Channel channel;
   private final ChannelFutureListener closeListener;
   private @Nullable EventStream stream;
+  private volatile boolean ended;
 
   private HttpResponder(
       CallerRequest request,
@@ -57,9 +58,15 @@
     return new HttpResponder(request, json, downstream, channel, listener);
   }
 
-  /** Starts to watch the caller's connection; called once the request was taken. */
+  /**
+   * Starts to watch the caller's connection. Called after the request was handed over, so that the
+   * news of a closed connection never overtakes the request; the answer may be complete already.
+   */
   void watchConnection() {
     channel.closeFuture().addListener(closeListener);
+    if (ended) {
+      unwatch();
+    }
   }
 
   @Override
@@ -135,6 +142,7 @@
   }
 
   private void unwatch() {
+    ended = true;
     channel.closeFuture().removeListener(closeListener);
   }
 
--- a/gateway/src/main/java/org/shallothold/gateway/http/RequestHandler.java
+++ b/gateway/src/main/java/org/shallothold/gateway/http/RequestHandler.java
@@ -1,17 +1,11 @@
 package org.shallothold.gateway.http;
 
-import com.fasterxml.jackson.databind.node.ArrayNode;
-import com.fasterxml.jackson.databind.node.JsonNodeFactory;
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.netty.channel.Channel;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.lang.System.Logger;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Locale;
 import java.util.Map;
-import java.util.Set;
-import java.util.TreeSet;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BooleanSupplier;
@@ -20,6 +14,7 @@
 import org.shallothold.core.config.Configuration;
 import org.shallothold.core.config.Customer;
 import org.shallothold.core.config.ServiceClass;
+import org.shallothold.core.order.OrderTicket;
 import org.shallothold.core.verdict.ReasonCode;
 import org.shallothold.core.verdict.ShallotholdException;
 import org.shallothold.core.verdict.Verdict;
@@ -49,17 +44,6 @@
   private static final String COMPLETIONS = "/v1/chat/completions";
   private static final String TICKETS = "/v1/order-tickets";
 
-  private static final Set<String> HOP_BY_HOP =
-      Set.of(
-          "connection",
-          "content-length",
-          "keep-alive",
-          "proxy-authenticate",
-          "te",
-          "trailer",
-          "transfer-encoding",
-          "upgrade");
-
   private final int maxBodyBytes;
   private final String requestIdPrefix;
   private final Supplier<Configuration> configuration;
@@ -99,12 +83,12 @@
     String path = uri.contains("?") ? uri.substring(0, uri.indexOf('?')) : uri;
     String method = context.getRequest().getMethod().getName().toUpperCase(Locale.ROOT);
     switch (method + " " + path) {
-      case "GET /health/live" -> text(context, 200, "live");
+      case "GET /health/live" -> ReplyWriter.text(context, 200, "live");
       case "GET /health/ready" -> {
         boolean isReady = ready.getAsBoolean();
-        text(context, isReady ? 200 : 503, isReady ? "ready" : "not ready");
+        ReplyWriter.text(context, isReady ? 200 : 503, isReady ? "ready" : "not ready");
       }
-      case "GET /metrics" -> text(context, 200, metrics.text());
+      case "GET /metrics" -> ReplyWriter.text(context, 200, metrics.text());
       default -> callerRequest(context, number, method, path, uri);
     }
   }
@@ -123,7 +107,7 @@
       return;
     }
     LOGGER.log(Logger.Level.ERROR, "a request failed inside the gateway", error);
-    send(
+    ReplyWriter.send(
         context,
         HttpErrors.reply(
             Failure.of(
@@ -139,7 +123,8 @@
           case 404 -> ReasonCode.NOT_FOUND;
           default -> ReasonCode.MALFORMED_REQUEST;
         };
-    send(context, HttpErrors.reply(Failure.notRun(reason, "the request can't be taken")));
+    ReplyWriter.send(
+        context, HttpErrors.reply(Failure.notRun(reason, "the request can't be taken")));
   }
 
   private void callerRequest(Context context, long number, String method, String path, String uri) {
@@ -154,7 +139,7 @@
       RequestReader reader = reader(current, headers);
       boolean isService = path.startsWith(ServicePath.PREFIX);
       if (method.equals("GET") && path.equals("/v1/models")) {
-        send(context, models(reader));
+        ReplyWriter.send(context, ModelList.of(reader));
         return;
       }
       boolean known =
@@ -170,7 +155,7 @@
       // Checked ahead of reading, so that none of a body that is too large is held.
       if (context.getRequest().getContentLength() > maxBodyBytes) {
         context.getResponse().forceCloseConnection();
-        send(context, bodyTooLarge(current, context));
+        ReplyWriter.send(context, bodyTooLarge(current, context));
         return;
       }
       context.getRequest().setIdleTimeout(Duration.ofMillis(deadlineMillis).plus(IDLE_MARGIN));
@@ -179,7 +164,7 @@
           .getBody(maxBodyBytes)
           .onError(
               RequestBodyTooLargeException.class,
-              error -> send(context, bodyTooLarge(current, context)))
+              error -> ReplyWriter.send(context, bodyTooLarge(current, context)))
           .map(body -> body.getBytes())
           .flatMap(
               body ->
@@ -190,9 +175,10 @@
                       serviceClass,
                       deadlineMillis,
                       () -> call(reader, serviceClass, method, path, servicePath, body)))
-          .then(reply -> send(context, reply));
+          .then(reply -> ReplyWriter.send(context, reply));
     } catch (ShallotholdException e) {
-      send(context, refusal(current, context, e.reason(), String.valueOf(e.getMessage())));
+      ReplyWriter.send(
+          context, refusal(current, context, e.reason(), String.valueOf(e.getMessage())));
     }
   }
 
@@ -241,7 +227,7 @@
     }
     // Some clients escape the tilde.
     String ticket = path.substring(TICKETS.length() + 1).replaceAll("(?i)%7e", "~");
-    if (org.shallothold.gateway.request.TicketText.serverId(ticket).isEmpty()) {
+    if (OrderTicket.parse(ticket).isEmpty()) {
       throw ShallotholdException.of(
           ReasonCode.ORDER_TICKET_INVALID, "the path names no order ticket");
     }
@@ -280,8 +266,9 @@
             downstream,
             channel,
             () -> sink.put(new GatewayEvent.CallerGone(request.number())));
-    responder.watchConnection();
-    if (!sink.offer(new GatewayEvent.Arrived(request, responder))) {
+    if (sink.offer(new GatewayEvent.Arrived(request, responder))) {
+      responder.watchConnection();
+    } else {
       Verdict verdict =
           request.call().namesTicket()
               ? Verdict.mayHaveRun(ReasonCode.QUEUE_FULL)
@@ -323,7 +310,7 @@
     String ticket = context.getRequest().getHeaders().get(RequestReader.TICKET_HEADER);
     if (!uri.startsWith(ServicePath.PREFIX)
         || ticket == null
-        || org.shallothold.gateway.request.TicketText.serverId(ticket.trim()).isEmpty()) {
+        || OrderTicket.parse(ticket.trim()).isEmpty()) {
       return false;
     }
     try {
@@ -341,58 +328,4 @@
   private static boolean isTicketPath(String path) {
     return path.startsWith(TICKETS + "/") && path.length() > TICKETS.length() + 1;
   }
-
-  private static Reply models(RequestReader reader) {
-    Set<String> names = new TreeSet<>();
-    reader.customer().classes().stream()
-        .flatMap(name -> reader.configuration().serviceClass(name).stream())
-        .flatMap(item -> item.servers().stream())
-        .flatMap(id -> reader.configuration().server(id).stream())
-        .forEach(server -> names.addAll(server.models()));
-    ObjectNode node = JsonNodeFactory.instance.objectNode();
-    node.put("object", "list");
-    ArrayNode data = node.putArray("data");
-    names.forEach(
-        name ->
-            data.addObject()
-                .put("id", name)
-                .put("object", "model")
-                .put("created", 0)
-                .put("owned_by", "shallothold"));
-    return new Reply.Whole(
-        200, "application/json", Map.of(), node.toString().getBytes(StandardCharsets.UTF_8));
-  }
-
-  private static void text(Context context, int status, String text) {
-    context.getResponse().status(status).send("text/plain; charset=utf-8", text);
-  }
-
-  private static void send(Context context, Reply reply) {
-    var response = context.getResponse();
-    switch (reply) {
-      case Reply.Whole(
-              int status,
-              String contentType,
-              Map<String, String> headers,
-              byte[] body) -> {
-        headers.forEach((name, value) -> response.getHeaders().set(name, value));
-        response.status(status).send(contentType, body);
-      }
-      case Reply.Passed(var answer) -> {
-        answer.getHeadersList().stream()
-            .filter(header -> isPassedBack(header.getName().toLowerCase(Locale.ROOT)))
-            .forEach(header -> response.getHeaders().add(header.getName(), header.getValue()));
-        response.status(answer.getStatus()).send(answer.getBody().toByteArray());
-      }
-      case Reply.Stream(EventStream events) -> {
-        response.getHeaders().set("Content-Type", "text/event-stream");
-        response.getHeaders().set("Cache-Control", "no-cache");
-        response.sendStream(events);
-      }
-    }
-  }
-
-  private static boolean isPassedBack(String name) {
-    return !HOP_BY_HOP.contains(name) && !name.startsWith("shallothold-");
-  }
 }
--- a/gateway/src/main/java/org/shallothold/gateway/http/RequestReader.java
+++ b/gateway/src/main/java/org/shallothold/gateway/http/RequestReader.java
@@ -10,10 +10,10 @@
 import org.shallothold.core.config.Configuration;
 import org.shallothold.core.config.Customer;
 import org.shallothold.core.config.ServiceClass;
+import org.shallothold.core.order.OrderTicket;
 import org.shallothold.core.verdict.ReasonCode;
 import org.shallothold.core.verdict.ShallotholdException;
 import org.shallothold.gateway.request.Call;
-import org.shallothold.gateway.request.TicketText;
 import org.shallothold.wire.proto.Header;
 
 /**
@@ -103,7 +103,7 @@
         configuration.service(path.service()).orElseThrow().isOrder(method, path.path());
     String key = headers.get(TICKET_HEADER);
     String ticket = key == null ? "" : key.trim();
-    if (order && !ticket.isEmpty() && TicketText.serverId(ticket).isEmpty()) {
+    if (order && !ticket.isEmpty() && OrderTicket.parse(ticket).isEmpty()) {
       throw ShallotholdException.of(
           ReasonCode.ORDER_TICKET_INVALID, TICKET_HEADER + " is not an order ticket");
     }
--- a/gateway/src/main/java/org/shallothold/gateway/request/Dispatcher.java
+++ b/gateway/src/main/java/org/shallothold/gateway/request/Dispatcher.java
@@ -5,6 +5,7 @@
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
 import org.shallothold.core.config.BackendServer;
+import org.shallothold.core.order.OrderTicket;
 import org.shallothold.core.retry.RetryBudget;
 import org.shallothold.core.routing.PrefixMemory;
 import org.shallothold.core.routing.ServerSelector;
@@ -203,8 +204,8 @@
 
   /** The server that a ticket names, leaving or not: no other one may be asked. */
   private List<ServerState> named(ActiveRequest request, String ticket) {
-    return TicketText.serverId(ticket)
-        .flatMap(id -> Optional.ofNullable(servers.current(id)))
+    return OrderTicket.parse(ticket)
+        .flatMap(named -> Optional.ofNullable(servers.current(named.serverId())))
         .filter(state -> state.isConnected() && !request.excluded().contains(state.id()))
         .map(List::of)
         .orElse(List.of());
--- a/gateway/src/test/java/org/shallothold/gateway/CompletionContractTest.java
+++ b/gateway/src/test/java/org/shallothold/gateway/CompletionContractTest.java
@@ -224,7 +224,7 @@
     GatewayFixture.await("arrived", () -> fixture.arrivals.size() == 1);
     fixture.client.shutdownNow();
     GatewayFixture.await("cancelled", () -> engine.count(Envelope.MessageCase.CANCEL) == 1);
-    assertTrue(answer.isCompletedExceptionally());
+    GatewayFixture.await("the caller's own client notices", answer::isCompletedExceptionally);
     assertFalse(fixture.arrivals.size() > 1);
   }
 
