--- a/sidecar/src/main/java/org/shallothold/sidecar/SidecarProcess.java
+++ b/sidecar/src/main/java/org/shallothold/sidecar/SidecarProcess.java
@@ -174,6 +174,11 @@
     duty.put(new SidecarEvent.LeavingLearnt(LeavingSource.SIGNAL));
   }
 
+  /** Returns whether the sidecar has left. */
+  public boolean isDone() {
+    return done.getCount() == 0;
+  }
+
   /** Waits until the sidecar has left. */
   public void awaitDone() throws InterruptedException {
     done.await();
--- a/sidecar/src/test/java/org/shallothold/sidecar/FakeBackend.java
+++ b/sidecar/src/test/java/org/shallothold/sidecar/FakeBackend.java
@@ -35,7 +35,6 @@
   final Map<String, Integer> calls = new ConcurrentHashMap<>();
   final AtomicInteger brokenWrites = new AtomicInteger();
   final AtomicLong highestFencingNumber = new AtomicLong();
-  volatile boolean checksFencing = true;
 
   private final HttpServer server;
   private volatile boolean open;
@@ -143,7 +142,7 @@
       JsonNode command = MAPPER.readTree(exchange.getRequestBody());
       commands.add(command);
       long number = command.path("fencing_number").asLong();
-      if (number < highestFencingNumber.get() && checksFencing) {
+      if (number < highestFencingNumber.get()) {
         status = 409;
       } else {
         highestFencingNumber.accumulateAndGet(number, Math::max);
--- a/sidecar/src/test/java/org/shallothold/sidecar/TestGateway.java
+++ b/sidecar/src/test/java/org/shallothold/sidecar/TestGateway.java
@@ -84,8 +84,7 @@
             .formatted(number, version, serviceClass, work));
   }
 
-  void complete(int number, String serviceClass, String script, String... resumeTokens) {
-    String resume = resumeTokens.length == 0 ? "" : "'" + String.join("', '", resumeTokens) + "'";
+  void complete(int number, String serviceClass, String script, String resumeTokens) {
     submit(
         number,
         serviceClass,
@@ -93,7 +92,7 @@
         customer: 'mill' completion { model: 'model' resume_tokens: [%s]
           body: '{"x":[1],"script":"%s"}' }
         """
-            .formatted(resume, script));
+            .formatted(resumeTokens, script));
   }
 
   void call(int number, String method, String path, String script, String ticket, String body) {
