Load the models again into an engine that was away

A restarted engine came up without the models that were loaded by command, and every request for them failed. The sidecar sends its commands again when the engine's load can be read after it could not.

--- a/sidecar/src/main/java/org/shallothold/sidecar/SidecarProcess.java
+++ b/sidecar/src/main/java/org/shallothold/sidecar/SidecarProcess.java
@@ -229,7 +229,8 @@
         EngineLoadReader.of(
             settings.backend().url(),
             client,
-            running -> duty.offer(new SidecarEvent.EngineLoad(running)));
+            running -> duty.offer(new SidecarEvent.EngineLoad(running)),
+            () -> commander.reload(models.get()));
     timer.scheduleWithFixedDelay(
         () -> {
           if (!models.get().isEmpty()) {
--- a/sidecar/src/main/java/org/shallothold/sidecar/backend/EngineCommander.java
+++ b/sidecar/src/main/java/org/shallothold/sidecar/backend/EngineCommander.java
@@ -34,9 +34,16 @@
   private final HttpClient client;
   private final FencingNumber number;
   private final LongConsumer onFenced;
-  private final BlockingQueue<List<String>> wanted = new LinkedBlockingQueue<>();
+  private final BlockingQueue<Wanted> wanted = new LinkedBlockingQueue<>();
   private final Thread thread;
 
+  /**
+   * Models that the engine should have.
+   *
+   * @param afresh whether the engine may have lost those that it had
+   */
+  private record Wanted(List<String> models, boolean afresh) {}
+
   private EngineCommander(
       URI base, HttpClient client, FencingNumber number, LongConsumer onFenced) {
     this.base = base;
@@ -63,7 +70,12 @@
 
   /** Sets the models that the engine should have; doesn't block. */
   public void load(List<String> models) {
-    wanted.add(models);
+    wanted.add(new Wanted(models, false));
+  }
+
+  /** Loads all models again into an engine that may have been restarted; doesn't block. */
+  public void reload(List<String> models) {
+    wanted.add(new Wanted(models, true));
   }
 
   @Override
@@ -74,19 +86,21 @@
   private void run() {
     Set<String> loaded = new LinkedHashSet<>();
     try {
-      List<String> models = wanted.take();
+      List<String> models = wanted.take().models();
       readHighestNumber();
       while (!Thread.currentThread().isInterrupted()) {
         if (!loadAll(models, loaded)) {
           return;
         }
         // A command that failed is sent again after a pause, unless the models change before.
-        List<String> newer =
+        Wanted newer =
             loaded.containsAll(models)
                 ? wanted.take()
                 : wanted.poll(RETRY_MILLIS, TimeUnit.MILLISECONDS);
-        models = newer == null ? models : newer;
-        loaded.retainAll(models);
+        if (newer != null) {
+          models = newer.models();
+          loaded.retainAll(newer.afresh() ? List.of() : models);
+        }
       }
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
--- a/sidecar/src/main/java/org/shallothold/sidecar/backend/EngineLoadReader.java
+++ b/sidecar/src/main/java/org/shallothold/sidecar/backend/EngineLoadReader.java
@@ -22,22 +22,26 @@
   private final URI url;
   private final HttpClient client;
   private final IntConsumer onLoad;
+  private final Runnable onReturn;
   private final AtomicBoolean reading = new AtomicBoolean();
   private final AtomicBoolean reachable = new AtomicBoolean(true);
 
-  private EngineLoadReader(URI url, HttpClient client, IntConsumer onLoad) {
+  private EngineLoadReader(URI url, HttpClient client, IntConsumer onLoad, Runnable onReturn) {
     this.url = url;
     this.client = client;
     this.onLoad = onLoad;
+    this.onReturn = onReturn;
   }
 
   /**
    * Returns a reader.
    *
    * @param onLoad gets the number of running requests, or -1 if it can't be read
+   * @param onReturn called when the engine can be read again after it could not
    */
-  public static EngineLoadReader of(URI base, HttpClient client, IntConsumer onLoad) {
-    return new EngineLoadReader(base.resolve("load"), client, onLoad);
+  public static EngineLoadReader of(
+      URI base, HttpClient client, IntConsumer onLoad, Runnable onReturn) {
+    return new EngineLoadReader(base.resolve("load"), client, onLoad, onReturn);
   }
 
   /** Reads once, unless the last read has not ended. */
@@ -62,6 +66,9 @@
       LOGGER.log(
           Logger.Level.WARNING,
           nowReachable ? "the engine can be read again" : "the engine can't be read");
+      if (nowReachable) {
+        onReturn.run();
+      }
     }
   }
 
--- a/sidecar/src/test/java/org/shallothold/sidecar/ContractScript.java
+++ b/sidecar/src/test/java/org/shallothold/sidecar/ContractScript.java
@@ -152,6 +152,9 @@
       case "cut" -> Eventually.equal(number(words), backend.brokenWrites::get);
       case "orders" -> assertEquals(number(words), backend.calls.getOrDefault(ticket, 0));
       case "commands" -> Eventually.equal(number(words), backend.commands::size);
+      case "load-status" -> backend.loadStatus = number(words);
+      case "engine" ->
+          gateway.await(item -> item.getLoadReport().getEngineRunning() == number(words));
       case "fence" -> backend.highestFencingNumber.addAndGet(number(words));
       default -> throw new IllegalArgumentException("unknown step: " + words);
     }
--- a/sidecar/src/test/java/org/shallothold/sidecar/FakeBackend.java
+++ b/sidecar/src/test/java/org/shallothold/sidecar/FakeBackend.java
@@ -36,6 +36,8 @@
   final AtomicInteger brokenWrites = new AtomicInteger();
   final AtomicLong highestFencingNumber = new AtomicLong();
 
+  volatile int loadStatus = 200;
+
   private final HttpServer server;
   private volatile boolean open;
 
@@ -45,7 +47,7 @@
     server.createContext("/v1/chat/completions", this::complete);
     server.createContext("/commands", this::command);
     server.createContext(
-        "/load", exchange -> FakePlatform.answer(exchange, 200, "{\"running\":7}"));
+        "/load", exchange -> FakePlatform.answer(exchange, loadStatus, "{\"running\":7}"));
     server.createContext("/", this::call);
     server.start();
   }
--- a/sidecar/src/test/java/org/shallothold/sidecar/SidecarContractTest.java
+++ b/sidecar/src/test/java/org/shallothold/sidecar/SidecarContractTest.java
@@ -57,6 +57,7 @@
           a choice under an old version counts as the gateway's fault | version 0; submit 1 none mill model; 1: NOT_RUN configuration_behind; submit 2 high mill none; 2: NOT_RUN configuration_behind
           work runs under a version that never arrives | version 9; submit 1 high mill model; 1: NOT_RUN configuration_behind; completions 0
           work under a version that arrives late is refused | version 2; complete 1 high to1 done; slots 5; 1: accepted, started, tokens 0-1, COMPLETE 1 stop
+          a restarted engine stays without its models | engine 7; commands 1; load-status 500; engine -1; load-status 200; commands 2
           a replaced sidecar takes work | one slot; commands 1; complete 1 high to1 wait to2 done; 1: accepted, started, tokens 0-1; complete 2 high to1 done; 2: accepted; fence 1000; load; 2: accepted, NOT_RUN fenced; complete 3 high to1 done; 3: NOT_RUN fenced; open; 1: accepted, started, tokens 0-2, COMPLETE 2 stop
           """)
   void completions(String guardsAgainst, String steps) {
