--- a/core/src/main/java/org/shallothold/core/config/ConfigurationHistory.java
+++ b/core/src/main/java/org/shallothold/core/config/ConfigurationHistory.java
@@ -1,7 +1,6 @@
 package org.shallothold.core.config;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -20,9 +19,13 @@
   /** Entries kept for peers that are behind; a peer further behind gets a snapshot. */
   public static final int KEPT_ENTRIES = 4096;
 
+  /** Bytes of bodies kept for peers, so that large patches don't fill a sidecar's small heap. */
+  public static final int KEPT_BYTES = 4 * 1024 * 1024;
+
   private final TreeMap<Long, ConfigurationEntry> entries = new TreeMap<>();
   private final TreeMap<Long, ConfigurationVersion> versions = new TreeMap<>();
   private final TreeMap<Long, ConfigurationVersion> versionsByPosition = new TreeMap<>();
+  private long keptBytes;
   private Configuration current = Configuration.EMPTY;
   private long lastPosition;
 
@@ -123,7 +126,8 @@
     if (contradicts(start.version())) {
       return new PatchOutcome.Contradiction(entry.position());
     }
-    List<String> problems = new ArrayList<>(ConfigurationValidator.problems(start));
+    List<String> problems =
+        new ArrayList<>(ConfigurationValidator.problems(Configuration.EMPTY, start));
     if (snapshot.position() < 1 || snapshot.position() > entry.position()) {
       problems.add("position is " + snapshot.position() + "; allowed are 1 to " + entry.position());
     }
@@ -136,6 +140,7 @@
       return new PatchOutcome.Invalid(problems);
     }
     entries.clear();
+    keptBytes = 0;
     versionsByPosition.clear();
     lastPosition = snapshot.position();
     current = start;
@@ -164,11 +169,12 @@
     if (patch.base() != current.version().number()) {
       return new PatchOutcome.Conflict(patch, current.version());
     }
-    List<String> problems = problems(current, patch);
+    Configuration merged = merge(current, patch);
+    List<String> problems = problems(current, patch, merged);
     if (!problems.isEmpty()) {
       return new PatchOutcome.Invalid(problems);
     }
-    current = merge(current, patch).withVersion(current.version().next(entry.body()));
+    current = merged.withVersion(current.version().next(entry.body()));
     record(lastPosition, current.version());
     return new PatchOutcome.Accepted(current, patch);
   }
@@ -178,6 +184,10 @@
    * would be accepted.
    */
   public static List<String> problems(Configuration base, Patch patch) {
+    return problems(base, patch, merge(base, patch));
+  }
+
+  private static List<String> problems(Configuration base, Patch patch, Configuration merged) {
     List<String> problems = new ArrayList<>();
     checkNames(
         "classes", base.classes(), patch.set().classes(), patch.remove().classes(), problems);
@@ -191,7 +201,7 @@
         "servers", base.servers(), patch.set().servers(), patch.remove().servers(), problems);
     checkNames(
         "services", base.services(), patch.set().services(), patch.remove().services(), problems);
-    problems.addAll(ConfigurationValidator.problems(merge(base, patch)));
+    problems.addAll(ConfigurationValidator.problems(base, merged));
     return problems;
   }
 
@@ -199,10 +209,10 @@
   public static Configuration merge(Configuration base, Patch patch) {
     return new Configuration(
         base.version(),
-        merge(base.classes(), patch.set().classes(), patch.remove().classes()),
-        merge(base.customers(), patch.set().customers(), patch.remove().customers()),
-        merge(base.servers(), patch.set().servers(), patch.remove().servers()),
-        merge(base.services(), patch.set().services(), patch.remove().services()));
+        ItemMap.patched(base.classes(), patch.set().classes(), patch.remove().classes()),
+        ItemMap.patched(base.customers(), patch.set().customers(), patch.remove().customers()),
+        ItemMap.patched(base.servers(), patch.set().servers(), patch.remove().servers()),
+        ItemMap.patched(base.services(), patch.set().services(), patch.remove().services()));
   }
 
   private static void checkNames(
@@ -220,14 +230,6 @@
     }
   }
 
-  private static <T> Map<String, T> merge(
-      Map<String, T> base, Map<String, T> set, List<String> remove) {
-    Map<String, T> result = new HashMap<>(base);
-    remove.forEach(result::remove);
-    result.putAll(set);
-    return result;
-  }
-
   private void record(long position, ConfigurationVersion version) {
     versions.put(version.number(), version);
     versionsByPosition.put(position, version);
@@ -241,8 +243,9 @@
 
   private void keep(ConfigurationEntry entry) {
     entries.put(entry.position(), entry);
-    if (entries.size() > KEPT_ENTRIES) {
-      entries.pollFirstEntry();
+    keptBytes += entry.bodyLength();
+    while (entries.size() > 1 && (entries.size() > KEPT_ENTRIES || keptBytes > KEPT_BYTES)) {
+      keptBytes -= entries.pollFirstEntry().getValue().bodyLength();
     }
   }
 }
