--- a/sidecar/src/test/java/org/shallothold/sidecar/FakeBackend.java
+++ b/sidecar/src/test/java/org/shallothold/sidecar/FakeBackend.java
@@ -35,7 +35,8 @@
   final Map<String, Integer> calls = new ConcurrentHashMap<>();
   final AtomicInteger brokenWrites = new AtomicInteger();
   final AtomicLong highestFencingNumber = new AtomicLong();
-  volatile boolean checksFencing = true;
+
+  volatile int loadStatus = 200;
 
   private final HttpServer server;
   private volatile boolean open;
@@ -46,7 +47,7 @@
     server.createContext("/v1/chat/completions", this::complete);
     server.createContext("/commands", this::command);
     server.createContext(
-        "/load", exchange -> FakePlatform.answer(exchange, 200, "{\"running\":7}"));
+        "/load", exchange -> FakePlatform.answer(exchange, loadStatus, "{\"running\":7}"));
     server.createContext("/", this::call);
     server.start();
   }
@@ -143,7 +144,7 @@
       JsonNode command = MAPPER.readTree(exchange.getRequestBody());
       commands.add(command);
       long number = command.path("fencing_number").asLong();
-      if (number < highestFencingNumber.get() && checksFencing) {
+      if (number < highestFencingNumber.get()) {
         status = 409;
       } else {
         highestFencingNumber.accumulateAndGet(number, Math::max);
