Protect preempted and floor-started requests for a time, not to the end of their answers

Cause: a request that the floor started or that was preempted twice kept its slot to the end. With answers of 5 to 10 s, a floor interval of 2 s and two lower classes, such requests filled the slots of an engine under overload, and the urgent class waited. Change: they keep the slot for queue.protected_run_ms (1 s) in each run. Also: the wait for a configuration version is a setting, so that the contract test doesn't depend on the machine's speed (it failed once at a load average of 45).

--- a/core/src/main/java/org/shallothold/core/queue/BackendScheduler.java
+++ b/core/src/main/java/org/shallothold/core/queue/BackendScheduler.java
@@ -67,7 +67,10 @@
 
   /** Takes a new request. Its id must not be in use. */
   public List<SchedulerAction> submit(Work work, long nowMillis) {
-    List<SchedulerAction> actions = new ArrayList<>();
+    // First what became due since the last call, as the end of a protected run, so that no arrival
+    // is
+    // refused for a place that a lower tier no longer has a right to.
+    List<SchedulerAction> actions = schedule(new ArrayList<>(), nowMillis);
     Entry entry = new Entry(work, sequence++);
     boolean firstOfClass = !waiting.hasClass(work.serviceClass());
     if (firstOfClass) {
@@ -216,7 +219,7 @@
       Optional<Entry> victim =
           running.values().stream()
               .filter(entry -> entry.work.tier() > next.work.tier())
-              .filter(entry -> entry.canBePreempted(options.maxPreemptions()))
+              .filter(entry -> entry.canBePreempted(options, nowMillis))
               .max(
                   Comparator.comparingInt((Entry entry) -> entry.work.tier())
                       .thenComparingInt(entry -> -entry.progress)
@@ -345,9 +348,14 @@
             .map(
                 entry ->
                     new Place(entry.work, !entry.equals(reserved.get(entry.work.serviceClass()))));
+    // What could give way is judged while the request could still start: a slot that becomes free
+    // for
+    // preemption at or after its deadline is of no use to it.
+    long judgedMillis =
+        kind == Kind.REFUSED ? Math.min(nowMillis, about.work.deadlineMillis() - 1) : nowMillis;
     Stream<Place> slots =
         others(running.values().stream(), about)
-            .map(entry -> new Place(entry.work, entry.canBePreempted(options.maxPreemptions())));
+            .map(entry -> new Place(entry.work, entry.canBePreempted(options, judgedMillis)));
     listener.accept(
         new DecisionRecord(
             nowMillis, kind, about.work, reason, beneficiary, queued.toList(), slots.toList()));
--- a/core/src/main/java/org/shallothold/core/queue/Entry.java
+++ b/core/src/main/java/org/shallothold/core/queue/Entry.java
@@ -26,7 +26,13 @@
     this.sequence = sequence;
   }
 
-  boolean canBePreempted(int maxPreemptions) {
-    return work.repeatable() && !startedByFloor && preemptions < maxPreemptions;
+  /**
+   * Returns whether the request may give up its slot. One that was started by the floor or was
+   * preempted often keeps the slot for a while, so that it comes nearer to its end each time.
+   */
+  boolean canBePreempted(SchedulerOptions options, long nowMillis) {
+    boolean isProtected = startedByFloor || preemptions >= options.maxPreemptions();
+    return work.repeatable()
+        && (!isProtected || nowMillis - startedMillis >= options.protectedRunMillis());
   }
 }
--- a/sidecar/src/main/java/org/shallothold/sidecar/SidecarProcess.java
+++ b/sidecar/src/main/java/org/shallothold/sidecar/SidecarProcess.java
@@ -260,9 +260,13 @@
         new SchedulerOptions(
             SchedulingPolicy.valueOf(settings.queue().policy().name()),
             settings.queue().floorIntervalMillis(),
-            settings.queue().maxPreemptions());
+            settings.queue().maxPreemptions(),
+            settings.queue().protectedRunMillis());
     return new SidecarController.Options(
-        scheduler, settings.backend().silenceMillis(), settings.drainLimitMillis());
+        scheduler,
+        settings.backend().silenceMillis(),
+        settings.versionWaitMillis(),
+        settings.drainLimitMillis());
   }
 
   private static byte[] ticketKey() {
--- a/sidecar/src/main/java/org/shallothold/sidecar/settings/SidecarSettings.java
+++ b/sidecar/src/main/java/org/shallothold/sidecar/settings/SidecarSettings.java
@@ -18,6 +18,8 @@
  * @param backend where the backend server is and when it counts as lost
  * @param platform base address of the platform
  * @param queue how work waits
+ * @param versionWaitMillis time allowed for a configuration version that a submission was made
+ *     under and that this process doesn't hold yet
  * @param drainLimitMillis running work still running so long after the start of draining is cut
  * @param tls contexts for connections from other processes
  */
@@ -29,6 +31,7 @@
     Backend backend,
     URI platform,
     Queue queue,
+    long versionWaitMillis,
     long drainLimitMillis,
     TlsContexts tls) {
 
@@ -50,9 +53,12 @@
    *
    * @param policy order of starts
    * @param floorIntervalMillis wait after which a class gets the next free slot
-   * @param maxPreemptions a request preempted so often is not preempted again
+   * @param maxPreemptions preemptions of a request at any time; after these, it is protected
+   * @param protectedRunMillis time for which a protected request, or one started by the floor,
+   *     keeps its slot
    */
-  public record Queue(Policy policy, long floorIntervalMillis, int maxPreemptions) {}
+  public record Queue(
+      Policy policy, long floorIntervalMillis, int maxPreemptions, long protectedRunMillis) {}
 
   /** Order of starts, as the settings name it. */
   public enum Policy {
@@ -79,7 +85,10 @@
         new Queue(
             document.choice("queue.policy", Policy.class, Policy.TIERS),
             document.number("queue.floor_interval_ms", 2_000, 10, 600_000),
-            (int) document.number("queue.max_preemptions", 2, 0, 100));
+            (int) document.number("queue.max_preemptions", 2, 0, 100),
+            document.number("queue.protected_run_ms", 1_000, 0, 3_600_000));
+    // A peer answers within a few milliseconds.
+    long versionWait = document.number("configuration.version_wait_ms", 500, 10, 60_000);
     long drainLimit = document.number("drain.limit_ms", 60_000, 100, 3_600_000);
     TlsContexts tls = TlsContexts.read(document);
     tls.checkListenAddress(document, "listen.address", listen);
@@ -91,6 +100,7 @@
         backend,
         platform,
         queue,
+        versionWait,
         drainLimit,
         tls);
   }
--- a/sidecar/src/main/java/org/shallothold/sidecar/work/HeldSubmissions.java
+++ b/sidecar/src/main/java/org/shallothold/sidecar/work/HeldSubmissions.java
@@ -16,13 +16,15 @@
  */
 final class HeldSubmissions {
 
-  /** Time allowed for the version to arrive. A peer answers within a few milliseconds. */
-  static final long LIMIT_MILLIS = 500;
-
   private static final int CAPACITY = 256;
 
+  private final long limitMillis;
   private final Deque<Held> held = new ArrayDeque<>();
 
+  HeldSubmissions(long limitMillis) {
+    this.limitMillis = limitMillis;
+  }
+
   /** A submission and when it arrived. */
   record Held(PeerConnection connection, Submit submit, long sinceMillis) {}
 
@@ -38,7 +40,7 @@
 
   /** Removes and returns the submissions that have waited too long. */
   List<Held> takeExpired(long nowMillis) {
-    return take(item -> nowMillis - item.sinceMillis() >= LIMIT_MILLIS);
+    return take(item -> nowMillis - item.sinceMillis() >= limitMillis);
   }
 
   /** Removes and returns the submissions of a connection. */
--- a/sidecar/src/main/java/org/shallothold/sidecar/work/SidecarController.java
+++ b/sidecar/src/main/java/org/shallothold/sidecar/work/SidecarController.java
@@ -57,7 +57,7 @@
   private final OrderLedger ledger;
   private final Jobs jobs = new Jobs();
   private final Gateways gateways = new Gateways();
-  private final HeldSubmissions held = new HeldSubmissions();
+  private final HeldSubmissions held;
   private final DecisionLog decisions = new DecisionLog();
   private final TokenIntervals intervals = new TokenIntervals();
   private final Drain drain;
@@ -76,9 +76,14 @@
    *
    * @param scheduler settings of the queue
    * @param silenceMillis a backend server silent for so long in mid-answer is taken as lost
+   * @param versionWaitMillis time allowed for a configuration version named in a submission
    * @param drainLimitMillis running work still running so long after leaving began is cut
    */
-  public record Options(SchedulerOptions scheduler, long silenceMillis, long drainLimitMillis) {}
+  public record Options(
+      SchedulerOptions scheduler,
+      long silenceMillis,
+      long versionWaitMillis,
+      long drainLimitMillis) {}
 
   /**
    * What the state machine needs from the process.
@@ -111,6 +116,7 @@
     this.onDone = surroundings.onDone();
     this.scheduler = BackendScheduler.create(options.scheduler());
     this.ledger = OrderLedger.create(ticketKey);
+    this.held = new HeldSubmissions(options.versionWaitMillis());
     this.drain = new Drain(options.drainLimitMillis());
     this.metrics = new SidecarMetrics(metrics);
     this.runner =
