Measure the added time to the first token with one request at a time

Requests at once met the steps of the engine at different phases, so the difference showed the steps and not the two processes. Reports hold the load average, since the machine is shared.

--- a/experiment/src/main/java/org/shallothold/experiment/load/LoadReport.java
+++ b/experiment/src/main/java/org/shallothold/experiment/load/LoadReport.java
@@ -84,6 +84,7 @@
     json.put("queue", options.queue());
     json.put("fault", options.fault().name().toLowerCase(Locale.ROOT));
     json.put("measured_seconds", options.seconds());
+    json.put("load_average", LoadRun.loadAverage());
     json.put("capacity_tokens_per_second", round(options.setUp().capacityTokensPerSecond()));
     json.put(
         "goodput_tokens_per_second",
--- a/experiment/src/main/java/org/shallothold/experiment/load/LoadRun.java
+++ b/experiment/src/main/java/org/shallothold/experiment/load/LoadRun.java
@@ -1,5 +1,6 @@
 package org.shallothold.experiment.load;
 
+import java.lang.management.ManagementFactory;
 import java.net.URI;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -66,6 +67,12 @@
     return new LoadRun(options).run();
   }
 
+  /** Returns the machine's load average over a minute, to judge how far figures were disturbed. */
+  static double loadAverage() {
+    return Math.round(ManagementFactory.getOperatingSystemMXBean().getSystemLoadAverage() * 10)
+        / 10.0;
+  }
+
   private LoadReport run() {
     FleetPlan plan = options.setUp().plan(options.routing(), options.queue());
     try (Fleet fleet = Fleet.start(plan);
--- a/experiment/src/main/java/org/shallothold/experiment/load/Overhead.java
+++ b/experiment/src/main/java/org/shallothold/experiment/load/Overhead.java
@@ -3,10 +3,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.PrintStream;
 import java.net.URI;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.Random;
-import java.util.concurrent.CompletableFuture;
 import org.HdrHistogram.Histogram;
 import org.shallothold.experiment.caller.Caller;
 import org.shallothold.experiment.caller.CompletionRequest;
@@ -17,15 +14,14 @@
 
 /**
  * Compares the time to the first token straight from an engine with that through gateway and
- * sidecar. The engine has time for every request, so the difference is what the two processes and
- * two more connections add.
+ * sidecar. Requests follow one another, so that none waits for a step of the engine that another
+ * one began; the difference is what the two processes and two more connections add.
  */
 public final class Overhead {
 
-  private static final int WARM_UP_ROUNDS = 400;
-  private static final int ROUNDS = 600;
-  private static final int AT_ONCE = 4;
-  private static final int TOKENS = 4;
+  private static final int WARM_UP_ROUNDS = 1_000;
+  private static final int ROUNDS = 2_000;
+  private static final int TOKENS = 2;
 
   private Overhead() {}
 
@@ -39,7 +35,7 @@
                 "--max-batch",
                 "16",
                 "--step-base-ms",
-                "2",
+                "1",
                 "--step-per-running-us",
                 "0",
                 "--prefill-us-per-token",
@@ -59,7 +55,8 @@
       }
     }
     ObjectNode json = JsonHttp.object();
-    json.put("experiment", "overhead").put("seed", seed).put("requests_each", ROUNDS * AT_ONCE);
+    json.put("experiment", "overhead").put("seed", seed).put("requests_each", ROUNDS);
+    json.put("load_average", LoadRun.loadAverage());
     out.printf("%-10s %12s %12s %12s%n", "quantile", "direct ms", "through ms", "added ms");
     for (double percentile : new double[] {50, 95, 99}) {
       double directMillis = direct.getValueAtPercentile(percentile) / 1_000.0;
@@ -77,17 +74,11 @@
   }
 
   private static void round(Caller caller, URI address, Random random, Histogram histogram) {
-    List<CompletableFuture<CompletionResult>> results = new ArrayList<>();
-    for (int number = 0; number < AT_ONCE; number++) {
-      results.add(
-          caller.send(address, CompletionRequest.of("Question " + random.nextLong(), TOKENS)));
-    }
-    for (CompletableFuture<CompletionResult> future : results) {
-      CompletionResult result = future.join();
-      if (!result.complete()) {
-        throw new IllegalStateException("not complete: " + result.summary());
-      }
-      histogram.recordValue(result.firstTokenNanos() / 1_000);
+    CompletionResult result =
+        caller.send(address, CompletionRequest.of("Question " + random.nextLong(), TOKENS)).join();
+    if (!result.complete()) {
+      throw new IllegalStateException("not complete: " + result.summary());
     }
+    histogram.recordValue(result.firstTokenNanos() / 1_000);
   }
 }
