Add capacity measurements at doubling sizes

Peers of a sidecar and of a gateway (synthetic peers in the harness), servers in the configuration, concurrent streams, reads of the platform, start time and resident memory.

--- a/experiment/src/main/java/org/shallothold/experiment/ExperimentMain.java
+++ b/experiment/src/main/java/org/shallothold/experiment/ExperimentMain.java
@@ -8,6 +8,7 @@
 import org.apache.commons.cli.Option;
 import org.apache.commons.cli.Options;
 import org.apache.commons.cli.ParseException;
+import org.shallothold.experiment.capacity.Capacity;
 import org.shallothold.experiment.load.Fault;
 import org.shallothold.experiment.load.LoadOptions;
 import org.shallothold.experiment.load.LoadRun;
@@ -31,6 +32,10 @@
       NAME is one of
         mill, agency  the two deployments of docs/design.md, section 2
         overhead      what gateway and sidecar add to the first token
+        capacity      what one process costs at doubling sizes
+
+      Option of capacity:
+        --part P      sidecar_peers, gateway_peers, configuration, streams, platform or start
 
       Options of mill and agency:
         --load F      offered tokens over capacity (default 1.0)
@@ -72,6 +77,11 @@
     long seed = Long.parseLong(line.getOptionValue("seed"));
     switch (arguments[0]) {
       case "mill", "agency" -> LoadRun.run(load(arguments[0], seed, line)).print(System.out);
+      case "capacity" ->
+          Capacity.run(
+              Capacity.Part.valueOf(line.getOptionValue("part", "start").toUpperCase(Locale.ROOT)),
+              seed,
+              System.out);
       case "overhead" -> Overhead.run(seed, System.out);
       default -> throw new ParseException("unknown experiment: " + arguments[0]);
     }
@@ -113,7 +123,7 @@
   private static Options options() {
     Options options = new Options();
     options.addOption(Option.builder().longOpt("seed").hasArg().required().get());
-    for (String name : List.of("load", "burst", "routing", "queue", "fault", "seconds")) {
+    for (String name : List.of("load", "burst", "routing", "queue", "fault", "seconds", "part")) {
       options.addOption(Option.builder().longOpt(name).hasArg().get());
     }
     return options;
