--- a/gateway/src/main/java/org/shallothold/gateway/Gateway.java
+++ b/gateway/src/main/java/org/shallothold/gateway/Gateway.java
@@ -19,6 +19,8 @@
 import org.shallothold.runtime.ProcessIdentity;
 import org.shallothold.runtime.logging.AuditOutput;
 import org.shallothold.runtime.metrics.Metrics;
+import org.shallothold.runtime.operator.OperatorEndpoint;
+import org.shallothold.runtime.platform.ConfigurationSource;
 import org.shallothold.runtime.platform.HttpConfigurationSource;
 import org.shallothold.runtime.sync.ConfigurationSync;
 import org.shallothold.runtime.sync.SyncOptions;
@@ -77,6 +79,16 @@
    * @throws IllegalStateException if an address can't be bound
    */
   public static Gateway start(GatewaySettings settings, AuditOutput audit) {
+    return start(
+        settings,
+        audit,
+        HttpConfigurationSource.of(
+            settings.platformUrl(),
+            HttpClient.newBuilder().connectTimeout(PLATFORM_CONNECT_TIMEOUT).build()));
+  }
+
+  /** Starts all parts with another source of the configuration, as tests do. */
+  static Gateway start(GatewaySettings settings, AuditOutput audit, ConfigurationSource source) {
     ProcessIdentity identity =
         ProcessIdentity.create(
             settings.processId(), Role.ROLE_GATEWAY, settings.failureDomain(), "");
@@ -87,17 +99,11 @@
     ScheduledExecutorService timer =
         Executors.newSingleThreadScheduledExecutor(Thread.ofPlatform().daemon().factory());
     ConfigurationSync sync =
-        ConfigurationSync.start(
-            identity,
-            HttpConfigurationSource.of(
-                settings.platformUrl(),
-                HttpClient.newBuilder().connectTimeout(PLATFORM_CONNECT_TIMEOUT).build()),
-            audit,
-            metrics,
-            SyncOptions.DEFAULT);
+        ConfigurationSync.start(identity, source, audit, metrics, SyncOptions.DEFAULT);
     ConnectionLimits limits = limits(settings.silenceMillis());
     RequestQueue queue = new RequestQueue();
-    SidecarLinks links = SidecarLinks.create(group, limits, sync, queue::put, null);
+    SidecarLinks links =
+        SidecarLinks.create(group, limits, sync, queue::put, settings.tls().client());
     RequestRouter router =
         RequestRouter.create(
             identity,
@@ -106,7 +112,24 @@
             requestMetrics,
             () -> System.nanoTime() / 1_000_000,
             RandomGenerator.getDefault());
-    queue.consumer(router::accept);
+    OperatorEndpoint operators =
+        OperatorEndpoint.of(
+            identity,
+            audit,
+            () -> sync.current().version(),
+            leaving::get,
+            () -> new OperatorEndpoint.Load(router.inFlight(), 0),
+            router::status,
+            router::explain);
+    // Operators' questions are answered on the requests' thread, which owns what they ask about.
+    queue.consumer(
+        event -> {
+          if (event instanceof GatewayEvent.OperatorMessage(var connection, var envelope)) {
+            operators.received(connection, envelope);
+          } else {
+            router.accept(event);
+          }
+        });
     sync.onChange(changed -> queue.put(new GatewayEvent.ConfigurationChanged(changed)));
     sync.onMembers(members -> queue.put(new GatewayEvent.MembersChanged(members)));
     // Both may have been read before the listeners were added.
@@ -120,7 +143,7 @@
             limits,
             () -> sync.hello(leaving.get()),
             OperatorListener.of(sync, queue::put),
-            null);
+            settings.tls().server());
     HttpFrontEnd http =
         HttpFrontEnd.start(
             settings.http(),
