--- a/experiment/src/main/java/org/shallothold/experiment/ExperimentMain.java
+++ b/experiment/src/main/java/org/shallothold/experiment/ExperimentMain.java
@@ -1,5 +1,7 @@
 package org.shallothold.experiment;
 
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Locale;
@@ -33,6 +35,7 @@
         mill, agency  the two deployments of docs/design.md, section 2
         overhead      what gateway and sidecar add to the first token
         capacity      what one process costs at doubling sizes
+        benchmark     JMH micro-benchmarks of the core's decisions
 
       Option of capacity:
         --part P      sidecar_peers, gateway_peers, configuration, streams, platform or start
@@ -58,6 +61,8 @@
     }
     try {
       run(arguments);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
     } catch (ParseException | IllegalArgumentException e) {
       System.err.println(e.getMessage());
       System.err.print(USAGE);
@@ -66,7 +71,7 @@
     System.exit(0);
   }
 
-  private static void run(String[] arguments) throws ParseException {
+  private static void run(String[] arguments) throws ParseException, IOException {
     if (arguments.length == 0) {
       throw new ParseException("the name of an experiment is missing");
     }
@@ -84,6 +89,25 @@
               Capacity.Part.valueOf(line.getOptionValue("part", "start").toUpperCase(Locale.ROOT)),
               seed,
               System.out);
+      case "benchmark" -> {
+        // Short iterations in one fork, so that the 12 cases take half a minute.
+        org.openjdk.jmh.Main.main(
+            new String[] {
+              "CoreBenchmark",
+              "-f",
+              "1",
+              "-foe",
+              "true",
+              "-wi",
+              "3",
+              "-w",
+              "300ms",
+              "-i",
+              "3",
+              "-r",
+              "300ms"
+            });
+      }
       case "overhead" -> Overhead.run(seed, System.out);
       default -> throw new ParseException("unknown experiment: " + arguments[0]);
     }
