--- a/experiment/src/main/java/org/shallothold/experiment/ExperimentMain.java
+++ b/experiment/src/main/java/org/shallothold/experiment/ExperimentMain.java
@@ -1,5 +1,7 @@
 package org.shallothold.experiment;
 
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Locale;
@@ -8,6 +10,7 @@
 import org.apache.commons.cli.Option;
 import org.apache.commons.cli.Options;
 import org.apache.commons.cli.ParseException;
+import org.shallothold.experiment.capacity.Capacity;
 import org.shallothold.experiment.load.Fault;
 import org.shallothold.experiment.load.LoadOptions;
 import org.shallothold.experiment.load.LoadRun;
@@ -31,12 +34,19 @@
       NAME is one of
         mill, agency  the two deployments of docs/design.md, section 2
         overhead      what gateway and sidecar add to the first token
+        capacity      what one process costs at doubling sizes
+        benchmark     JMH micro-benchmarks of the core's decisions
+
+      Option of capacity:
+        --part P      sidecar_peers, gateway_peers, configuration, streams, platform or start
 
       Options of mill and agency:
         --load F      offered tokens over capacity (default 1.0)
         --burst F     factor on the bulk class in the middle third (default 1)
         --routing P   own_counts, round_robin or reported_load (default own_counts)
         --queue P     tiers or arrival (default tiers)
+        --max-preemptions N
+                      after which a request is preempted no more (default 2)
         --fault X     none, straggler, crash, late_reports, partition or retrying_callers
         --seconds S   measured time, 5 to 25 (default 20)
       """;
@@ -51,6 +61,8 @@
     }
     try {
       run(arguments);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
     } catch (ParseException | IllegalArgumentException e) {
       System.err.println(e.getMessage());
       System.err.print(USAGE);
@@ -59,7 +71,7 @@
     System.exit(0);
   }
 
-  private static void run(String[] arguments) throws ParseException {
+  private static void run(String[] arguments) throws ParseException, IOException {
     if (arguments.length == 0) {
       throw new ParseException("the name of an experiment is missing");
     }
@@ -72,6 +84,30 @@
     long seed = Long.parseLong(line.getOptionValue("seed"));
     switch (arguments[0]) {
       case "mill", "agency" -> LoadRun.run(load(arguments[0], seed, line)).print(System.out);
+      case "capacity" ->
+          Capacity.run(
+              Capacity.Part.valueOf(line.getOptionValue("part", "start").toUpperCase(Locale.ROOT)),
+              seed,
+              System.out);
+      case "benchmark" -> {
+        // Short iterations in one fork, so that the 12 cases take half a minute.
+        org.openjdk.jmh.Main.main(
+            new String[] {
+              "CoreBenchmark",
+              "-f",
+              "1",
+              "-foe",
+              "true",
+              "-wi",
+              "3",
+              "-w",
+              "300ms",
+              "-i",
+              "3",
+              "-r",
+              "300ms"
+            });
+      }
       case "overhead" -> Overhead.run(seed, System.out);
       default -> throw new ParseException("unknown experiment: " + arguments[0]);
     }
@@ -89,6 +125,7 @@
         positive(line, "burst"),
         choice(line, "routing", ROUTING),
         choice(line, "queue", QUEUE),
+        Integer.parseInt(line.getOptionValue("max-preemptions", "2")),
         Fault.valueOf(line.getOptionValue("fault", "none").toUpperCase(Locale.ROOT)),
         seconds);
   }
@@ -113,7 +150,9 @@
   private static Options options() {
     Options options = new Options();
     options.addOption(Option.builder().longOpt("seed").hasArg().required().get());
-    for (String name : List.of("load", "burst", "routing", "queue", "fault", "seconds")) {
+    for (String name :
+        List.of(
+            "load", "burst", "routing", "queue", "fault", "seconds", "part", "max-preemptions")) {
       options.addOption(Option.builder().longOpt(name).hasArg().get());
     }
     return options;
