Keep places for preempted requests, and estimate waits in one pass

Cause: under overload without any fault, callers got may_have_run and tokens were wasted as "broken". A preempted request went back to a full queue, was displaced by a higher tier, and its broken answer found no server with room. Ruled out: lost connections and engine failures; neither was logged. Change: up to max_running preempted requests wait beyond max_waiting and can't be displaced. The wait estimate adds up the requests ahead while it walks the queue, instead of once more for each request.

--- a/core/src/main/java/org/shallothold/core/queue/BackendScheduler.java
+++ b/core/src/main/java/org/shallothold/core/queue/BackendScheduler.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Consumer;
 import java.util.stream.Stream;
 import org.jspecify.annotations.Nullable;
@@ -159,10 +160,10 @@
     if (!byTier()) {
       return waiting.size() < maxWaiting || running.size() < maxRunning;
     }
-    if (firstOfClass || waiting.ordinary() < maxWaiting) {
+    if (firstOfClass || waiting.ordinary(maxRunning) < maxWaiting) {
       return true;
     }
-    Optional<Entry> victim = waiting.displaceable(entry.work.tier());
+    Optional<Entry> victim = waiting.displaceable(entry.work.tier(), maxRunning);
     victim.ifPresent(
         displaced -> {
           waiting.remove(displaced.work.id());
@@ -276,9 +277,10 @@
   private void refuseHopeless(List<SchedulerAction> actions, long nowMillis) {
     WaitEstimate estimate = estimate(nowMillis);
     Map<String, Entry> reserved = waiting.oldestByClass();
-    List<Entry> ahead = new ArrayList<>();
+    int ahead = 0;
+    double aheadMillis = 0;
     for (Entry entry : waiting.inOrder(service, nowMillis)) {
-      double wait = estimate.millis(entry.work.tier(), ahead);
+      double wait = estimate.millis(entry.work.tier(), ahead, aheadMillis);
       String serviceClass = entry.work.serviceClass();
       double needed = wait + times.mean(serviceClass);
       if (entry.equals(reserved.get(serviceClass))) {
@@ -291,7 +293,8 @@
         waiting.remove(entry.work.id());
         refuse(entry, ReasonCode.DEADLINE, Kind.REFUSED, null, actions, nowMillis);
       } else {
-        ahead.add(entry);
+        ahead++;
+        aheadMillis += times.mean(serviceClass);
       }
     }
   }
@@ -320,6 +323,8 @@
     }
     List<Entry> ahead =
         waiting.entries().stream().filter(entry -> entry.work.tier() <= tier).toList();
+    double aheadMillis =
+        ahead.stream().mapToDouble(entry -> times.mean(entry.work.serviceClass())).sum();
     int floorClasses =
         (int)
             waiting.oldestByClass().values().stream()
@@ -328,7 +333,9 @@
     WaitEstimate estimate = estimate(nowMillis);
     double wait =
         estimate.withFloor(
-            estimate.millis(tier, ahead), floorClasses, options.floorIntervalMillis());
+            estimate.millis(tier, ahead.size(), aheadMillis),
+            floorClasses,
+            options.floorIntervalMillis());
     return Math.clamp((long) Math.ceil(wait), RETRY_LEAST_MILLIS, RETRY_MOST_MILLIS);
   }
 
@@ -342,12 +349,10 @@
     if (listener == null) {
       return;
     }
-    Map<String, Entry> reserved = waiting.oldestByClass();
+    Set<Entry> seated = waiting.seated(maxRunning);
     Stream<Place> queued =
         others(waiting.entries().stream(), about)
-            .map(
-                entry ->
-                    new Place(entry.work, !entry.equals(reserved.get(entry.work.serviceClass()))));
+            .map(entry -> new Place(entry.work, !seated.contains(entry)));
     // What could give way is judged while the request could still start: a slot that becomes free
     // for
     // preemption at or after its deadline is of no use to it.
--- a/core/src/main/java/org/shallothold/core/queue/WaitEstimate.java
+++ b/core/src/main/java/org/shallothold/core/queue/WaitEstimate.java
@@ -26,16 +26,16 @@
    * Returns the wait of a request of a tier behind others, in milliseconds; 0 before the first
    * answer, when nothing is known.
    *
-   * @param ahead waiting requests that start before it
+   * @param ahead number of waiting requests that start before it
+   * @param aheadMillis their mean slot times together, in milliseconds
    */
-  double millis(int tier, List<Entry> ahead) {
+  double millis(int tier, int ahead, double aheadMillis) {
     List<Entry> blockers = running.stream().filter(entry -> entry.work.tier() <= tier).toList();
-    if (ahead.size() + blockers.size() < maxRunning) {
+    if (ahead + blockers.size() < maxRunning) {
       return 0;
     }
-    double queued = ahead.stream().mapToDouble(entry -> mean(entry)).sum();
     double left = blockers.stream().mapToDouble(this::left).sum();
-    return (queued + left) / maxRunning;
+    return (aheadMillis + left) / maxRunning;
   }
 
   /** Returns the wait for the next slot to become free, whoever runs now, in milliseconds. */
--- a/core/src/main/java/org/shallothold/core/queue/WaitingQueue.java
+++ b/core/src/main/java/org/shallothold/core/queue/WaitingQueue.java
@@ -4,15 +4,17 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 /**
- * The waiting requests. The oldest of each class holds the class's reserved place, which is not
- * counted and can't be displaced. Scans are linear: a queue holds at most a few hundred requests.
- * Owned by the scheduler's thread.
+ * The waiting requests. The oldest of each class holds the class's reserved place, and preempted
+ * requests hold a limited number of further places; these are not counted and can't be displaced.
+ * Scans are linear: a queue holds at most a few hundred requests. Owned by the scheduler's thread.
  */
 final class WaitingQueue {
 
@@ -57,16 +59,34 @@
     return oldest;
   }
 
-  /** Returns how many requests wait outside reserved places. */
-  int ordinary() {
-    return entries.size() - oldestByClass().size();
+  /**
+   * Returns the requests that hold a place beyond the counted ones: the oldest of each class, and
+   * the oldest preempted ones, whose tokens would be wasted if they were displaced.
+   *
+   * @param preemptedPlaces places for preempted requests
+   */
+  Set<Entry> seated(int preemptedPlaces) {
+    Set<Entry> seated = new HashSet<>(oldestByClass().values());
+    List<Entry> preempted =
+        entries.values().stream()
+            .filter(entry -> entry.preemptions > 0 && !seated.contains(entry))
+            .sorted(Comparator.comparingLong(entry -> entry.sequence))
+            .limit(preemptedPlaces)
+            .toList();
+    seated.addAll(preempted);
+    return seated;
+  }
+
+  /** Returns how many requests wait in counted places. */
+  int ordinary(int preemptedPlaces) {
+    return entries.size() - seated(preemptedPlaces).size();
   }
 
   /** Returns the most recent request of the lowest tier below a tier that may be displaced. */
-  Optional<Entry> displaceable(int tier) {
-    Collection<Entry> reserved = oldestByClass().values();
+  Optional<Entry> displaceable(int tier, int preemptedPlaces) {
+    Set<Entry> seated = seated(preemptedPlaces);
     return entries.values().stream()
-        .filter(entry -> entry.work.tier() > tier && !reserved.contains(entry))
+        .filter(entry -> entry.work.tier() > tier && !seated.contains(entry))
         .max(
             Comparator.comparingInt((Entry entry) -> entry.work.tier())
                 .thenComparingLong(entry -> entry.sequence));
