--- a/gateway/src/main/java/org/shallothold/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/shallothold/gateway/GatewaySettings.java
@@ -3,7 +3,6 @@
 import java.net.InetSocketAddress;
 import java.net.URI;
 import java.util.Objects;
-import org.jspecify.annotations.Nullable;
 import org.shallothold.core.routing.SelectionPolicy;
 import org.shallothold.gateway.http.HttpOptions;
 import org.shallothold.gateway.request.RouterOptions;
@@ -48,7 +47,7 @@
     int maxBodyBytes = (int) document.number("http.max_body_bytes", 1_048_576, 1_024, 4_194_304);
     int maxInFlight = (int) document.number("http.max_in_flight", 4_096, 1, 65_536);
     InetSocketAddress operatorListen = document.requiredAddress("operator.listen");
-    URI platformUrl = url(document, "platform.url");
+    URI platformUrl = document.requiredHttpUrl("platform.url");
     SelectionPolicy policy =
         document.choice("routing.policy", SelectionPolicy.class, SelectionPolicy.OWN_COUNTS);
     int subsetSize = (int) document.number("routing.subset_size", 16, 2, 4_096);
@@ -73,21 +72,4 @@
         limitMillis,
         tls);
   }
-
-  private static @Nullable URI url(SettingsDocument document, String key) {
-    String text = document.requiredText(key);
-    if (text == null) {
-      return null;
-    }
-    try {
-      URI url = URI.create(text);
-      if ("http".equals(url.getScheme()) || "https".equals(url.getScheme())) {
-        return text.endsWith("/") ? url : URI.create(text + "/");
-      }
-    } catch (IllegalArgumentException e) {
-      // Reported below, as another scheme is.
-    }
-    document.clash(key, "'" + text + "'", "an http or https address, as http://127.0.0.1:7100/");
-    return null;
-  }
 }
--- a/runtime/src/main/java/org/shallothold/runtime/settings/SettingsDocument.java
+++ b/runtime/src/main/java/org/shallothold/runtime/settings/SettingsDocument.java
@@ -164,7 +164,7 @@
     }
     try {
       URI uri = new URI(String.valueOf(value.content()));
-      if ("http".equals(uri.getScheme())
+      if (("http".equals(uri.getScheme()) || "https".equals(uri.getScheme()))
           && uri.getHost() != null
           && uri.getQuery() == null
           && uri.getFragment() == null) {
--- a/runtime/src/test/java/org/shallothold/runtime/sync/ConfigurationSyncTest.java
+++ b/runtime/src/test/java/org/shallothold/runtime/sync/ConfigurationSyncTest.java
@@ -295,6 +295,9 @@
       FakePlatform fork = fork();
       SyncNode other = node("other", fork);
       SyncNode node = node("ours", platform);
+      // A process that holds nothing yet takes the first history that it meets.
+      other.awaitVersion(4);
+      node.awaitVersion(2);
       node.connectTo(other);
       node.awaitEvent("configuration_history_conflict");
       publish(fork, 20, 4, 5, 6);
--- a/sidecar/src/main/java/org/shallothold/sidecar/settings/SidecarSettings.java
+++ b/sidecar/src/main/java/org/shallothold/sidecar/settings/SidecarSettings.java
@@ -3,7 +3,6 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.URI;
-import java.net.URISyntaxException;
 import org.jspecify.annotations.Nullable;
 import org.shallothold.runtime.settings.SettingsDocument;
 import org.shallothold.runtime.tls.TlsContexts;
@@ -74,13 +73,13 @@
     String failureDomain = document.requiredText("process.failure_domain");
     InetSocketAddress listen = document.requiredAddress("listen.address");
     InetSocketAddress metricsListen = document.requiredAddress("metrics.listen");
-    URI backendUrl = url(document, "backend.url");
+    URI backendUrl = orElse(document.requiredHttpUrl("backend.url"), NO_URL);
     Backend backend =
         new Backend(
             backendUrl,
             document.number("backend.connect_timeout_ms", 1_000, 10, 60_000),
             document.number("backend.silence_ms", 10_000, 100, 3_600_000));
-    URI platform = url(document, "platform.url");
+    URI platform = orElse(document.requiredHttpUrl("platform.url"), NO_URL);
     Queue queue =
         new Queue(
             document.choice("queue.policy", Policy.class, Policy.TIERS),
@@ -105,23 +104,6 @@
         tls);
   }
 
-  private static URI url(SettingsDocument document, String key) {
-    String text = document.requiredText(key);
-    if (text == null) {
-      return NO_URL;
-    }
-    try {
-      URI url = new URI(text.endsWith("/") ? text : text + "/");
-      if ("http".equals(url.getScheme()) && url.getHost() != null) {
-        return url;
-      }
-    } catch (URISyntaxException e) {
-      // Reported below with the other malformed addresses.
-    }
-    document.clash(key, "'" + text + "'", "a URL as http://127.0.0.1:8001/");
-    return NO_URL;
-  }
-
   private static <T> T orElse(@Nullable T value, T otherwise) {
     return value == null ? otherwise : value;
   }
