Read entries in one place, find the next start without sorting, and tidy the frame handler

A read-through of the whole change. The command's Timeline and ConfigurationSync decoded peers' entries each on their own; WireEntries serves both. The scheduler sorted its whole queue to take the first request, at every event; it now takes the least by the same order. FrameHandler noted the same evidence in three places; findStarted does it. Two comments that the formatter had broken are whole again. No behaviour and no test changed.

--- a/command/src/main/java/org/shallothold/command/config/Timeline.java
+++ b/command/src/main/java/org/shallothold/command/config/Timeline.java
@@ -2,7 +2,6 @@
 
 import java.net.URI;
 import java.net.http.HttpClient;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
 import java.util.function.Function;
@@ -14,8 +13,8 @@
 import org.shallothold.core.config.ConfigurationEntry.Content.SnapshotContent;
 import org.shallothold.core.config.ConfigurationHistory;
 import org.shallothold.core.config.PatchOutcome;
-import org.shallothold.runtime.platform.EntryCodec;
 import org.shallothold.runtime.platform.HttpConfigurationSource;
+import org.shallothold.runtime.sync.WireEntries;
 import org.shallothold.wire.proto.ConfigurationRequest;
 import org.shallothold.wire.proto.Envelope;
 
@@ -103,17 +102,10 @@
             .setConfigurationRequest(
                 ConfigurationRequest.newBuilder().setAfterPosition(history.lastPosition()))
             .build();
-    List<ConfigurationEntry> entries = new ArrayList<>();
-    connection
-        .ask(question, Envelope.MessageCase.CONFIGURATION_ENTRIES)
-        .getConfigurationEntries()
-        .getEntriesList()
-        .forEach(
-            entry ->
-                entries.add(
-                    EntryCodec.decode(
-                        entry.getPosition(), entry.getKind(), entry.getBody().toByteArray())));
-    return entries;
+    return WireEntries.fromWire(
+        connection
+            .ask(question, Envelope.MessageCase.CONFIGURATION_ENTRIES)
+            .getConfigurationEntries());
   }
 
   private boolean applyAll(
--- a/core/src/main/java/org/shallothold/core/queue/BackendScheduler.java
+++ b/core/src/main/java/org/shallothold/core/queue/BackendScheduler.java
@@ -68,8 +68,7 @@
 
   /** Takes a new request. Its id must not be in use. */
   public List<SchedulerAction> submit(Work work, long nowMillis) {
-    // First what became due since the last call, as the end of a protected run, so that no arrival
-    // is
+    // First what became due since the last call, as the end of a protected run: no arrival may be
     // refused for a place that a lower tier no longer has a right to.
     List<SchedulerAction> actions = schedule(new ArrayList<>(), nowMillis);
     Entry entry = new Entry(work, sequence++);
@@ -195,7 +194,7 @@
 
   private Entry first(long nowMillis) {
     return byTier()
-        ? waiting.inOrder(service, nowMillis).getFirst()
+        ? waiting.first(service, nowMillis).orElseThrow()
         : waiting.oldest().orElseThrow();
   }
 
@@ -353,9 +352,8 @@
     Stream<Place> queued =
         others(waiting.entries().stream(), about)
             .map(entry -> new Place(entry.work, !seated.contains(entry)));
-    // What could give way is judged while the request could still start: a slot that becomes free
-    // for
-    // preemption at or after its deadline is of no use to it.
+    // Judged while the request could still start: a slot that can be preempted only at or after its
+    // deadline is of no use to it.
     long judgedMillis =
         kind == Kind.REFUSED ? Math.min(nowMillis, about.work.deadlineMillis() - 1) : nowMillis;
     Stream<Place> slots =
--- a/core/src/main/java/org/shallothold/core/queue/WaitingQueue.java
+++ b/core/src/main/java/org/shallothold/core/queue/WaitingQueue.java
@@ -1,6 +1,5 @@
 package org.shallothold.core.queue;
 
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -97,8 +96,17 @@
     return entries.values().stream().min(Comparator.comparingLong(entry -> entry.sequence));
   }
 
+  /** Returns the request that starts next, apart from the floor. */
+  Optional<Entry> first(RecentService service, long nowMillis) {
+    return entries.values().stream().min(startOrder(service, nowMillis));
+  }
+
   /** Returns the requests in the order of starts, apart from the floor. */
   List<Entry> inOrder(RecentService service, long nowMillis) {
+    return entries.values().stream().sorted(startOrder(service, nowMillis)).toList();
+  }
+
+  private Comparator<Entry> startOrder(RecentService service, long nowMillis) {
     Map<String, Double> usage = new HashMap<>();
     entries
         .values()
@@ -106,12 +114,9 @@
             entry ->
                 usage.computeIfAbsent(
                     entry.work.customer(), customer -> service.of(customer, nowMillis)));
-    List<Entry> ordered = new ArrayList<>(entries.values());
-    ordered.sort(
-        Comparator.comparingInt((Entry entry) -> entry.work.tier())
-            .thenComparingDouble(entry -> usage.getOrDefault(entry.work.customer(), 0.0))
-            .thenComparingLong(entry -> entry.work.deadlineMillis())
-            .thenComparingLong(entry -> entry.sequence));
-    return ordered;
+    return Comparator.comparingInt((Entry entry) -> entry.work.tier())
+        .thenComparingDouble(entry -> usage.getOrDefault(entry.work.customer(), 0.0))
+        .thenComparingLong(entry -> entry.work.deadlineMillis())
+        .thenComparingLong(entry -> entry.sequence);
   }
 }
--- a/gateway/src/main/java/org/shallothold/gateway/request/FrameHandler.java
+++ b/gateway/src/main/java/org/shallothold/gateway/request/FrameHandler.java
@@ -67,12 +67,8 @@
   }
 
   private void started(PeerConnection connection, Attempt attempt) {
-    ActiveRequest request = find(connection, attempt);
-    if (request == null) {
-      return;
-    }
-    request.tracker().started(attempt.getAttemptNumber());
-    if (request.isCurrent(attempt.getAttemptNumber())) {
+    ActiveRequest request = findStarted(connection, attempt);
+    if (request != null && request.isCurrent(attempt.getAttemptNumber())) {
       request.started(clock.getAsLong());
       journal.note(request.number(), clock.getAsLong(), "started", serverId(request), "");
       concludeIfDecided(request);
@@ -80,12 +76,11 @@
   }
 
   private void tokens(PeerConnection connection, Tokens frame) {
-    ActiveRequest request = find(connection, frame.getAttempt());
+    ActiveRequest request = findStarted(connection, frame.getAttempt());
     if (request == null) {
       return;
     }
     int attempt = frame.getAttempt().getAttemptNumber();
-    request.tracker().started(attempt);
     if (!request.isCurrent(attempt)) {
       metrics.wasted(className(request), RequestMetrics.WasteCause.RETRIED, frame.getTokensCount());
       return;
@@ -127,12 +122,11 @@
   }
 
   private void finished(PeerConnection connection, Finished frame) {
-    ActiveRequest request = find(connection, frame.getAttempt());
+    ActiveRequest request = findStarted(connection, frame.getAttempt());
     if (request == null) {
       return;
     }
     int attempt = frame.getAttempt().getAttemptNumber();
-    request.tracker().started(attempt);
     if (!request.isCurrent(attempt)) {
       return;
     }
@@ -231,6 +225,15 @@
     }
   }
 
+  /** Finds the request of a frame that proves that the attempt may have run, and notes that. */
+  private @Nullable ActiveRequest findStarted(PeerConnection connection, Attempt attempt) {
+    ActiveRequest request = find(connection, attempt);
+    if (request != null) {
+      request.tracker().started(attempt.getAttemptNumber());
+    }
+    return request;
+  }
+
   private @Nullable ActiveRequest find(PeerConnection connection, Attempt attempt) {
     ActiveRequest request = inFlight.get(attempt.getRequestNumber());
     return request != null
--- a/runtime/src/main/java/org/shallothold/runtime/sync/ConfigurationSync.java
+++ b/runtime/src/main/java/org/shallothold/runtime/sync/ConfigurationSync.java
@@ -1,7 +1,6 @@
 package org.shallothold.runtime.sync;
 
 import com.google.protobuf.ByteString;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -179,7 +178,8 @@
                   connection, envelope.getConfigurationRequest().getAfterPosition()));
       case CONFIGURATION_ENTRIES -> {
         ConfigurationEntries message = envelope.getConfigurationEntries();
-        duty.offer(new SyncEvent.PeerEntries(connection, decode(message), base(message)));
+        duty.offer(
+            new SyncEvent.PeerEntries(connection, WireEntries.fromWire(message), base(message)));
       }
       default -> {
         return false;
@@ -370,18 +370,6 @@
         .build();
   }
 
-  private static List<ConfigurationEntry> decode(ConfigurationEntries message) {
-    List<ConfigurationEntry> entries = new ArrayList<>();
-    message
-        .getEntriesList()
-        .forEach(
-            entry ->
-                entries.add(
-                    EntryCodec.decode(
-                        entry.getPosition(), entry.getKind(), entry.getBody().toByteArray())));
-    return entries;
-  }
-
   private static @Nullable ConfigurationVersion base(ConfigurationEntries message) {
     return message.hasBase() ? WireVersions.fromWire(message.getBase()) : null;
   }
