--- /dev/null
+++ b/core/src/main/java/org/shallothold/core/placement/Placement.java
@@ -0,0 +1,12 @@
+package org.shallothold.core.placement;
+
+/**
+ * Choice of a server.
+ *
+ * @param server the chosen server
+ * @param readMillis estimated time to read the part of the prompt that isn't cached there
+ * @param expectedMillis estimated time to the first event or the answer, in milliseconds
+ * @param cachedTokens tokens of the prompt that are probably cached there
+ */
+public record Placement(
+    ServerModel server, double readMillis, double expectedMillis, int cachedTokens) {}
--- /dev/null
+++ b/core/src/main/java/org/shallothold/core/placement/PrefixCacheEstimate.java
@@ -0,0 +1,46 @@
+package org.shallothold.core.placement;
+
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * What an engine probably caches: the parts that requests took there, the least recently used
+ * dropped first when the engine's memory is full. Owned by one thread.
+ */
+final class PrefixCacheEstimate {
+
+  private final long capacityTokens;
+  private final Map<Long, Integer> tokensByChain = new LinkedHashMap<>(16, 0.75f, true);
+  private long usedTokens;
+
+  PrefixCacheEstimate(long capacityTokens) {
+    this.capacityTokens = capacityTokens;
+  }
+
+  /** Returns how many tokens at the start of the prompt are probably cached. */
+  int cachedTokens(long[] chain, List<PromptPart> parts) {
+    int cached = 0;
+    for (int i = 0; i < chain.length && tokensByChain.containsKey(chain[i]); i++) {
+      cached += parts.get(i).tokens();
+    }
+    return cached;
+  }
+
+  /** Notes that the engine reads or uses a part at the end of a chain. */
+  void used(long chainHash, int tokens) {
+    Integer known = tokensByChain.put(chainHash, tokens);
+    usedTokens += tokens - (known == null ? 0 : known);
+    Iterator<Integer> eldest = tokensByChain.values().iterator();
+    while (usedTokens > capacityTokens && eldest.hasNext()) {
+      usedTokens -= eldest.next();
+      eldest.remove();
+    }
+  }
+
+  void clear() {
+    tokensByChain.clear();
+    usedTokens = 0;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/shallothold/core/placement/ServerModel.java
@@ -0,0 +1,255 @@
+package org.shallothold.core.placement;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.shallothold.core.membership.ServerEntry;
+
+/**
+ * What a gateway believes of one backend server: its own open requests there, its peers' and what
+ * the server's answers told. Made when the server is first listed; owned by one thread.
+ */
+public final class ServerModel {
+
+  // A report of the server's load is used for as long as a typical answer takes.
+  private static final long REPORT_LIFE_MILLIS = 1_000;
+  // Peers send news several times a second; older news comes from a peer that is cut off.
+  private static final long PEER_NEWS_LIFE_MILLIS = 1_500;
+  private static final double SLOWNESS_WEIGHT = 0.2;
+  private static final double MIN_SLOWNESS = 0.5;
+  private static final double MAX_SLOWNESS = 20;
+  private static final long FIRST_SUSPENSION_MILLIS = 400;
+  private static final long LONGEST_SUSPENSION_MILLIS = 4_000;
+  private static final double FAILURE_WEIGHT = 0.1;
+
+  private ServerEntry entry;
+  private final long idHash;
+  private final PrefixCacheEstimate cache;
+
+  private final Map<Long, OpenWork> open = new HashMap<>();
+  private final Map<String, PeerLoad> peers = new HashMap<>();
+  private int reportedRunning;
+  private int reportedWaiting;
+  private int openAtReport;
+  private long reportMillis = Long.MIN_VALUE / 2;
+  private double slowness = 1;
+  private double failureRate;
+  private int failuresInRow;
+  private long suspendedUntilMillis = Long.MIN_VALUE / 2;
+
+  private record OpenWork(
+      double readMillis, int tokens, long pauseTargetMillis, long sentMillis, boolean started) {}
+
+  /**
+   * Open work of one peer at the server.
+   *
+   * @param requests requests that have no end yet
+   * @param readMillis time to read the prompts whose first event has not come, in milliseconds
+   * @param tightStreams streams with a short pause target
+   * @param tokens tokens in memory
+   * @param receivedMillis when the news came
+   */
+  public record PeerLoad(
+      int requests, double readMillis, int tightStreams, int tokens, long receivedMillis) {}
+
+  private ServerModel(ServerEntry entry, long cacheTokens) {
+    this.entry = entry;
+    this.idHash = Hashing.of(entry.id());
+    this.cache = new PrefixCacheEstimate(cacheTokens);
+  }
+
+  /**
+   * Returns a model of a server that nothing is known of.
+   *
+   * @param cacheTokens tokens that its memory holds; 0 for plain services
+   */
+  public static ServerModel of(ServerEntry entry, long cacheTokens) {
+    return new ServerModel(entry, cacheTokens);
+  }
+
+  /** Returns the server as listed. */
+  public ServerEntry entry() {
+    return entry;
+  }
+
+  /** Takes a changed entry of the same server; a new life forgets what the former one held. */
+  public void entry(ServerEntry changed) {
+    if (changed.startedMillis() != entry.startedMillis()) {
+      cache.clear();
+      failuresInRow = 0;
+      suspendedUntilMillis = Long.MIN_VALUE / 2;
+    }
+    entry = changed;
+  }
+
+  /** Notes that a request is sent to the server. */
+  public void sent(long request, Work work, double readMillis, long nowMillis) {
+    open.put(
+        request,
+        new OpenWork(
+            readMillis,
+            work.promptTokens() + work.outputTokens(),
+            work.pauseTargetMillis(),
+            nowMillis,
+            false));
+    long[] chain = work.chain();
+    for (int i = 0; i + 1 < chain.length; i++) {
+      cache.used(chain[i], work.parts().get(i).tokens());
+    }
+  }
+
+  /** Notes the first event of a request. */
+  public void started(long request, double expectedMillis, long nowMillis) {
+    OpenWork work = open.get(request);
+    if (work == null || work.started()) {
+      return;
+    }
+    open.put(
+        request, new OpenWork(0, work.tokens(), work.pauseTargetMillis(), work.sentMillis(), true));
+    double observed = Math.max(1, nowMillis - work.sentMillis());
+    double ratio = observed / Math.max(MIN_EXPECTED_MILLIS, expectedMillis);
+    slowness += SLOWNESS_WEIGHT * (Math.clamp(ratio, MIN_SLOWNESS, MAX_SLOWNESS) - slowness);
+  }
+
+  // Below this, delays of the network and of the engine's steps hide the time to read.
+  private static final double MIN_EXPECTED_MILLIS = 30;
+
+  /** Notes that a request has ended at the server, or that it was never sent. */
+  public void ended(long request) {
+    open.remove(request);
+  }
+
+  /** Notes a whole answer. */
+  public void succeeded() {
+    failuresInRow = 0;
+    failureRate -= FAILURE_WEIGHT * failureRate;
+  }
+
+  /** Notes an answer that says that the request failed. */
+  public void failed() {
+    failureRate += FAILURE_WEIGHT * (1 - failureRate);
+  }
+
+  /** Notes that the server can't be reached or fell silent; it is left alone for a time. */
+  public void unreachable(long nowMillis) {
+    failed();
+    if (nowMillis < suspendedUntilMillis) {
+      return;
+    }
+    long pause =
+        Math.min(LONGEST_SUSPENSION_MILLIS, FIRST_SUSPENSION_MILLIS << Math.min(failuresInRow, 6));
+    failuresInRow++;
+    suspendedUntilMillis = nowMillis + pause;
+  }
+
+  /** Notes what the server said of its load in an answer. */
+  public void reported(int running, int waiting, long nowMillis) {
+    reportedRunning = running;
+    reportedWaiting = waiting;
+    openAtReport = open.size();
+    reportMillis = nowMillis;
+  }
+
+  /** Takes a peer's news of its open work. */
+  public void peerLoad(String peer, PeerLoad load) {
+    peers.put(peer, load);
+  }
+
+  /** Forgets what a peer told of its open work. */
+  public void forgetPeer(String peer) {
+    peers.remove(peer);
+  }
+
+  /** Takes a peer's news that the server reads or uses a part at the end of a chain. */
+  public void peerRead(long chainHash, int tokens) {
+    cache.used(chainHash, tokens);
+  }
+
+  /** Returns this gateway's open work, as told to peers. */
+  public PeerLoad ownLoad(long nowMillis) {
+    double reading = open.values().stream().mapToDouble(OpenWork::readMillis).sum();
+    int tight = (int) open.values().stream().filter(ServerModel::isTight).count();
+    int tokens = open.values().stream().mapToInt(OpenWork::tokens).sum();
+    return new PeerLoad(open.size(), reading, tight, tokens, nowMillis);
+  }
+
+  /** Returns the open requests of this gateway and its peers. */
+  public int openRequests(long nowMillis) {
+    int others =
+        peers.values().stream().filter(l -> fresh(l, nowMillis)).mapToInt(PeerLoad::requests).sum();
+    int known = open.size() + others;
+    if (nowMillis - reportMillis > REPORT_LIFE_MILLIS) {
+      return known;
+    }
+    int reportedNow = reportedRunning + reportedWaiting + open.size() - openAtReport;
+    return Math.max(known, reportedNow);
+  }
+
+  /** Returns the time to read all prompts that wait or are read now, in milliseconds. */
+  double backlogMillis(long nowMillis) {
+    double own =
+        open.values().stream()
+            .mapToDouble(work -> Math.max(0, work.readMillis() * REST_OF_READ))
+            .sum();
+    double others =
+        peers.values().stream()
+            .filter(load -> fresh(load, nowMillis))
+            .mapToDouble(
+                load -> Math.max(0, load.readMillis() - (nowMillis - load.receivedMillis())))
+            .sum();
+    return own + others;
+  }
+
+  // Of the prompts being read a part has been read already.
+  private static final double REST_OF_READ = 0.8;
+
+  /** Returns the running streams with a short pause target. */
+  int tightStreams(long nowMillis) {
+    int own = (int) open.values().stream().filter(ServerModel::isTight).count();
+    return own
+        + peers.values().stream()
+            .filter(load -> fresh(load, nowMillis))
+            .mapToInt(PeerLoad::tightStreams)
+            .sum();
+  }
+
+  /** Returns the tokens in memory that requests hold. */
+  long openTokens(long nowMillis) {
+    return open.values().stream().mapToLong(OpenWork::tokens).sum()
+        + peers.values().stream()
+            .filter(load -> fresh(load, nowMillis))
+            .mapToLong(PeerLoad::tokens)
+            .sum();
+  }
+
+  int cachedTokens(long[] chain, Work work) {
+    return cache.cachedTokens(chain, work.parts());
+  }
+
+  double slowness() {
+    return slowness;
+  }
+
+  double failureRate() {
+    return failureRate;
+  }
+
+  /** Returns whether the server was out of reach shortly before. */
+  public boolean suspended(long nowMillis) {
+    return nowMillis < suspendedUntilMillis;
+  }
+
+  long idHash() {
+    return idHash;
+  }
+
+  private static boolean fresh(PeerLoad load, long nowMillis) {
+    return nowMillis - load.receivedMillis() <= PEER_NEWS_LIFE_MILLIS;
+  }
+
+  private static boolean isTight(OpenWork work) {
+    return work.pauseTargetMillis() > 0 && work.pauseTargetMillis() <= TIGHT_PAUSE_MILLIS;
+  }
+
+  /** Pause targets up to this can be missed while an engine reads a long prompt. */
+  static final long TIGHT_PAUSE_MILLIS = 250;
+}
--- /dev/null
+++ b/core/src/main/java/org/shallothold/core/placement/Work.java
@@ -0,0 +1,41 @@
+package org.shallothold.core.placement;
+
+import java.util.List;
+
+/**
+ * What a request asks of a backend server.
+ *
+ * @param parts parts of the prompt in order; empty for plain services
+ * @param promptTokens tokens of the whole prompt
+ * @param outputTokens expected tokens of the answer
+ * @param priority rank, 0 is the highest
+ * @param latencyTargetMillis time in which the first event is on time
+ * @param pauseTargetMillis longest pause between events that is on time; 0 if there is no target
+ */
+public record Work(
+    List<PromptPart> parts,
+    int promptTokens,
+    int outputTokens,
+    int priority,
+    long latencyTargetMillis,
+    long pauseTargetMillis) {
+
+  /** Work of a plain service. */
+  public static Work plain(int priority, long latencyTargetMillis) {
+    return new Work(List.of(), 0, 0, priority, latencyTargetMillis, 0);
+  }
+
+  /**
+   * Returns, for each part, a hash of it and of all parts before it: an engine can use a cached
+   * part only if it caches all before it.
+   */
+  public long[] chain() {
+    long[] hashes = new long[parts.size()];
+    long hash = 0;
+    for (int i = 0; i < hashes.length; i++) {
+      hash = Hashing.mix(hash * 31 + parts.get(i).id());
+      hashes[i] = hash;
+    }
+    return hashes;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/shallothold/core/route/RoutedService.java
@@ -0,0 +1,12 @@
+package org.shallothold.core.route;
+
+/**
+ * A service that routes lead to.
+ *
+ * @param name name of the service
+ * @param connectionLimit connections that each of its backend servers accepts from all callers
+ * @param modelEngine whether its backend servers are model engines
+ * @param cacheTokens tokens that an engine's memory holds; 0 for plain services
+ */
+public record RoutedService(
+    String name, int connectionLimit, boolean modelEngine, long cacheTokens) {}
--- /dev/null
+++ b/core/src/main/java/org/shallothold/core/route/RoutingConfiguration.java
@@ -0,0 +1,106 @@
+package org.shallothold.core.route;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+
+/** One version of routes, services, customers and limits. Immutable. */
+public final class RoutingConfiguration {
+
+  private final long version;
+  private final Map<String, Map<String, Route>> routesByHostAndPrefix;
+  private final Map<String, RoutedService> services;
+  private final Map<String, CustomerIdentity> customersByKey;
+  private final CallerLimits limits;
+
+  private RoutingConfiguration(
+      long version,
+      Map<String, Map<String, Route>> routesByHostAndPrefix,
+      Map<String, RoutedService> services,
+      Map<String, CustomerIdentity> customersByKey,
+      CallerLimits limits) {
+    this.version = version;
+    this.routesByHostAndPrefix = routesByHostAndPrefix;
+    this.services = services;
+    this.customersByKey = customersByKey;
+    this.limits = limits;
+  }
+
+  /**
+   * Returns a configuration.
+   *
+   * @param customersByKey empty if the deployment has no customers, and then no key is asked for
+   */
+  public static RoutingConfiguration of(
+      long version,
+      List<Route> routes,
+      List<RoutedService> services,
+      Map<String, CustomerIdentity> customersByKey,
+      CallerLimits limits) {
+    Map<String, Map<String, Route>> byHost =
+        routes.stream()
+            .collect(
+                Collectors.groupingBy(
+                    Route::host,
+                    Collectors.toMap(Route::pathPrefix, Function.identity(), (a, b) -> b)));
+    Map<String, RoutedService> byName =
+        services.stream()
+            .collect(Collectors.toMap(RoutedService::name, Function.identity(), (a, b) -> b));
+    return new RoutingConfiguration(version, byHost, byName, Map.copyOf(customersByKey), limits);
+  }
+
+  /** Returns the version number; a later configuration has a greater one. */
+  public long version() {
+    return version;
+  }
+
+  /**
+   * Returns the route of the host whose prefix is the longest that begins the path, or empty.
+   *
+   * @param path path of the request without its query
+   */
+  public Optional<Route> find(String host, String path) {
+    Map<String, Route> byPrefix = routesByHostAndPrefix.get(host);
+    if (byPrefix == null) {
+      return Optional.empty();
+    }
+    for (int end = path.lastIndexOf('/'); end >= 0; end = path.lastIndexOf('/', end - 1)) {
+      Route route = byPrefix.get(path.substring(0, end + 1));
+      if (route != null) {
+        return Optional.of(route);
+      }
+    }
+    return Optional.empty();
+  }
+
+  /** Returns a service, or empty if the configuration doesn't name it. */
+  public Optional<RoutedService> service(String name) {
+    return Optional.ofNullable(services.get(name));
+  }
+
+  /** Returns whether callers of routes that aren't anonymous need a key. */
+  public boolean hasCustomers() {
+    return !customersByKey.isEmpty();
+  }
+
+  /** Returns the customer of a key, or empty if no customer holds it. */
+  public Optional<CustomerIdentity> customer(String key) {
+    return Optional.ofNullable(customersByKey.get(key));
+  }
+
+  /** Returns what callers may send. */
+  public CallerLimits limits() {
+    return limits;
+  }
+
+  /** Returns all routes, ordered by name. */
+  public List<Route> routes() {
+    return routesByHostAndPrefix.values().stream()
+        .flatMap(byPrefix -> byPrefix.values().stream())
+        .sorted(Comparator.comparing(Route::name))
+        .toList();
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/ForwardMetrics.java
@@ -0,0 +1,77 @@
+package org.shallothold.gateway.forward;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Gauge;
+import io.prometheus.metrics.core.metrics.Histogram;
+import org.shallothold.runtime.metrics.Metrics;
+
+/** Metrics of the direct path. May be shared between threads. */
+final class ForwardMetrics {
+
+  private static final double[] LATENCY_BOUNDS = {
+    0.01, 0.025, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 0.75, 1, 1.5, 2.5, 5, 10
+  };
+
+  final Counter requests;
+  final Counter attempts;
+  final Counter repeatsDenied;
+  final Histogram firstEvent;
+  final Histogram total;
+  final Gauge configurationVersion;
+  final Gauge servers;
+  final Gauge gateways;
+  final Gauge openRequests;
+  final Gauge logLinesDropped;
+
+  private final Metrics metrics;
+
+  private ForwardMetrics(Metrics metrics) {
+    this.metrics = metrics;
+    requests =
+        metrics.counter(
+            "shallothold_forwarded_requests_total",
+            "Requests by route, outcome and cause.",
+            "route",
+            "outcome",
+            "cause");
+    attempts =
+        metrics.counter(
+            "shallothold_forwarded_attempts_total",
+            "Sends to backend servers by service and result.",
+            "service",
+            "result");
+    repeatsDenied =
+        metrics.counter(
+            "shallothold_repeats_denied_total",
+            "Repeats that the shared budget did not allow.",
+            "service");
+    firstEvent =
+        metrics.seconds(
+            "shallothold_forwarded_first_event_seconds",
+            "Time from a request's arrival to the first byte of its answer's body.",
+            LATENCY_BOUNDS,
+            "route");
+    total =
+        metrics.seconds(
+            "shallothold_forwarded_answer_seconds",
+            "Time from a request's arrival to the end of its answer.",
+            LATENCY_BOUNDS,
+            "route");
+    configurationVersion =
+        metrics.gauge("shallothold_configuration_version", "Configuration version in force.");
+    servers = metrics.gauge("shallothold_backend_servers", "Listed backend servers.", "service");
+    gateways = metrics.gauge("shallothold_gateways", "Gateways heard of lately, with this one.");
+    openRequests =
+        metrics.gauge("shallothold_forwarded_open_requests", "Requests without an end yet.");
+    logLinesDropped =
+        metrics.gauge("shallothold_log_lines_dropped", "Log lines that did not fit the ring.");
+  }
+
+  static ForwardMetrics create() {
+    return new ForwardMetrics(Metrics.create());
+  }
+
+  String text() {
+    return metrics.text();
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/ForwardedRequest.java
@@ -0,0 +1,657 @@
+package org.shallothold.gateway.forward;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
+import org.shallothold.core.placement.Placement;
+import org.shallothold.core.placement.ServerModel;
+import org.shallothold.core.placement.Work;
+import org.shallothold.core.route.CallKind;
+import org.shallothold.core.route.CustomerIdentity;
+import org.shallothold.core.route.Route;
+import org.shallothold.core.route.RoutingConfiguration;
+import org.shallothold.core.stream.EventFramer;
+import org.shallothold.core.verdict.ReasonCode;
+import org.shallothold.core.verdict.Verdict;
+import org.shallothold.gateway.forward.backend.BackendListener;
+import org.shallothold.gateway.forward.backend.BackendPool;
+import org.shallothold.gateway.forward.caller.CallerExchange;
+import org.shallothold.gateway.forward.caller.CallerRequest;
+import org.shallothold.gateway.forward.caller.CallerRequestListener;
+import org.shallothold.gateway.forward.caller.Refusal;
+import org.shallothold.gateway.forward.port.AnswerFacts;
+import org.shallothold.gateway.forward.port.RequestFacts;
+import org.shallothold.gateway.forward.port.SendFacts;
+
+/**
+ * One request of a caller from its arrival to its end: which server it goes to, whether it may go
+ * to another one, and what the caller is told. Owned by the event loop.
+ */
+final class ForwardedRequest implements CallerRequestListener {
+
+  /** Answers of plain services larger than this are not held back until they are whole. */
+  private static final int MAX_HELD_ANSWER_BYTES = 8 * 1024 * 1024;
+
+  private static final long NOT_CONFIGURED_RETRY_MILLIS = 500;
+  private static final long NO_SERVER_RETRY_MILLIS = 400;
+  // Below this a repeat can't be answered in time any more.
+  private static final long MIN_REPEAT_MILLIS = 20;
+  // A server that rejects a request says so at once, so a few more can be asked.
+  private static final int MAX_REJECTIONS = 3;
+
+  private final Forwarder forwarder;
+  private final long number;
+  private final CallerRequest request;
+  private final CallerExchange caller;
+  private final long arrivedMillis;
+  private final RequestFacts facts;
+  private final RequestTrace trace;
+  private final Set<String> triedServers = new HashSet<>();
+
+  private @Nullable Route route;
+  private @Nullable CustomerIdentity customer;
+  private Work work = Work.plain(0, 0);
+  private long deadlineMillis;
+  private @Nullable Attempt attempt;
+  private int runs;
+  private int rejections;
+  private boolean ended;
+  private boolean streamBegun;
+  private boolean firstEventSeen;
+  private long lastEventId;
+  private boolean callerGone;
+  private @Nullable ScheduledFuture<?> timer;
+
+  ForwardedRequest(Forwarder forwarder, long number, CallerRequest request, CallerExchange caller) {
+    this.forwarder = forwarder;
+    this.number = number;
+    this.request = request;
+    this.caller = caller;
+    this.arrivedMillis = TimeUnit.NANOSECONDS.toMillis(request.arrivedNanos());
+    this.facts = forwarder.translation().request(request.head());
+    this.lastEventId = facts.lastEventId();
+    String id = facts.requestId();
+    this.trace = forwarder.trace(id == null ? "unnamed-" + number : id, arrivedMillis);
+  }
+
+  void start() {
+    Optional<RoutingConfiguration> configuration = forwarder.state().configuration();
+    if (configuration.isEmpty()) {
+      refuse(
+          HttpResponseStatus.SERVICE_UNAVAILABLE,
+          Verdict.notRun(ReasonCode.NOT_CONFIGURED, NOT_CONFIGURED_RETRY_MILLIS));
+      return;
+    }
+    Route found = findRoute(configuration.get());
+    if (found == null) {
+      refuse(HttpResponseStatus.NOT_FOUND, Verdict.notRun(ReasonCode.NOT_FOUND));
+      return;
+    }
+    route = found;
+    if (configuration.get().hasCustomers() && !found.anonymous()) {
+      String key = facts.key();
+      customer = key == null ? null : configuration.get().customer(key).orElse(null);
+      if (customer == null) {
+        refuse(HttpResponseStatus.UNAUTHORIZED, Verdict.notRun(ReasonCode.UNAUTHENTICATED));
+        return;
+      }
+    }
+    work = describeWork(found);
+    long wait = found.timeoutMillis();
+    if (facts.deadlineMillis() > 0) {
+      wait = Math.min(wait, facts.deadlineMillis());
+    }
+    deadlineMillis = arrivedMillis + wait;
+    trace
+        .line("request_taken")
+        .with("route", found.name())
+        .with("kind", found.kind().name())
+        .with("customer", customer == null ? "" : customer.name())
+        .with("configuration", configuration.get().version())
+        .with("deadline_millis", wait)
+        .with("prompt_tokens", work.promptTokens());
+    timer =
+        forwarder.eventLoop().schedule(this::timedOut, Math.max(0, left()), TimeUnit.MILLISECONDS);
+    sendFirst();
+  }
+
+  @Override
+  public void callerLeft() {
+    if (ended) {
+      return;
+    }
+    callerGone = true;
+    trace.line("caller_left");
+    Attempt current = attempt;
+    Route known = route;
+    if (current != null && known != null && known.kind() == CallKind.ONCE && current.sent) {
+      // The server acts on the request in any case; closing would only hide the outcome from it.
+      return;
+    }
+    if (current != null) {
+      current.abandon();
+    }
+    end("caller_left", "", false);
+  }
+
+  @Override
+  public void writabilityChanged() {
+    Attempt current = attempt;
+    if (current != null) {
+      current.exchange.readable(caller.isWritable());
+    }
+  }
+
+  private @Nullable Route findRoute(RoutingConfiguration configuration) {
+    HttpRequest head = request.head();
+    String host = head.headers().get(HttpHeaderNames.HOST, "");
+    String uri = head.uri();
+    int query = uri.indexOf('?');
+    String path = query < 0 ? uri : uri.substring(0, query);
+    return configuration.find(host, path).orElse(null);
+  }
+
+  private Work describeWork(Route found) {
+    int priority = customer == null ? found.priority() : customer.priorityOn(found);
+    if (facts.promptTokens() == 0) {
+      return Work.plain(priority, found.latencyTargetMillis());
+    }
+    int output =
+        facts.expectedOutputTokens() > 0 ? facts.expectedOutputTokens() : facts.maxOutputTokens();
+    return new Work(
+        facts.parts(),
+        facts.promptTokens(),
+        output,
+        priority,
+        found.latencyTargetMillis(),
+        found.pauseTargetMillis());
+  }
+
+  private void sendFirst() {
+    Route known = route;
+    if (known == null) {
+      return;
+    }
+    String service = known.service(ThreadLocalRandom.current().nextDouble());
+    forwarder.requestArrived(service);
+    send(service);
+  }
+
+  private void send(String service) {
+    List<ServerModel> candidates =
+        forwarder.state().servers(service).stream()
+            .filter(server -> !triedServers.contains(server.entry().id()))
+            .toList();
+    Optional<Placement> placement =
+        forwarder.policy(service).choose(work, candidates, Clock.millis());
+    if (placement.isEmpty()) {
+      giveUp(ReasonCode.NO_SERVER);
+      return;
+    }
+    attempt = new Attempt(service, placement.get());
+    attempt.start();
+  }
+
+  /** Sends the request to another server if it may still run, or else ends it. */
+  private void sendAgain(String service, ReasonCode cause, boolean repeatCosts) {
+    if (ended) {
+      return;
+    }
+    Route known = route;
+    if (callerGone || known == null) {
+      end("caller_left", cause.code(), false);
+      return;
+    }
+    boolean mayRun = runs == 0 || (known.kind().repeatable() && runs < known.maxAttempts());
+    if (!mayRun || left() < MIN_REPEAT_MILLIS || rejections > MAX_REJECTIONS) {
+      giveUp(cause);
+      return;
+    }
+    if (repeatCosts && !forwarder.tryRepeat(service)) {
+      trace.line("repeat_denied").with("service", service);
+      giveUp(cause);
+      return;
+    }
+    String next = serviceNow(known, service);
+    send(next);
+  }
+
+  /** Returns the service by the configuration in force now, which may have moved the route. */
+  private String serviceNow(Route known, String service) {
+    Route current = forwarder.state().configuration().map(this::findRoute).orElse(null);
+    if (current == null || current.leadsTo(service)) {
+      return service;
+    }
+    route = current.kind() == known.kind() ? current : known;
+    return current.service(ThreadLocalRandom.current().nextDouble());
+  }
+
+  private void giveUp(ReasonCode cause) {
+    if (streamBegun) {
+      end("broken", cause.code(), false);
+      caller.abort();
+    } else if (runs == 0) {
+      refuse(HttpResponseStatus.SERVICE_UNAVAILABLE, Verdict.notRun(cause, NO_SERVER_RETRY_MILLIS));
+    } else {
+      refuse(HttpResponseStatus.BAD_GATEWAY, Verdict.mayHaveRun(cause));
+    }
+  }
+
+  private void timedOut() {
+    if (ended) {
+      return;
+    }
+    Attempt current = attempt;
+    boolean ran = runs > 0;
+    if (current != null) {
+      current.abandon();
+      if (!firstEventSeen && current.sent) {
+        current.placement.server().unreachable(Clock.millis());
+      }
+    }
+    if (callerGone) {
+      end("caller_left", ReasonCode.DEADLINE.code(), false);
+    } else if (streamBegun) {
+      end("broken", ReasonCode.DEADLINE.code(), false);
+      caller.abort();
+    } else if (ran) {
+      refuse(HttpResponseStatus.GATEWAY_TIMEOUT, Verdict.mayHaveRun(ReasonCode.DEADLINE));
+    } else {
+      refuse(HttpResponseStatus.SERVICE_UNAVAILABLE, Verdict.notRun(ReasonCode.DEADLINE));
+    }
+  }
+
+  private void refuse(HttpResponseStatus status, Verdict verdict) {
+    Refusal refusal = Refusal.of(status, verdict);
+    String cause =
+        switch (verdict) {
+          case Verdict.Completed completed -> "";
+          case Verdict.NotRun notRun -> notRun.reason().code();
+          case Verdict.MayHaveRun mayHaveRun -> mayHaveRun.reason().code();
+        };
+    trace
+        .line("request_refused")
+        .with("status", status.code())
+        .with("verdict", verdict.wireName())
+        .with("cause", cause)
+        .with("runs", runs)
+        .with("rejections", rejections);
+    end(verdict.wireName(), cause, false);
+    caller.answer(refusal.status(), refusal.headers(), refusal.body());
+  }
+
+  private void end(String outcome, String cause, boolean ordinary) {
+    if (ended) {
+      return;
+    }
+    ended = true;
+    if (timer != null) {
+      timer.cancel(false);
+    }
+    request.body().release();
+    Route known = route;
+    String name = known == null ? "" : known.name();
+    forwarder.metrics().requests.labelValues(name, outcome, cause).inc();
+    forwarder.metrics().total.labelValues(name).observe((Clock.millis() - arrivedMillis) / 1_000.0);
+    trace.line("request_ended").with("outcome", outcome).with("cause", cause);
+    trace.end(ordinary);
+    forwarder.ended(this);
+  }
+
+  private void noteFirstEvent() {
+    if (firstEventSeen) {
+      return;
+    }
+    firstEventSeen = true;
+    Route known = route;
+    if (known != null) {
+      forwarder
+          .metrics()
+          .firstEvent
+          .labelValues(known.name())
+          .observe((Clock.millis() - arrivedMillis) / 1_000.0);
+    }
+  }
+
+  private long left() {
+    return deadlineMillis - Clock.millis();
+  }
+
+  /** One send to one server. */
+  private final class Attempt implements BackendListener {
+
+    private final String service;
+    private final Placement placement;
+    private final ServerModel server;
+    private final long key = number;
+    private BackendPool.Exchange exchange = BackendPool.Exchange.none();
+    private boolean sent;
+    private boolean over;
+    private @Nullable HttpResponse head;
+    private @Nullable AnswerFacts answerFacts;
+    private @Nullable ByteBuf held;
+    private EventFramer framer = EventFramer.create();
+    private boolean streaming;
+
+    Attempt(String service, Placement placement) {
+      this.service = service;
+      this.placement = placement;
+      this.server = placement.server();
+    }
+
+    void start() {
+      String serverId = server.entry().id();
+      triedServers.add(serverId);
+      trace
+          .line("server_chosen")
+          .with("service", service)
+          .with("server", serverId)
+          .with("expected_millis", Math.round(placement.expectedMillis()))
+          .with("cached_tokens", placement.cachedTokens())
+          .with("open_requests", server.openRequests(Clock.millis()))
+          .with("run", runs + 1L);
+      server.sent(key, work, placement.readMillis(), Clock.millis());
+      noteReads(serverId);
+      exchange =
+          forwarder.state().pool(server.entry()).send(backendRequest(serverId), requestId(), this);
+    }
+
+    private String requestId() {
+      String id = facts.requestId();
+      return id == null ? "" : id;
+    }
+
+    private FullHttpRequest backendRequest(String serverId) {
+      SendFacts sendFacts =
+          new SendFacts(
+              serverId,
+              Math.max(1, left()),
+              work.priority(),
+              customer == null ? null : customer.name(),
+              lastEventId);
+      HttpHeaders headers = forwarder.translation().forward(request.head(), sendFacts);
+      ByteBuf body = request.body().retainedDuplicate();
+      if (body.isReadable() || headers.contains(HttpHeaderNames.CONTENT_LENGTH)) {
+        headers.set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
+      }
+      return new DefaultFullHttpRequest(
+          HttpVersion.HTTP_1_1,
+          request.head().method(),
+          request.head().uri(),
+          body,
+          headers,
+          new DefaultHttpHeaders());
+    }
+
+    private void noteReads(String serverId) {
+      long[] chain = work.chain();
+      for (int i = 0; i + 1 < chain.length; i++) {
+        forwarder.prefixReads().add(serverId, chain[i], work.parts().get(i).tokens());
+      }
+    }
+
+    @Override
+    public void sending() {
+      sent = true;
+      runs++;
+    }
+
+    @Override
+    public void head(HttpResponse answerHead, AnswerFacts answered) {
+      if (over) {
+        return;
+      }
+      head = answerHead;
+      answerFacts = answered;
+      if (answered.running() >= 0) {
+        server.reported(answered.running(), answered.waiting(), Clock.millis());
+      }
+      Route known = route;
+      streaming =
+          known != null
+              && known.kind().streaming()
+              && answerHead.status().code() == HttpResponseStatus.OK.code()
+              && answered.signed();
+      if (streaming && !streamBegun) {
+        streamBegun = true;
+        caller.beginStream(answerHead.status(), forwarder.translation().backward(answerHead));
+      }
+    }
+
+    @Override
+    public void content(ByteBuf content) {
+      if (over) {
+        return;
+      }
+      if (!streaming) {
+        ByteBuf all = held == null ? Unpooled.buffer(content.readableBytes()) : held;
+        held = all;
+        if (all.readableBytes() + content.readableBytes() > MAX_HELD_ANSWER_BYTES) {
+          exchange.abandon();
+          failed("the answer is too large", false);
+          return;
+        }
+        all.writeBytes(content);
+        return;
+      }
+      forwardEvents(content);
+    }
+
+    /** Forwards whole events only, so that another run can continue after the last one. */
+    private void forwardEvents(ByteBuf content) {
+      ByteBuf partial = held;
+      ByteBuf all =
+          Unpooled.buffer(
+              (partial == null ? 0 : partial.readableBytes()) + content.readableBytes());
+      int scanned = 0;
+      if (partial != null) {
+        scanned = partial.readableBytes();
+        all.writeBytes(partial);
+        partial.release();
+      }
+      all.writeBytes(content);
+      ByteBuf whole = Unpooled.buffer(all.readableBytes());
+      int begin = 0;
+      for (int i = scanned; i < all.writerIndex(); i++) {
+        if (framer.accept(all.getByte(i))) {
+          long id = framer.lastId();
+          if (id > lastEventId || id == EventFramer.NO_EVENT) {
+            whole.writeBytes(all, begin, i + 1 - begin);
+            lastEventId = Math.max(lastEventId, id);
+          }
+          begin = i + 1;
+        }
+      }
+      held = all.slice(begin, all.writerIndex() - begin).copy();
+      all.release();
+      if (!whole.isReadable()) {
+        whole.release();
+        return;
+      }
+      server.started(key, placement.expectedMillis(), Clock.millis());
+      noteFirstEvent();
+      caller.events(whole);
+      if (!caller.isWritable()) {
+        exchange.readable(false);
+      }
+    }
+
+    @Override
+    public void end() {
+      if (over) {
+        return;
+      }
+      over = true;
+      HttpResponse answerHead = head;
+      AnswerFacts answered = answerFacts;
+      if (answerHead == null || answered == null) {
+        return;
+      }
+      server.started(key, placement.expectedMillis(), Clock.millis());
+      server.ended(key);
+      if (streaming) {
+        endStream();
+      } else {
+        endWhole(answerHead, answered);
+      }
+    }
+
+    private void endStream() {
+      boolean cut = held != null && held.isReadable();
+      releaseHeld();
+      if (cut) {
+        fail("the stream ended within an event");
+        return;
+      }
+      server.succeeded();
+      result("stream_ended");
+      finish();
+      caller.endStream();
+    }
+
+    private void finish() {
+      ForwardedRequest.this.end("completed", "", runs == 1 && rejections == 0);
+    }
+
+    private void endWhole(HttpResponse answerHead, AnswerFacts answered) {
+      int status = answerHead.status().code();
+      Route known = route;
+      boolean repeatable = known != null && known.kind().repeatable();
+      if (answered.notRun() || status == HttpResponseStatus.MISDIRECTED_REQUEST.code()) {
+        runs--;
+        rejections++;
+        result("rejected_" + status);
+        releaseHeld();
+        sendAgain(service, ReasonCode.NO_SERVER, true);
+        return;
+      }
+      boolean success = status >= 200 && status < 300;
+      if (success && !answered.signed()) {
+        fail("the answer is not signed");
+        return;
+      }
+      if (success) {
+        server.succeeded();
+      } else {
+        server.failed();
+      }
+      result("status_" + status);
+      boolean serverError = status >= 500;
+      if (serverError && (repeatable || streamBegun) && mayRepeat()) {
+        releaseHeld();
+        sendAgain(service, ReasonCode.BACKEND_FAILED, true);
+        return;
+      }
+      if (streamBegun) {
+        releaseHeld();
+        giveUp(ReasonCode.BACKEND_FAILED);
+        return;
+      }
+      deliver(answerHead, status, repeatable);
+    }
+
+    private boolean mayRepeat() {
+      Route known = route;
+      return known != null
+          && known.kind().repeatable()
+          && runs < known.maxAttempts()
+          && left() >= MIN_REPEAT_MILLIS
+          && !callerGone;
+    }
+
+    /** Passes the server's answer on. */
+    private void deliver(HttpResponse answerHead, int status, boolean repeatable) {
+      if (!repeatable && isPromiseOfNoRun(status)) {
+        releaseHeld();
+        giveUp(ReasonCode.BACKEND_FAILED);
+        return;
+      }
+      noteFirstEvent();
+      ByteBuf body = held == null ? Unpooled.EMPTY_BUFFER : held;
+      held = null;
+      boolean success = status >= 200 && status < 300;
+      ForwardedRequest.this.end(
+          success ? "completed" : "server_error",
+          success ? "" : "status_" + status,
+          success && runs == 1 && rejections == 0);
+      if (callerGone) {
+        body.release();
+        return;
+      }
+      caller.answer(answerHead.status(), forwarder.translation().backward(answerHead), body);
+    }
+
+    private static boolean isPromiseOfNoRun(int status) {
+      return status == HttpResponseStatus.TOO_MANY_REQUESTS.code()
+          || status == HttpResponseStatus.SERVICE_UNAVAILABLE.code()
+          || status == HttpResponseStatus.REQUEST_TIMEOUT.code();
+    }
+
+    @Override
+    public void failed(String reason, boolean neverSent) {
+      if (over) {
+        return;
+      }
+      over = true;
+      server.ended(key);
+      releaseHeld();
+      if (neverSent) {
+        server.unreachable(Clock.millis());
+        result("unreachable");
+        trace.line("server_unreachable").with("reason", reason);
+        sendAgain(service, ReasonCode.NO_SERVER, false);
+        return;
+      }
+      fail(reason);
+    }
+
+    private void fail(String reason) {
+      releaseHeld();
+      server.failed();
+      result("failed");
+      trace
+          .line("answer_failed")
+          .with("server", server.entry().id())
+          .with("reason", reason)
+          .with("last_event", lastEventId);
+      sendAgain(service, ReasonCode.BACKEND_FAILED, true);
+    }
+
+    void abandon() {
+      if (over) {
+        return;
+      }
+      over = true;
+      server.ended(key);
+      releaseHeld();
+      exchange.abandon();
+    }
+
+    private void releaseHeld() {
+      if (held != null) {
+        held.release();
+        held = null;
+      }
+    }
+
+    private void result(String name) {
+      forwarder.metrics().attempts.labelValues(service, name).inc();
+    }
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/Forwarder.java
@@ -0,0 +1,159 @@
+package org.shallothold.gateway.forward;
+
+import io.netty.channel.EventLoop;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.IntSupplier;
+import org.shallothold.core.placement.EngineFigures;
+import org.shallothold.core.placement.EnginePlacement;
+import org.shallothold.core.placement.PlacementPolicy;
+import org.shallothold.core.placement.PlainPlacement;
+import org.shallothold.core.retry.FleetRetryBudget;
+import org.shallothold.core.route.CallerLimits;
+import org.shallothold.core.route.RoutedService;
+import org.shallothold.core.route.RoutingConfiguration;
+import org.shallothold.core.verdict.ReasonCode;
+import org.shallothold.gateway.forward.caller.CallerExchange;
+import org.shallothold.gateway.forward.caller.CallerRequest;
+import org.shallothold.gateway.forward.caller.CallerRequestListener;
+import org.shallothold.gateway.forward.caller.CallerService;
+import org.shallothold.gateway.forward.port.HeaderTranslation;
+import org.shallothold.runtime.logging.DecisionLog;
+import org.shallothold.runtime.logging.LogLine;
+
+/** What the requests of a gateway share. Made once per process; owned by the event loop. */
+final class Forwarder implements CallerService {
+
+  private final ForwardOptions options;
+  private final EventLoop eventLoop;
+  private final RoutingState state;
+  private final HeaderTranslation translation;
+  private final DecisionLog log;
+  private final ForwardMetrics metrics;
+  private final IntSupplier gateways;
+  private final PrefixReads prefixReads;
+
+  private final Map<String, PlacementPolicy> policies = new HashMap<>();
+  private final Map<String, FleetRetryBudget> budgets = new HashMap<>();
+  private final Set<ForwardedRequest> open = new HashSet<>();
+  private long requestNumber;
+  private boolean leaving;
+
+  Forwarder(
+      ForwardOptions options,
+      EventLoop eventLoop,
+      RoutingState state,
+      HeaderTranslation translation,
+      DecisionLog log,
+      ForwardMetrics metrics,
+      IntSupplier gateways,
+      PrefixReads prefixReads) {
+    this.options = options;
+    this.eventLoop = eventLoop;
+    this.state = state;
+    this.translation = translation;
+    this.log = log;
+    this.metrics = metrics;
+    this.gateways = gateways;
+    this.prefixReads = prefixReads;
+  }
+
+  @Override
+  public CallerRequestListener accept(CallerRequest request, CallerExchange exchange) {
+    ForwardedRequest forwarded = new ForwardedRequest(this, ++requestNumber, request, exchange);
+    open.add(forwarded);
+    forwarded.start();
+    return forwarded;
+  }
+
+  @Override
+  public void rejected(ReasonCode reason) {
+    metrics.requests.labelValues("", "rejected", reason.code()).inc();
+    log.add(LogLine.of("request_rejected").with("cause", reason.code()));
+  }
+
+  @Override
+  public CallerLimits limits() {
+    return state.configuration().map(RoutingConfiguration::limits).orElse(CallerLimits.DEFAULT);
+  }
+
+  @Override
+  public boolean isLeaving() {
+    return leaving;
+  }
+
+  void leave() {
+    leaving = true;
+  }
+
+  int openRequests() {
+    return open.size();
+  }
+
+  void ended(ForwardedRequest request) {
+    open.remove(request);
+  }
+
+  EventLoop eventLoop() {
+    return eventLoop;
+  }
+
+  RoutingState state() {
+    return state;
+  }
+
+  HeaderTranslation translation() {
+    return translation;
+  }
+
+  ForwardMetrics metrics() {
+    return metrics;
+  }
+
+  PrefixReads prefixReads() {
+    return prefixReads;
+  }
+
+  RequestTrace trace(String requestId, long arrivedMillis) {
+    return new RequestTrace(log, requestId, arrivedMillis);
+  }
+
+  /** Returns how servers of a service are chosen. */
+  PlacementPolicy policy(String service) {
+    boolean engines =
+        state
+            .configuration()
+            .flatMap(known -> known.service(service))
+            .map(RoutedService::modelEngine)
+            .orElse(false);
+    return policies.computeIfAbsent(
+        service + (engines ? "/engines" : "/plain"),
+        key ->
+            engines
+                ? EnginePlacement.of(EngineFigures.DEFAULT, options.failureDomain())
+                : PlainPlacement.in(options.failureDomain()));
+  }
+
+  /** Notes a caller's request for a service. */
+  void requestArrived(String service) {
+    budget(service).requestArrived(Clock.millis());
+  }
+
+  /** Takes one repeat from the shared budget of a service. */
+  boolean tryRepeat(String service) {
+    boolean granted = budget(service).tryRepeat(gateways.getAsInt(), Clock.millis());
+    if (!granted) {
+      metrics.repeatsDenied.labelValues(service).inc();
+    }
+    return granted;
+  }
+
+  private FleetRetryBudget budget(String service) {
+    ForwardOptions.RepeatLimit limit = options.budget();
+    return budgets.computeIfAbsent(
+        service,
+        name -> FleetRetryBudget.of(limit.ratio(), limit.allowance(), limit.windowMillis()));
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/ForwardingGateway.java
@@ -0,0 +1,279 @@
+package org.shallothold.gateway.forward;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
+import org.shallothold.core.placement.ServerModel;
+import org.shallothold.core.publish.PublishedItem;
+import org.shallothold.core.route.RoutingConfiguration;
+import org.shallothold.gateway.forward.caller.CallerListener;
+import org.shallothold.gateway.forward.peer.PeerExchange;
+import org.shallothold.gateway.forward.port.HeaderTranslation;
+import org.shallothold.gateway.forward.port.PublishedDecoder;
+import org.shallothold.gateway.forward.port.PublishedSource;
+import org.shallothold.gateway.forward.port.PublishedTopic;
+import org.shallothold.runtime.logging.DecisionLog;
+import org.shallothold.runtime.logging.LogLine;
+import org.shallothold.wire.connection.Transport;
+import org.shallothold.wire.proto.FleetNews;
+import org.shallothold.wire.proto.OpenWork;
+import org.shallothold.wire.proto.PrefixRead;
+
+/**
+ * A gateway that forwards requests to backend servers directly. One event loop owns all of its
+ * state; it lives as long as the process.
+ */
+public final class ForwardingGateway {
+
+  private static final long MAINTENANCE_MILLIS = 500;
+  // The platform needs two missed questions, a second apart, to stop sending new connections.
+  private static final long ROTATION_MILLIS = 2_600;
+  private static final long DRAIN_POLL_MILLIS = 50;
+  // Answers that are still running are cut only just before the process would be killed.
+  private static final double USED_PART_OF_SHUTDOWN = 0.93;
+  private static final String METRICS_PATH = "/metrics";
+
+  private final ForwardOptions options;
+  private final EventLoop eventLoop;
+  private final DecisionLog log;
+  private final ForwardMetrics metrics = ForwardMetrics.create();
+  private final RoutingState state;
+  private final PrefixReads prefixReads = new PrefixReads();
+  private final Forwarder forwarder;
+  private @Nullable PeerExchange peers;
+  private @Nullable CallerListener callers;
+
+  private ForwardingGateway(
+      ForwardOptions options,
+      EventLoop eventLoop,
+      HeaderTranslation translation,
+      PublishedDecoder decoder,
+      DecisionLog log) {
+    this.options = options;
+    this.eventLoop = eventLoop;
+    this.log = log;
+    this.state = new RoutingState(eventLoop, decoder, translation, log);
+    this.forwarder =
+        new Forwarder(
+            options, eventLoop, state, translation, log, metrics, this::gateways, prefixReads);
+  }
+
+  /**
+   * Starts all listeners and the reading of the platform.
+   *
+   * @throws IllegalStateException if an address can't be bound
+   */
+  public static ForwardingGateway start(
+      ForwardOptions options,
+      HeaderTranslation translation,
+      PublishedDecoder decoder,
+      PublishedSource source,
+      DecisionLog log) {
+    EventLoopGroup group = Transport.group("forward", 1);
+    ForwardingGateway gateway =
+        new ForwardingGateway(options, group.next(), translation, decoder, log);
+    gateway.listen(group, source);
+    log.add(
+        LogLine.of("started")
+            .with("failure_domain", options.failureDomain())
+            .with("callers", options.callers().toString()));
+    return gateway;
+  }
+
+  /**
+   * Leaves: no new callers, whole answers for those that are being served. Blocks until all have
+   * ended or the time to shut down is nearly over.
+   *
+   * @return whether no request was cut
+   */
+  public boolean drain() {
+    long begun = Clock.millis();
+    long end = begun + (long) (options.shutdownMillis() * USED_PART_OF_SHUTDOWN);
+    log.add(LogLine.of("stopping").with("open_requests", onLoop(forwarder::openRequests)));
+    eventLoop.execute(forwarder::leave);
+    boolean idleClosed = false;
+    while (Clock.millis() < end) {
+      boolean outOfRotation = Clock.millis() - begun >= ROTATION_MILLIS;
+      if (outOfRotation && !idleClosed) {
+        idleClosed = true;
+        eventLoop.execute(this::closeIdleCallers);
+      }
+      if (outOfRotation && onLoop(this::openWork) == 0) {
+        break;
+      }
+      pause();
+    }
+    int cut = onLoop(forwarder::openRequests);
+    log.add(LogLine.of("stopped").with("requests_cut", cut));
+    return cut == 0;
+  }
+
+  private void listen(EventLoopGroup group, PublishedSource source) {
+    callers = CallerListener.start(group, options.callers(), forwarder);
+    if (options.peers() != null) {
+      peers =
+          PeerExchange.start(
+              eventLoop,
+              options.processId(),
+              options.peers(),
+              options.seeds(),
+              new PeerSource(),
+              log);
+    }
+    StatusListener.start(group, options.readiness(), this::readiness);
+    if (options.metrics() != null) {
+      StatusListener.start(group, options.metrics(), this::metricsText);
+    }
+    source.start(eventLoop, state);
+    eventLoop.scheduleAtFixedRate(
+        state::maintain, MAINTENANCE_MILLIS, MAINTENANCE_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
+  private StatusListener.Answer readiness(String path) {
+    if (!path.equals(options.readinessPath())) {
+      return StatusListener.Answer.notFound();
+    }
+    boolean ready = state.isServing() && !forwarder.isLeaving();
+    HttpResponseStatus status =
+        ready ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE;
+    return new StatusListener.Answer(status.code(), "");
+  }
+
+  private StatusListener.Answer metricsText(String path) {
+    if (!path.equals(METRICS_PATH)) {
+      return StatusListener.Answer.notFound();
+    }
+    metrics.configurationVersion.set(
+        (double) state.configuration().map(RoutingConfiguration::version).orElse(0L));
+    metrics.gateways.set(gateways());
+    metrics.openRequests.set(forwarder.openRequests());
+    metrics.logLinesDropped.set((double) log.droppedLines());
+    metrics.servers.clear();
+    state
+        .allServers()
+        .forEach(server -> metrics.servers.labelValues(server.entry().service()).inc());
+    return new StatusListener.Answer(HttpResponseStatus.OK.code(), metrics.text());
+  }
+
+  private int gateways() {
+    return peers == null ? 1 : peers.gateways();
+  }
+
+  private int openWork() {
+    long busy = callers == null ? 0 : callers.busyConnections();
+    return forwarder.openRequests() + (int) busy;
+  }
+
+  private void closeIdleCallers() {
+    if (callers != null) {
+      callers.closeIdle();
+    }
+  }
+
+  private int onLoop(java.util.function.IntSupplier supplier) {
+    CountDownLatch done = new CountDownLatch(1);
+    int[] result = new int[1];
+    eventLoop.execute(
+        () -> {
+          result[0] = supplier.getAsInt();
+          done.countDown();
+        });
+    try {
+      done.await();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+    return result[0];
+  }
+
+  private static void pause() {
+    try {
+      Thread.sleep(DRAIN_POLL_MILLIS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  /** Joins the exchange with peers to the state of this gateway. */
+  private final class PeerSource implements PeerExchange.Source {
+
+    @Override
+    public void describe(FleetNews.Builder news) {
+      long now = Clock.millis();
+      for (ServerModel server : state.allServers()) {
+        ServerModel.PeerLoad load = server.ownLoad(now);
+        if (load.requests() > 0) {
+          news.addOpenWork(
+              OpenWork.newBuilder()
+                  .setServerId(server.entry().id())
+                  .setRequests(load.requests())
+                  .setReadMillis((int) Math.round(load.readMillis()))
+                  .setTightStreams(load.tightStreams())
+                  .setTokens(load.tokens()));
+        }
+      }
+      for (PrefixReads.Read read : prefixReads.takeAll()) {
+        news.addPrefixReads(
+            PrefixRead.newBuilder()
+                .setServerId(read.serverId())
+                .setChainHash(read.chainHash())
+                .setTokens(read.tokens()));
+      }
+    }
+
+    @Override
+    public void received(FleetNews news) {
+      long now = Clock.millis();
+      String peer = news.getProcessId();
+      state.allServers().forEach(server -> server.forgetPeer(peer));
+      for (OpenWork work : news.getOpenWorkList()) {
+        ServerModel server = state.server(work.getServerId());
+        if (server != null) {
+          server.peerLoad(
+              peer,
+              new ServerModel.PeerLoad(
+                  work.getRequests(),
+                  work.getReadMillis(),
+                  work.getTightStreams(),
+                  work.getTokens(),
+                  now));
+        }
+      }
+      for (PrefixRead read : news.getPrefixReadsList()) {
+        ServerModel server = state.server(read.getServerId());
+        if (server != null) {
+          server.peerRead(read.getChainHash(), read.getTokens());
+        }
+      }
+    }
+
+    @Override
+    public long asOf(PublishedTopic topic) {
+      return state.asOf(topic);
+    }
+
+    @Override
+    public long changedAt(PublishedTopic topic) {
+      return state.changedAt(topic);
+    }
+
+    @Override
+    public List<PublishedItem> items(PublishedTopic topic) {
+      return state.items(topic);
+    }
+
+    @Override
+    public void learned(PublishedTopic topic, List<PublishedItem> items, long asOf, String peer) {
+      state.learned(topic, items, asOf, peer);
+    }
+
+    @Override
+    public boolean isLeaving() {
+      return forwarder.isLeaving();
+    }
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/RoutingState.java
@@ -0,0 +1,318 @@
+package org.shallothold.gateway.forward;
+
+import io.netty.channel.EventLoop;
+import java.net.InetSocketAddress;
+import java.util.Collection;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import org.jspecify.annotations.Nullable;
+import org.shallothold.core.membership.ServerEntry;
+import org.shallothold.core.placement.ServerModel;
+import org.shallothold.core.publish.PublishedItem;
+import org.shallothold.core.publish.PublishedState;
+import org.shallothold.core.route.RoutedService;
+import org.shallothold.core.route.RoutingConfiguration;
+import org.shallothold.gateway.forward.backend.BackendPool;
+import org.shallothold.gateway.forward.port.HeaderTranslation;
+import org.shallothold.gateway.forward.port.PublishedDecoder;
+import org.shallothold.gateway.forward.port.PublishedSource;
+import org.shallothold.gateway.forward.port.PublishedTopic;
+import org.shallothold.runtime.logging.DecisionLog;
+import org.shallothold.runtime.logging.LogLine;
+
+/**
+ * The configuration in force and the backend servers, as read from the platform or learned from
+ * peers. It never goes back to an older version. Owned by the event loop.
+ */
+final class RoutingState implements PublishedSource.Listener {
+
+  /** After contact was lost, removals are taken as possibly temporary for this long. */
+  private static final long OUTAGE_MEMORY_MILLIS = 3_000;
+
+  private final EventLoop eventLoop;
+  private final PublishedDecoder decoder;
+  private final HeaderTranslation translation;
+  private final DecisionLog log;
+
+  private final Map<PublishedTopic, PublishedState> published = new EnumMap<>(PublishedTopic.class);
+  private final Map<PublishedTopic, Contact> contacts = new EnumMap<>(PublishedTopic.class);
+  private final Map<String, ServerModel> servers = new HashMap<>();
+  private final Map<String, Set<ServerModel>> serversByService = new HashMap<>();
+  private final Map<String, BackendPool> pools = new HashMap<>();
+  private @Nullable RoutingConfiguration configuration;
+  private long configurationRevision;
+
+  private static final class Contact {
+    private boolean lost = true;
+    private boolean everRead;
+    private long lastFailureMillis = Long.MIN_VALUE / 2;
+    private long lastReadMillis = Long.MIN_VALUE / 2;
+  }
+
+  RoutingState(
+      EventLoop eventLoop,
+      PublishedDecoder decoder,
+      HeaderTranslation translation,
+      DecisionLog log) {
+    this.eventLoop = eventLoop;
+    this.decoder = decoder;
+    this.translation = translation;
+    this.log = log;
+    for (PublishedTopic topic : PublishedTopic.values()) {
+      published.put(topic, PublishedState.empty());
+      contacts.put(topic, new Contact());
+    }
+  }
+
+  /** Returns the configuration in force, or empty if none is known yet. */
+  Optional<RoutingConfiguration> configuration() {
+    return Optional.ofNullable(configuration);
+  }
+
+  /** Returns the servers of a service. */
+  Collection<ServerModel> servers(String service) {
+    return serversByService.getOrDefault(service, Set.of());
+  }
+
+  /** Returns a server by its id, or null if it isn't listed. */
+  @Nullable ServerModel server(String id) {
+    return servers.get(id);
+  }
+
+  /** Returns all servers. */
+  Collection<ServerModel> allServers() {
+    return servers.values();
+  }
+
+  /** Returns whether there is a configuration and servers for requests. */
+  boolean isServing() {
+    return configuration != null && !servers.isEmpty();
+  }
+
+  /** Returns the connections to a server. */
+  BackendPool pool(ServerEntry server) {
+    return pools.computeIfAbsent(
+        server.id(),
+        id ->
+            BackendPool.of(
+                eventLoop, new InetSocketAddress(server.host(), server.port()), translation));
+  }
+
+  /** Returns the revision up to which a topic is known. */
+  long asOf(PublishedTopic topic) {
+    return state(topic).asOf();
+  }
+
+  /** Returns the revision of the latest change of a topic that is known. */
+  long changedAt(PublishedTopic topic) {
+    return state(topic).changedAt();
+  }
+
+  /** Returns all items of a topic. */
+  List<PublishedItem> items(PublishedTopic topic) {
+    return state(topic).items();
+  }
+
+  /** Returns the milliseconds since a topic was last read from the platform. */
+  long readAgeMillis(PublishedTopic topic) {
+    return Clock.millis() - contact(topic).lastReadMillis;
+  }
+
+  /** Returns whether the platform's last answer for a topic was a failure. */
+  boolean isOutOfContact(PublishedTopic topic) {
+    return contact(topic).lost;
+  }
+
+  @Override
+  public void reading(PublishedTopic topic, List<PublishedItem> items, long asOf) {
+    boolean afterOutage = regained(topic);
+    state(topic).replaceAll(items, asOf, afterOutage, Clock.millis());
+    apply(topic, "platform");
+  }
+
+  @Override
+  public void changes(
+      PublishedTopic topic,
+      List<PublishedItem> changed,
+      List<PublishedSource.Removal> removed,
+      long asOf) {
+    boolean afterOutage = regained(topic);
+    PublishedState state = state(topic);
+    changed.forEach(state::put);
+    removed.forEach(
+        removal -> state.remove(removal.key(), removal.revision(), afterOutage, Clock.millis()));
+    state.completeUpTo(asOf);
+    if (!changed.isEmpty() || !removed.isEmpty()) {
+      apply(topic, "platform");
+    }
+  }
+
+  @Override
+  public void failed(PublishedTopic topic, String reason) {
+    Contact contact = contact(topic);
+    contact.lastFailureMillis = Clock.millis();
+    if (!contact.lost) {
+      contact.lost = true;
+      log.add(
+          LogLine.of("platform_contact_lost").with("topic", topic.name()).with("reason", reason));
+    }
+  }
+
+  /** Takes all items of a topic as a peer knows them. */
+  void learned(PublishedTopic topic, List<PublishedItem> items, long asOf, String peer) {
+    if (asOf <= asOf(topic)) {
+      return;
+    }
+    state(topic).replaceAll(items, asOf, false, Clock.millis());
+    apply(topic, peer);
+  }
+
+  /** Drops servers that did not come back after an outage, and idle connections. */
+  void maintain() {
+    for (PublishedTopic topic : PublishedTopic.values()) {
+      boolean dropped = !contact(topic).lost && !state(topic).dropExpired(Clock.millis()).isEmpty();
+      if (dropped) {
+        apply(topic, "grace period over");
+      }
+    }
+    pools.values().forEach(BackendPool::closeExpired);
+  }
+
+  private boolean regained(PublishedTopic topic) {
+    Contact contact = contact(topic);
+    long now = Clock.millis();
+    if (contact.lost) {
+      log.add(
+          LogLine.of("platform_contact_regained")
+              .with("topic", topic.name())
+              .with("first", !contact.everRead)
+              .with("away_millis", contact.everRead ? now - contact.lastReadMillis : 0));
+    }
+    boolean afterOutage =
+        contact.everRead
+            && (contact.lost || now - contact.lastFailureMillis < OUTAGE_MEMORY_MILLIS);
+    contact.lost = false;
+    contact.everRead = true;
+    contact.lastReadMillis = now;
+    return afterOutage;
+  }
+
+  private void apply(PublishedTopic topic, String source) {
+    switch (topic) {
+      case CONFIGURATION -> applyConfiguration(source);
+      case SERVERS -> applyServers(source);
+    }
+  }
+
+  private void applyConfiguration(String source) {
+    for (PublishedItem item : state(PublishedTopic.CONFIGURATION).items()) {
+      if (item.revision() <= configurationRevision) {
+        continue;
+      }
+      configurationRevision = item.revision();
+      decoder.configuration(item).ifPresent(decoded -> adopt(decoded, source));
+    }
+  }
+
+  private void adopt(RoutingConfiguration decoded, String source) {
+    RoutingConfiguration former = configuration;
+    if (former != null && decoded.version() <= former.version()) {
+      return;
+    }
+    configuration = decoded;
+    log.add(
+        LogLine.of("configuration_in_force")
+            .with("version", decoded.version())
+            .with("former", former == null ? 0 : former.version())
+            .with("source", source)
+            .with("routes", decoded.routes().size()));
+    if (former == null) {
+      applyServers(source);
+    }
+  }
+
+  private void applyServers(String source) {
+    Set<String> listed = new HashSet<>();
+    for (PublishedItem item : state(PublishedTopic.SERVERS).items()) {
+      decoder
+          .server(item)
+          .ifPresent(
+              entry -> {
+                listed.add(entry.id());
+                put(entry, source);
+              });
+    }
+    for (String id : List.copyOf(servers.keySet())) {
+      if (!listed.contains(id)) {
+        drop(id, source);
+      }
+    }
+    serversByService.clear();
+    servers
+        .values()
+        .forEach(
+            server ->
+                serversByService
+                    .computeIfAbsent(server.entry().service(), name -> new HashSet<>())
+                    .add(server));
+  }
+
+  private void put(ServerEntry entry, String source) {
+    ServerModel known = servers.get(entry.id());
+    if (known != null && known.entry().equals(entry)) {
+      return;
+    }
+    log.add(
+        LogLine.of("server_listed")
+            .with("server", entry.id())
+            .with("service", entry.service())
+            .with("leaving", entry.leaving())
+            .with("source", source));
+    if (known == null) {
+      servers.put(entry.id(), ServerModel.of(entry, cacheTokens(entry.service())));
+      return;
+    }
+    boolean moved =
+        !known.entry().host().equals(entry.host())
+            || known.entry().port() != entry.port()
+            || known.entry().startedMillis() != entry.startedMillis();
+    known.entry(entry);
+    if (moved) {
+      closePool(entry.id());
+    }
+  }
+
+  private void drop(String id, String source) {
+    servers.remove(id);
+    closePool(id);
+    log.add(LogLine.of("server_gone").with("server", id).with("source", source));
+  }
+
+  private void closePool(String id) {
+    BackendPool pool = pools.remove(id);
+    if (pool != null) {
+      pool.close();
+    }
+  }
+
+  private long cacheTokens(String service) {
+    return configuration()
+        .flatMap(known -> known.service(service))
+        .map(RoutedService::cacheTokens)
+        .orElse(0L);
+  }
+
+  private PublishedState state(PublishedTopic topic) {
+    return Objects.requireNonNull(published.get(topic));
+  }
+
+  private Contact contact(PublishedTopic topic) {
+    return Objects.requireNonNull(contacts.get(topic));
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/caller/CallerListener.java
@@ -0,0 +1,84 @@
+package org.shallothold.gateway.forward.caller;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.handler.codec.http.HttpServerCodec;
+import java.net.InetSocketAddress;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.shallothold.wire.connection.Transport;
+
+/** Accepts callers' connections. Owned by the event loop. */
+public final class CallerListener {
+
+  private static final int MAX_LINE_BYTES = 8 * 1024;
+  private static final int MAX_CHUNK_BYTES = 64 * 1024;
+  private static final int BACKLOG = 1_024;
+
+  private final CallerService service;
+  private final Set<CallerConnection> connections = new HashSet<>();
+
+  private CallerListener(CallerService service) {
+    this.service = service;
+  }
+
+  /**
+   * Starts to listen.
+   *
+   * @throws IllegalStateException if the address can't be bound
+   */
+  public static CallerListener start(
+      EventLoopGroup group, InetSocketAddress address, CallerService service) {
+    CallerListener listener = new CallerListener(service);
+    var bound =
+        new ServerBootstrap()
+            .group(group)
+            .channel(Transport.serverChannel(group))
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .option(ChannelOption.SO_BACKLOG, BACKLOG)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childHandler(
+                new ChannelInitializer<Channel>() {
+                  @Override
+                  protected void initChannel(Channel channel) {
+                    listener.initialize(channel);
+                  }
+                })
+            .bind(address)
+            .awaitUninterruptibly();
+    if (!bound.isSuccess()) {
+      throw new IllegalStateException("cannot listen on " + address, bound.cause());
+    }
+    return listener;
+  }
+
+  /** Closes the connections that wait for a request. */
+  public void closeIdle() {
+    List.copyOf(connections).forEach(CallerConnection::closeIfIdle);
+  }
+
+  /** Returns how many connections have a request without an answer. */
+  public long busyConnections() {
+    return connections.stream().filter(CallerConnection::isBusy).count();
+  }
+
+  /** Returns how many connections are open. */
+  public int connections() {
+    return connections.size();
+  }
+
+  private void initialize(Channel channel) {
+    CallerConnection connection = new CallerConnection(service, channel);
+    connections.add(connection);
+    channel.closeFuture().addListener(ignored -> connections.remove(connection));
+    int maxHead = service.limits().maxHeaderBytes();
+    channel
+        .pipeline()
+        .addLast(new HttpServerCodec(Math.min(MAX_LINE_BYTES, maxHead), maxHead, MAX_CHUNK_BYTES))
+        .addLast(connection);
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/caller/Refusal.java
@@ -0,0 +1,50 @@
+package org.shallothold.gateway.forward.caller;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+import org.shallothold.core.verdict.ReasonCode;
+import org.shallothold.core.verdict.Verdict;
+
+/**
+ * An answer by which the gateway itself ends a request, in the product's error form.
+ *
+ * @param status status of the answer
+ * @param headers its header fields
+ * @param body its body, not yet released
+ */
+public record Refusal(HttpResponseStatus status, HttpHeaders headers, ByteBuf body) {
+
+  private static final String VERDICT_HEADER = "Shallothold-Verdict";
+
+  /** Returns the answer for a verdict. */
+  public static Refusal of(HttpResponseStatus status, Verdict verdict) {
+    HttpHeaders headers = new DefaultHttpHeaders();
+    headers.set(HttpHeaderNames.CONTENT_TYPE, "application/json");
+    headers.set(VERDICT_HEADER, verdict.wireName());
+    ReasonCode reason =
+        switch (verdict) {
+          case Verdict.Completed completed -> ReasonCode.INTERNAL;
+          case Verdict.MayHaveRun mayHaveRun -> mayHaveRun.reason();
+          case Verdict.NotRun notRun -> {
+            if (notRun.retryAfterMillis() > 0) {
+              headers.set(HttpHeaderNames.RETRY_AFTER, seconds(notRun.retryAfterMillis()));
+            }
+            yield notRun.reason();
+          }
+        };
+    String text =
+        "{\"error\":{\"code\":\"%s\",\"verdict\":\"%s\"}}"
+            .formatted(reason.code(), verdict.wireName());
+    return new Refusal(status, headers, Unpooled.copiedBuffer(text, StandardCharsets.UTF_8));
+  }
+
+  private static String seconds(long millis) {
+    return String.format(Locale.ROOT, "%.3f", millis / 1_000.0);
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/peer/package-info.java
@@ -0,0 +1,5 @@
+/** News between gateways. */
+@NullMarked
+package org.shallothold.gateway.forward.peer;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/port/SendFacts.java
@@ -0,0 +1,19 @@
+package org.shallothold.gateway.forward.port;
+
+import org.jspecify.annotations.Nullable;
+
+/**
+ * What the gateway tells a backend server beside the caller's own request.
+ *
+ * @param serverId the server that is meant; any other rejects the request
+ * @param deadlineMillis time left, in milliseconds
+ * @param priority rank, 0 is the highest
+ * @param customer name of the caller's customer; null if it has none
+ * @param resumeAfter last event that the caller has; -1 for a run from the start
+ */
+public record SendFacts(
+    String serverId,
+    long deadlineMillis,
+    int priority,
+    @Nullable String customer,
+    long resumeAfter) {}
--- a/wire/src/main/java/org/shallothold/wire/connection/PeerClient.java
+++ b/wire/src/main/java/org/shallothold/wire/connection/PeerClient.java
@@ -5,7 +5,6 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.ssl.SslContext;
 import java.net.SocketAddress;
 import java.util.concurrent.ThreadLocalRandom;
@@ -56,7 +55,7 @@
     Bootstrap bootstrap =
         new Bootstrap()
             .group(group)
-            .channel(NioSocketChannel.class)
+            .channel(Transport.socketChannel(group))
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, limits.connectMillis())
             .handler(new PeerPipeline(limits, localHello, listener, tls));
     PeerClient client = new PeerClient(group, address, bootstrap);
--- a/wire/src/main/java/org/shallothold/wire/connection/PeerServer.java
+++ b/wire/src/main/java/org/shallothold/wire/connection/PeerServer.java
@@ -4,7 +4,6 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.ssl.SslContext;
 import java.net.InetSocketAddress;
 import java.util.function.Supplier;
@@ -36,7 +35,7 @@
     var bound =
         new ServerBootstrap()
             .group(group)
-            .channel(NioServerSocketChannel.class)
+            .channel(Transport.serverChannel(group))
             .option(ChannelOption.SO_REUSEADDR, true)
             .childHandler(new PeerPipeline(limits, localHello, listener, tls))
             .bind(address)
--- a/wire/src/main/java/org/shallothold/wire/proto/Envelope.java
+++ b/wire/src/main/java/org/shallothold/wire/proto/Envelope.java
@@ -85,6 +85,9 @@
     HEARTBEAT(25),
     AUDIT_REQUEST(26),
     AUDIT_REPORT(27),
+    FLEET_NEWS(28),
+    PUBLISHED_REQUEST(29),
+    PUBLISHED_ITEMS(30),
     MESSAGE_NOT_SET(0);
     private final int value;
     private MessageCase(int value) {
@@ -129,6 +132,9 @@
         case 25: return HEARTBEAT;
         case 26: return AUDIT_REQUEST;
         case 27: return AUDIT_REPORT;
+        case 28: return FLEET_NEWS;
+        case 29: return PUBLISHED_REQUEST;
+        case 30: return PUBLISHED_ITEMS;
         case 0: return MESSAGE_NOT_SET;
         default: return null;
       }
@@ -981,6 +987,99 @@
     return org.shallothold.wire.proto.AuditReport.getDefaultInstance();
   }
 
+  public static final int FLEET_NEWS_FIELD_NUMBER = 28;
+  /**
+   * <code>.shallothold.FleetNews fleet_news = 28;</code>
+   * @return Whether the fleetNews field is set.
+   */
+  @java.lang.Override
+  public boolean hasFleetNews() {
+    return messageCase_ == 28;
+  }
+  /**
+   * <code>.shallothold.FleetNews fleet_news = 28;</code>
+   * @return The fleetNews.
+   */
+  @java.lang.Override
+  public org.shallothold.wire.proto.FleetNews getFleetNews() {
+    if (messageCase_ == 28) {
+       return (org.shallothold.wire.proto.FleetNews) message_;
+    }
+    return org.shallothold.wire.proto.FleetNews.getDefaultInstance();
+  }
+  /**
+   * <code>.shallothold.FleetNews fleet_news = 28;</code>
+   */
+  @java.lang.Override
+  public org.shallothold.wire.proto.FleetNewsOrBuilder getFleetNewsOrBuilder() {
+    if (messageCase_ == 28) {
+       return (org.shallothold.wire.proto.FleetNews) message_;
+    }
+    return org.shallothold.wire.proto.FleetNews.getDefaultInstance();
+  }
+
+  public static final int PUBLISHED_REQUEST_FIELD_NUMBER = 29;
+  /**
+   * <code>.shallothold.PublishedRequest published_request = 29;</code>
+   * @return Whether the publishedRequest field is set.
+   */
+  @java.lang.Override
+  public boolean hasPublishedRequest() {
+    return messageCase_ == 29;
+  }
+  /**
+   * <code>.shallothold.PublishedRequest published_request = 29;</code>
+   * @return The publishedRequest.
+   */
+  @java.lang.Override
+  public org.shallothold.wire.proto.PublishedRequest getPublishedRequest() {
+    if (messageCase_ == 29) {
+       return (org.shallothold.wire.proto.PublishedRequest) message_;
+    }
+    return org.shallothold.wire.proto.PublishedRequest.getDefaultInstance();
+  }
+  /**
+   * <code>.shallothold.PublishedRequest published_request = 29;</code>
+   */
+  @java.lang.Override
+  public org.shallothold.wire.proto.PublishedRequestOrBuilder getPublishedRequestOrBuilder() {
+    if (messageCase_ == 29) {
+       return (org.shallothold.wire.proto.PublishedRequest) message_;
+    }
+    return org.shallothold.wire.proto.PublishedRequest.getDefaultInstance();
+  }
+
+  public static final int PUBLISHED_ITEMS_FIELD_NUMBER = 30;
+  /**
+   * <code>.shallothold.PublishedItems published_items = 30;</code>
+   * @return Whether the publishedItems field is set.
+   */
+  @java.lang.Override
+  public boolean hasPublishedItems() {
+    return messageCase_ == 30;
+  }
+  /**
+   * <code>.shallothold.PublishedItems published_items = 30;</code>
+   * @return The publishedItems.
+   */
+  @java.lang.Override
+  public org.shallothold.wire.proto.PublishedItems getPublishedItems() {
+    if (messageCase_ == 30) {
+       return (org.shallothold.wire.proto.PublishedItems) message_;
+    }
+    return org.shallothold.wire.proto.PublishedItems.getDefaultInstance();
+  }
+  /**
+   * <code>.shallothold.PublishedItems published_items = 30;</code>
+   */
+  @java.lang.Override
+  public org.shallothold.wire.proto.PublishedItemsOrBuilder getPublishedItemsOrBuilder() {
+    if (messageCase_ == 30) {
+       return (org.shallothold.wire.proto.PublishedItems) message_;
+    }
+    return org.shallothold.wire.proto.PublishedItems.getDefaultInstance();
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -1076,6 +1175,15 @@
     if (messageCase_ == 27) {
       output.writeMessage(27, (org.shallothold.wire.proto.AuditReport) message_);
     }
+    if (messageCase_ == 28) {
+      output.writeMessage(28, (org.shallothold.wire.proto.FleetNews) message_);
+    }
+    if (messageCase_ == 29) {
+      output.writeMessage(29, (org.shallothold.wire.proto.PublishedRequest) message_);
+    }
+    if (messageCase_ == 30) {
+      output.writeMessage(30, (org.shallothold.wire.proto.PublishedItems) message_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -1193,6 +1301,18 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(27, (org.shallothold.wire.proto.AuditReport) message_);
     }
+    if (messageCase_ == 28) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(28, (org.shallothold.wire.proto.FleetNews) message_);
+    }
+    if (messageCase_ == 29) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(29, (org.shallothold.wire.proto.PublishedRequest) message_);
+    }
+    if (messageCase_ == 30) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(30, (org.shallothold.wire.proto.PublishedItems) message_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -1318,6 +1438,18 @@
         if (!getAuditReport()
             .equals(other.getAuditReport())) return false;
         break;
+      case 28:
+        if (!getFleetNews()
+            .equals(other.getFleetNews())) return false;
+        break;
+      case 29:
+        if (!getPublishedRequest()
+            .equals(other.getPublishedRequest())) return false;
+        break;
+      case 30:
+        if (!getPublishedItems()
+            .equals(other.getPublishedItems())) return false;
+        break;
       case 0:
       default:
     }
@@ -1441,6 +1573,18 @@
         hash = (37 * hash) + AUDIT_REPORT_FIELD_NUMBER;
         hash = (53 * hash) + getAuditReport().hashCode();
         break;
+      case 28:
+        hash = (37 * hash) + FLEET_NEWS_FIELD_NUMBER;
+        hash = (53 * hash) + getFleetNews().hashCode();
+        break;
+      case 29:
+        hash = (37 * hash) + PUBLISHED_REQUEST_FIELD_NUMBER;
+        hash = (53 * hash) + getPublishedRequest().hashCode();
+        break;
+      case 30:
+        hash = (37 * hash) + PUBLISHED_ITEMS_FIELD_NUMBER;
+        hash = (53 * hash) + getPublishedItems().hashCode();
+        break;
       case 0:
       default:
     }
@@ -1660,6 +1804,15 @@
       if (auditReportBuilder_ != null) {
         auditReportBuilder_.clear();
       }
+      if (fleetNewsBuilder_ != null) {
+        fleetNewsBuilder_.clear();
+      }
+      if (publishedRequestBuilder_ != null) {
+        publishedRequestBuilder_.clear();
+      }
+      if (publishedItemsBuilder_ != null) {
+        publishedItemsBuilder_.clear();
+      }
       messageCase_ = 0;
       message_ = null;
       return this;
@@ -1809,6 +1962,18 @@
           auditReportBuilder_ != null) {
         result.message_ = auditReportBuilder_.build();
       }
+      if (messageCase_ == 28 &&
+          fleetNewsBuilder_ != null) {
+        result.message_ = fleetNewsBuilder_.build();
+      }
+      if (messageCase_ == 29 &&
+          publishedRequestBuilder_ != null) {
+        result.message_ = publishedRequestBuilder_.build();
+      }
+      if (messageCase_ == 30 &&
+          publishedItemsBuilder_ != null) {
+        result.message_ = publishedItemsBuilder_.build();
+      }
     }
 
     @java.lang.Override
@@ -1932,6 +2097,18 @@
           mergeAuditReport(other.getAuditReport());
           break;
         }
+        case FLEET_NEWS: {
+          mergeFleetNews(other.getFleetNews());
+          break;
+        }
+        case PUBLISHED_REQUEST: {
+          mergePublishedRequest(other.getPublishedRequest());
+          break;
+        }
+        case PUBLISHED_ITEMS: {
+          mergePublishedItems(other.getPublishedItems());
+          break;
+        }
         case MESSAGE_NOT_SET: {
           break;
         }
@@ -2151,6 +2328,27 @@
               messageCase_ = 27;
               break;
             } // case 218
+            case 226: {
+              input.readMessage(
+                  internalGetFleetNewsFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              messageCase_ = 28;
+              break;
+            } // case 226
+            case 234: {
+              input.readMessage(
+                  internalGetPublishedRequestFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              messageCase_ = 29;
+              break;
+            } // case 234
+            case 242: {
+              input.readMessage(
+                  internalGetPublishedItemsFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              messageCase_ = 30;
+              break;
+            } // case 242
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -6017,6 +6215,432 @@
       return auditReportBuilder_;
     }
 
+    private com.google.protobuf.SingleFieldBuilder<
+        org.shallothold.wire.proto.FleetNews, org.shallothold.wire.proto.FleetNews.Builder, org.shallothold.wire.proto.FleetNewsOrBuilder> fleetNewsBuilder_;
+    /**
+     * <code>.shallothold.FleetNews fleet_news = 28;</code>
+     * @return Whether the fleetNews field is set.
+     */
+    @java.lang.Override
+    public boolean hasFleetNews() {
+      return messageCase_ == 28;
+    }
+    /**
+     * <code>.shallothold.FleetNews fleet_news = 28;</code>
+     * @return The fleetNews.
+     */
+    @java.lang.Override
+    public org.shallothold.wire.proto.FleetNews getFleetNews() {
+      if (fleetNewsBuilder_ == null) {
+        if (messageCase_ == 28) {
+          return (org.shallothold.wire.proto.FleetNews) message_;
+        }
+        return org.shallothold.wire.proto.FleetNews.getDefaultInstance();
+      } else {
+        if (messageCase_ == 28) {
+          return fleetNewsBuilder_.getMessage();
+        }
+        return org.shallothold.wire.proto.FleetNews.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.shallothold.FleetNews fleet_news = 28;</code>
+     */
+    public Builder setFleetNews(org.shallothold.wire.proto.FleetNews value) {
+      if (fleetNewsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        message_ = value;
+        onChanged();
+      } else {
+        fleetNewsBuilder_.setMessage(value);
+      }
+      messageCase_ = 28;
+      return this;
+    }
+    /**
+     * <code>.shallothold.FleetNews fleet_news = 28;</code>
+     */
+    public Builder setFleetNews(
+        org.shallothold.wire.proto.FleetNews.Builder builderForValue) {
+      if (fleetNewsBuilder_ == null) {
+        message_ = builderForValue.build();
+        onChanged();
+      } else {
+        fleetNewsBuilder_.setMessage(builderForValue.build());
+      }
+      messageCase_ = 28;
+      return this;
+    }
+    /**
+     * <code>.shallothold.FleetNews fleet_news = 28;</code>
+     */
+    public Builder mergeFleetNews(org.shallothold.wire.proto.FleetNews value) {
+      if (fleetNewsBuilder_ == null) {
+        if (messageCase_ == 28 &&
+            message_ != org.shallothold.wire.proto.FleetNews.getDefaultInstance()) {
+          message_ = org.shallothold.wire.proto.FleetNews.newBuilder((org.shallothold.wire.proto.FleetNews) message_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          message_ = value;
+        }
+        onChanged();
+      } else {
+        if (messageCase_ == 28) {
+          fleetNewsBuilder_.mergeFrom(value);
+        } else {
+          fleetNewsBuilder_.setMessage(value);
+        }
+      }
+      messageCase_ = 28;
+      return this;
+    }
+    /**
+     * <code>.shallothold.FleetNews fleet_news = 28;</code>
+     */
+    public Builder clearFleetNews() {
+      if (fleetNewsBuilder_ == null) {
+        if (messageCase_ == 28) {
+          messageCase_ = 0;
+          message_ = null;
+          onChanged();
+        }
+      } else {
+        if (messageCase_ == 28) {
+          messageCase_ = 0;
+          message_ = null;
+        }
+        fleetNewsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.shallothold.FleetNews fleet_news = 28;</code>
+     */
+    public org.shallothold.wire.proto.FleetNews.Builder getFleetNewsBuilder() {
+      return internalGetFleetNewsFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.shallothold.FleetNews fleet_news = 28;</code>
+     */
+    @java.lang.Override
+    public org.shallothold.wire.proto.FleetNewsOrBuilder getFleetNewsOrBuilder() {
+      if ((messageCase_ == 28) && (fleetNewsBuilder_ != null)) {
+        return fleetNewsBuilder_.getMessageOrBuilder();
+      } else {
+        if (messageCase_ == 28) {
+          return (org.shallothold.wire.proto.FleetNews) message_;
+        }
+        return org.shallothold.wire.proto.FleetNews.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.shallothold.FleetNews fleet_news = 28;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.shallothold.wire.proto.FleetNews, org.shallothold.wire.proto.FleetNews.Builder, org.shallothold.wire.proto.FleetNewsOrBuilder> 
+        internalGetFleetNewsFieldBuilder() {
+      if (fleetNewsBuilder_ == null) {
+        if (!(messageCase_ == 28)) {
+          message_ = org.shallothold.wire.proto.FleetNews.getDefaultInstance();
+        }
+        fleetNewsBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.shallothold.wire.proto.FleetNews, org.shallothold.wire.proto.FleetNews.Builder, org.shallothold.wire.proto.FleetNewsOrBuilder>(
+                (org.shallothold.wire.proto.FleetNews) message_,
+                getParentForChildren(),
+                isClean());
+        message_ = null;
+      }
+      messageCase_ = 28;
+      onChanged();
+      return fleetNewsBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        org.shallothold.wire.proto.PublishedRequest, org.shallothold.wire.proto.PublishedRequest.Builder, org.shallothold.wire.proto.PublishedRequestOrBuilder> publishedRequestBuilder_;
+    /**
+     * <code>.shallothold.PublishedRequest published_request = 29;</code>
+     * @return Whether the publishedRequest field is set.
+     */
+    @java.lang.Override
+    public boolean hasPublishedRequest() {
+      return messageCase_ == 29;
+    }
+    /**
+     * <code>.shallothold.PublishedRequest published_request = 29;</code>
+     * @return The publishedRequest.
+     */
+    @java.lang.Override
+    public org.shallothold.wire.proto.PublishedRequest getPublishedRequest() {
+      if (publishedRequestBuilder_ == null) {
+        if (messageCase_ == 29) {
+          return (org.shallothold.wire.proto.PublishedRequest) message_;
+        }
+        return org.shallothold.wire.proto.PublishedRequest.getDefaultInstance();
+      } else {
+        if (messageCase_ == 29) {
+          return publishedRequestBuilder_.getMessage();
+        }
+        return org.shallothold.wire.proto.PublishedRequest.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.shallothold.PublishedRequest published_request = 29;</code>
+     */
+    public Builder setPublishedRequest(org.shallothold.wire.proto.PublishedRequest value) {
+      if (publishedRequestBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        message_ = value;
+        onChanged();
+      } else {
+        publishedRequestBuilder_.setMessage(value);
+      }
+      messageCase_ = 29;
+      return this;
+    }
+    /**
+     * <code>.shallothold.PublishedRequest published_request = 29;</code>
+     */
+    public Builder setPublishedRequest(
+        org.shallothold.wire.proto.PublishedRequest.Builder builderForValue) {
+      if (publishedRequestBuilder_ == null) {
+        message_ = builderForValue.build();
+        onChanged();
+      } else {
+        publishedRequestBuilder_.setMessage(builderForValue.build());
+      }
+      messageCase_ = 29;
+      return this;
+    }
+    /**
+     * <code>.shallothold.PublishedRequest published_request = 29;</code>
+     */
+    public Builder mergePublishedRequest(org.shallothold.wire.proto.PublishedRequest value) {
+      if (publishedRequestBuilder_ == null) {
+        if (messageCase_ == 29 &&
+            message_ != org.shallothold.wire.proto.PublishedRequest.getDefaultInstance()) {
+          message_ = org.shallothold.wire.proto.PublishedRequest.newBuilder((org.shallothold.wire.proto.PublishedRequest) message_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          message_ = value;
+        }
+        onChanged();
+      } else {
+        if (messageCase_ == 29) {
+          publishedRequestBuilder_.mergeFrom(value);
+        } else {
+          publishedRequestBuilder_.setMessage(value);
+        }
+      }
+      messageCase_ = 29;
+      return this;
+    }
+    /**
+     * <code>.shallothold.PublishedRequest published_request = 29;</code>
+     */
+    public Builder clearPublishedRequest() {
+      if (publishedRequestBuilder_ == null) {
+        if (messageCase_ == 29) {
+          messageCase_ = 0;
+          message_ = null;
+          onChanged();
+        }
+      } else {
+        if (messageCase_ == 29) {
+          messageCase_ = 0;
+          message_ = null;
+        }
+        publishedRequestBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.shallothold.PublishedRequest published_request = 29;</code>
+     */
+    public org.shallothold.wire.proto.PublishedRequest.Builder getPublishedRequestBuilder() {
+      return internalGetPublishedRequestFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.shallothold.PublishedRequest published_request = 29;</code>
+     */
+    @java.lang.Override
+    public org.shallothold.wire.proto.PublishedRequestOrBuilder getPublishedRequestOrBuilder() {
+      if ((messageCase_ == 29) && (publishedRequestBuilder_ != null)) {
+        return publishedRequestBuilder_.getMessageOrBuilder();
+      } else {
+        if (messageCase_ == 29) {
+          return (org.shallothold.wire.proto.PublishedRequest) message_;
+        }
+        return org.shallothold.wire.proto.PublishedRequest.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.shallothold.PublishedRequest published_request = 29;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.shallothold.wire.proto.PublishedRequest, org.shallothold.wire.proto.PublishedRequest.Builder, org.shallothold.wire.proto.PublishedRequestOrBuilder> 
+        internalGetPublishedRequestFieldBuilder() {
+      if (publishedRequestBuilder_ == null) {
+        if (!(messageCase_ == 29)) {
+          message_ = org.shallothold.wire.proto.PublishedRequest.getDefaultInstance();
+        }
+        publishedRequestBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.shallothold.wire.proto.PublishedRequest, org.shallothold.wire.proto.PublishedRequest.Builder, org.shallothold.wire.proto.PublishedRequestOrBuilder>(
+                (org.shallothold.wire.proto.PublishedRequest) message_,
+                getParentForChildren(),
+                isClean());
+        message_ = null;
+      }
+      messageCase_ = 29;
+      onChanged();
+      return publishedRequestBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        org.shallothold.wire.proto.PublishedItems, org.shallothold.wire.proto.PublishedItems.Builder, org.shallothold.wire.proto.PublishedItemsOrBuilder> publishedItemsBuilder_;
+    /**
+     * <code>.shallothold.PublishedItems published_items = 30;</code>
+     * @return Whether the publishedItems field is set.
+     */
+    @java.lang.Override
+    public boolean hasPublishedItems() {
+      return messageCase_ == 30;
+    }
+    /**
+     * <code>.shallothold.PublishedItems published_items = 30;</code>
+     * @return The publishedItems.
+     */
+    @java.lang.Override
+    public org.shallothold.wire.proto.PublishedItems getPublishedItems() {
+      if (publishedItemsBuilder_ == null) {
+        if (messageCase_ == 30) {
+          return (org.shallothold.wire.proto.PublishedItems) message_;
+        }
+        return org.shallothold.wire.proto.PublishedItems.getDefaultInstance();
+      } else {
+        if (messageCase_ == 30) {
+          return publishedItemsBuilder_.getMessage();
+        }
+        return org.shallothold.wire.proto.PublishedItems.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.shallothold.PublishedItems published_items = 30;</code>
+     */
+    public Builder setPublishedItems(org.shallothold.wire.proto.PublishedItems value) {
+      if (publishedItemsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        message_ = value;
+        onChanged();
+      } else {
+        publishedItemsBuilder_.setMessage(value);
+      }
+      messageCase_ = 30;
+      return this;
+    }
+    /**
+     * <code>.shallothold.PublishedItems published_items = 30;</code>
+     */
+    public Builder setPublishedItems(
+        org.shallothold.wire.proto.PublishedItems.Builder builderForValue) {
+      if (publishedItemsBuilder_ == null) {
+        message_ = builderForValue.build();
+        onChanged();
+      } else {
+        publishedItemsBuilder_.setMessage(builderForValue.build());
+      }
+      messageCase_ = 30;
+      return this;
+    }
+    /**
+     * <code>.shallothold.PublishedItems published_items = 30;</code>
+     */
+    public Builder mergePublishedItems(org.shallothold.wire.proto.PublishedItems value) {
+      if (publishedItemsBuilder_ == null) {
+        if (messageCase_ == 30 &&
+            message_ != org.shallothold.wire.proto.PublishedItems.getDefaultInstance()) {
+          message_ = org.shallothold.wire.proto.PublishedItems.newBuilder((org.shallothold.wire.proto.PublishedItems) message_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          message_ = value;
+        }
+        onChanged();
+      } else {
+        if (messageCase_ == 30) {
+          publishedItemsBuilder_.mergeFrom(value);
+        } else {
+          publishedItemsBuilder_.setMessage(value);
+        }
+      }
+      messageCase_ = 30;
+      return this;
+    }
+    /**
+     * <code>.shallothold.PublishedItems published_items = 30;</code>
+     */
+    public Builder clearPublishedItems() {
+      if (publishedItemsBuilder_ == null) {
+        if (messageCase_ == 30) {
+          messageCase_ = 0;
+          message_ = null;
+          onChanged();
+        }
+      } else {
+        if (messageCase_ == 30) {
+          messageCase_ = 0;
+          message_ = null;
+        }
+        publishedItemsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.shallothold.PublishedItems published_items = 30;</code>
+     */
+    public org.shallothold.wire.proto.PublishedItems.Builder getPublishedItemsBuilder() {
+      return internalGetPublishedItemsFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.shallothold.PublishedItems published_items = 30;</code>
+     */
+    @java.lang.Override
+    public org.shallothold.wire.proto.PublishedItemsOrBuilder getPublishedItemsOrBuilder() {
+      if ((messageCase_ == 30) && (publishedItemsBuilder_ != null)) {
+        return publishedItemsBuilder_.getMessageOrBuilder();
+      } else {
+        if (messageCase_ == 30) {
+          return (org.shallothold.wire.proto.PublishedItems) message_;
+        }
+        return org.shallothold.wire.proto.PublishedItems.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.shallothold.PublishedItems published_items = 30;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.shallothold.wire.proto.PublishedItems, org.shallothold.wire.proto.PublishedItems.Builder, org.shallothold.wire.proto.PublishedItemsOrBuilder> 
+        internalGetPublishedItemsFieldBuilder() {
+      if (publishedItemsBuilder_ == null) {
+        if (!(messageCase_ == 30)) {
+          message_ = org.shallothold.wire.proto.PublishedItems.getDefaultInstance();
+        }
+        publishedItemsBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.shallothold.wire.proto.PublishedItems, org.shallothold.wire.proto.PublishedItems.Builder, org.shallothold.wire.proto.PublishedItemsOrBuilder>(
+                (org.shallothold.wire.proto.PublishedItems) message_,
+                getParentForChildren(),
+                isClean());
+        message_ = null;
+      }
+      messageCase_ = 30;
+      onChanged();
+      return publishedItemsBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:shallothold.Envelope)
   }
 
--- a/wire/src/main/java/org/shallothold/wire/proto/EnvelopeOrBuilder.java
+++ b/wire/src/main/java/org/shallothold/wire/proto/EnvelopeOrBuilder.java
@@ -415,5 +415,50 @@
    */
   org.shallothold.wire.proto.AuditReportOrBuilder getAuditReportOrBuilder();
 
+  /**
+   * <code>.shallothold.FleetNews fleet_news = 28;</code>
+   * @return Whether the fleetNews field is set.
+   */
+  boolean hasFleetNews();
+  /**
+   * <code>.shallothold.FleetNews fleet_news = 28;</code>
+   * @return The fleetNews.
+   */
+  org.shallothold.wire.proto.FleetNews getFleetNews();
+  /**
+   * <code>.shallothold.FleetNews fleet_news = 28;</code>
+   */
+  org.shallothold.wire.proto.FleetNewsOrBuilder getFleetNewsOrBuilder();
+
+  /**
+   * <code>.shallothold.PublishedRequest published_request = 29;</code>
+   * @return Whether the publishedRequest field is set.
+   */
+  boolean hasPublishedRequest();
+  /**
+   * <code>.shallothold.PublishedRequest published_request = 29;</code>
+   * @return The publishedRequest.
+   */
+  org.shallothold.wire.proto.PublishedRequest getPublishedRequest();
+  /**
+   * <code>.shallothold.PublishedRequest published_request = 29;</code>
+   */
+  org.shallothold.wire.proto.PublishedRequestOrBuilder getPublishedRequestOrBuilder();
+
+  /**
+   * <code>.shallothold.PublishedItems published_items = 30;</code>
+   * @return Whether the publishedItems field is set.
+   */
+  boolean hasPublishedItems();
+  /**
+   * <code>.shallothold.PublishedItems published_items = 30;</code>
+   * @return The publishedItems.
+   */
+  org.shallothold.wire.proto.PublishedItems getPublishedItems();
+  /**
+   * <code>.shallothold.PublishedItems published_items = 30;</code>
+   */
+  org.shallothold.wire.proto.PublishedItemsOrBuilder getPublishedItemsOrBuilder();
+
   org.shallothold.wire.proto.Envelope.MessageCase getMessageCase();
 }
