--- /dev/null
+++ b/core/src/main/java/org/shallothold/core/placement/EngineAdmission.java
@@ -0,0 +1,83 @@
+package org.shallothold.core.placement;
+
+/**
+ * Decides whether a request goes to its engine now, waits in the gateway or is refused. An engine
+ * that is given all prompts at once reads them without a break, and its running streams get one
+ * token for each chunk that it reads: long answers then miss their deadlines. So an engine gets the
+ * next prompt when it has little left to read, and requests wait where their order can still be
+ * changed. Stateless.
+ */
+public final class EngineAdmission {
+
+  // Reading left at an engine at which it may get another prompt. Long enough that it is not idle
+  // until news of its progress arrives.
+  private static final double BACKLOG_MILLIS = 150;
+  // A request that is late already yields to those that can be on time.
+  private static final double LATE_BACKLOG_MILLIS = 40;
+  // The rest of the way between the engine's estimate and the caller.
+  private static final double SLACK_MILLIS = 30;
+  // Callers give a stream up after a silence of this many latency targets or pause targets.
+  private static final long PATIENCE_TARGETS = 4;
+  private static final long PATIENCE_PAUSES = 8;
+  private static final long MIN_PATIENCE_MILLIS = 2_000;
+  // Part of a caller's patience that an urgent request may wait; the engine needs the rest.
+  private static final double WAIT_PART = 0.5;
+  private static final long MIN_RETRY_MILLIS = 300;
+  // Callers honour a pause up to a third of the time that they have left.
+  private static final double RETRY_PART = 0.3;
+
+  private EngineAdmission() {}
+
+  /**
+   * A request that asks for an engine.
+   *
+   * @param work what it asks for
+   * @param waitedMillis time since its arrival
+   * @param leftMillis time until its deadline
+   */
+  public record Applicant(Work work, long waitedMillis, long leftMillis) {
+
+    /** Returns whether its first event can still be on time, after the given delay. */
+    boolean canBeOnTime(double expectedMillis) {
+      return waitedMillis + expectedMillis + SLACK_MILLIS <= work.latencyTargetMillis();
+    }
+
+    private double longestWaitMillis() {
+      long patience =
+          Math.max(
+              MIN_PATIENCE_MILLIS,
+              Math.max(
+                  PATIENCE_TARGETS * work.latencyTargetMillis(),
+                  PATIENCE_PAUSES * work.pauseTargetMillis()));
+      return WAIT_PART * Math.min(patience, waitedMillis + leftMillis);
+    }
+  }
+
+  /**
+   * Returns the decision.
+   *
+   * @param placement the best engine for it now
+   * @param aheadMillis reading that waits in the gateway ahead of it, shared out over the engines
+   * @param urgent whether less urgent requests are sent to the same engines, so that it may not be
+   *     refused
+   */
+  public static AdmissionDecision decide(
+      Applicant applicant, Placement placement, double aheadMillis, boolean urgent) {
+    boolean onTime = applicant.canBeOnTime(placement.expectedMillis());
+    double allowed = onTime ? BACKLOG_MILLIS : LATE_BACKLOG_MILLIS;
+    if (placement.backlogMillis() <= allowed) {
+      return new AdmissionDecision.Send();
+    }
+    double expectedWait = aheadMillis + placement.backlogMillis() - allowed;
+    if (applicant.canBeOnTime(expectedWait + placement.readMillis())) {
+      return new AdmissionDecision.Wait();
+    }
+    if (urgent) {
+      return applicant.waitedMillis() < applicant.longestWaitMillis()
+          ? new AdmissionDecision.Wait()
+          : new AdmissionDecision.Send();
+    }
+    double ceiling = Math.max(MIN_RETRY_MILLIS, applicant.leftMillis() * RETRY_PART);
+    return new AdmissionDecision.Refuse((long) Math.clamp(expectedWait, MIN_RETRY_MILLIS, ceiling));
+  }
+}
--- a/core/src/main/java/org/shallothold/core/placement/EnginePlacement.java
+++ b/core/src/main/java/org/shallothold/core/placement/EnginePlacement.java
@@ -4,35 +4,45 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.stream.IntStream;
 
 /**
  * Chooses a model engine by the estimated time to the first event and by what reading the prompt
  * costs others: an engine that reads a long prompt delays the events of all its streams.
  *
- * <p>Streams with a short pause target and long prompts are kept apart: a part of the engines, the
- * same in all gateways, is preferred for the former. How large it is follows from the work of both
- * kinds. Owned by one thread.
+ * <p>Streams with a short pause target and long prompts are kept apart: some engines, the same in
+ * all gateways, are kept for the former. How many follows from the work of these streams. Owned by
+ * one thread.
  */
 public final class EnginePlacement implements PlacementPolicy {
 
   // Cost of missing the pause target of one stream, in milliseconds of the first event's delay.
   private static final double BROKEN_PAUSE_COST_MILLIS = 150;
-  // Cost of an engine kept for the other kind of work.
-  private static final double OTHER_LANE_COST_MILLIS = 120;
+  // A stream with a short pause target goes to another engine when its own are this much busier.
+  private static final double LEAVE_LANE_COST_MILLIS = 120;
+  // Other work enters the lane only when its own engines can't be reached.
+  private static final double ENTER_LANE_COST_MILLIS = 5_000;
   // All else equal, gateways agree on the engine that caches a prefix.
-  private static final double RANK_COST_MILLIS = 25;
+  private static final double RANK_COST_MILLIS = 40;
+  // Reading also takes time from the requests that come later.
+  private static final double READ_WEIGHT = 1.5;
   private static final double FAILURE_COST_MILLIS = 1_500;
   private static final double OTHER_DOMAIN_COST_MILLIS = 3;
   private static final double FULL_COST_MILLIS = 2_000;
-  private static final double LANE_MEMORY_MILLIS = 4_000;
-  // Engines for short pauses are kept at a lower load, since their first events are due soonest.
-  private static final double TIGHT_HEADROOM = 2.0;
+  private static final double DEMAND_MEMORY_MILLIS = 4_000;
+  // Above this load, requests that come together wait too long for their first events.
+  private static final double LANE_LOAD = 0.5;
+  // Under overload of both kinds, short pauses get this much more than their share.
+  private static final double LANE_FAVOUR = 1.5;
+  // The measured pause is reached only by part of the streams.
+  private static final double PAUSE_MARGIN = 0.7;
 
   private final EngineFigures figures;
   private final String failureDomain;
   private double tightDemand;
   private double otherDemand;
   private long demandMillis;
+  private double peersTightLoad;
 
   private EnginePlacement(EngineFigures figures, String failureDomain) {
     this.figures = figures;
@@ -44,60 +54,94 @@
     return new EnginePlacement(figures, failureDomain);
   }
 
+  /** Notes a request for an engine, whether it is sent or not. */
+  public void requestArrived(Work work, long nowMillis) {
+    fade(nowMillis);
+    double read = figures.readMillis(work.promptTokens(), work.sharedTokens());
+    if (isTight(work)) {
+      tightDemand += read;
+    } else {
+      otherDemand += read;
+    }
+  }
+
+  /** Returns the work of streams with a short pause target, in engines that it keeps busy. */
+  public double tightLoad(long nowMillis) {
+    fade(nowMillis);
+    return tightDemand / DEMAND_MEMORY_MILLIS;
+  }
+
+  /** Sets the sum of the peers' {@link #tightLoad}. */
+  public void peersTightLoad(double load) {
+    peersTightLoad = load;
+  }
+
   @Override
   public Optional<Placement> choose(Work work, Collection<ServerModel> candidates, long nowMillis) {
     List<ServerModel> usable = PlacementPolicy.reachable(candidates, nowMillis);
     if (usable.isEmpty()) {
       return Optional.empty();
     }
+    double usual = PlacementPolicy.usualSlowness(usable);
+    usable.forEach(server -> server.compareSlowness(usual));
     long[] chain = work.chain();
     boolean tight = isTight(work);
-    int lane = tightLaneSize(usable.size());
+    int lane = laneSize(usable.size(), nowMillis);
     List<ServerModel> order =
         usable.stream()
             .sorted(
                 Comparator.comparingLong(ServerModel::idHash)
                     .thenComparing(server -> server.entry().id()))
             .toList();
-    Choice best = null;
-    for (int i = 0; i < order.size(); i++) {
-      Choice choice = assess(order.get(i), work, chain, tight == i < lane, nowMillis);
-      if (best == null || choice.cost() < best.cost()) {
-        best = choice;
-      }
-    }
-    if (best == null) {
-      return Optional.empty();
+    return IntStream.range(0, order.size())
+        .mapToObj(
+            place ->
+                assess(order.get(place), work, chain, laneCost(tight, place < lane), nowMillis))
+        .min(Comparator.comparingDouble(Choice::cost))
+        .map(Choice::placement);
+  }
+
+  /** Returns how many of the engines are kept for streams with a short pause target. */
+  int laneSize(int engines, long nowMillis) {
+    double load = tightLoad(nowMillis) + peersTightLoad;
+    if (engines < 2 || load == 0) {
+      return 0;
     }
-    noteDemand(tight, best.placement().readMillis(), work, nowMillis);
-    return Optional.of(best.placement());
+    double favoured = tightDemand * LANE_FAVOUR;
+    long fair = Math.round(engines * favoured / (favoured + otherDemand));
+    long wanted = (long) Math.ceil(load / LANE_LOAD);
+    return (int) Math.clamp(Math.min(wanted, Math.max(1, fair)), 1, engines - 1L);
   }
 
   private record Choice(Placement placement, double cost) {}
 
   private Choice assess(
-      ServerModel server, Work work, long[] chain, boolean ownLane, long nowMillis) {
+      ServerModel server, Work work, long[] chain, double laneCost, long nowMillis) {
     int cached = Math.min(server.cachedTokens(chain, work), work.promptTokens());
     double read = figures.readMillis(work.promptTokens(), cached);
     double backlog = server.backlogMillis(nowMillis);
-    double first = (backlog + read) * server.slowness();
+    double first = (backlog + read) * server.relativeSlowness();
     int open = server.openRequests(nowMillis);
-    double cost = first;
-    if (figures.pauseMillis(backlog + read) * server.slowness()
-        > ServerModel.TIGHT_PAUSE_MILLIS * TIGHT_MARGIN) {
+    double cost = (backlog + read * READ_WEIGHT) * server.relativeSlowness() + laneCost;
+    if (figures.pauseMillis(backlog + read) * server.relativeSlowness()
+        > ServerModel.TIGHT_PAUSE_MILLIS * PAUSE_MARGIN) {
       cost += BROKEN_PAUSE_COST_MILLIS * server.tightStreams(nowMillis);
     }
-    cost += ownLane ? 0 : OTHER_LANE_COST_MILLIS;
     cost += RANK_COST_MILLIS * Hashing.unit(affinity(chain), server.idHash());
     cost += FAILURE_COST_MILLIS * server.failureRate();
     cost += open * figures.stepMillis() / 2;
     cost += open >= server.entry().slots() ? FULL_COST_MILLIS : 0;
     cost += server.entry().failureDomain().equals(failureDomain) ? 0 : OTHER_DOMAIN_COST_MILLIS;
-    return new Choice(new Placement(server, read, first, cached), cost);
+    return new Choice(
+        new Placement(server, read, first, backlog * server.relativeSlowness(), cached), cost);
   }
 
-  // The measured pause is reached only by part of the streams.
-  private static final double TIGHT_MARGIN = 0.7;
+  private static double laneCost(boolean tight, boolean inLane) {
+    if (tight == inLane) {
+      return 0;
+    }
+    return tight ? LEAVE_LANE_COST_MILLIS : ENTER_LANE_COST_MILLIS;
+  }
 
   /** Returns the hash of the last part that other requests share; the last part is its own. */
   private static long affinity(long[] chain) {
@@ -109,23 +153,10 @@
         && work.pauseTargetMillis() <= ServerModel.TIGHT_PAUSE_MILLIS;
   }
 
-  private int tightLaneSize(int engines) {
-    if (engines < 2 || tightDemand == 0) {
-      return 0;
-    }
-    double tight = tightDemand * TIGHT_HEADROOM;
-    int size = (int) Math.round(engines * tight / (tight + otherDemand));
-    return Math.clamp(size, 1, engines - 1);
-  }
-
-  private void noteDemand(boolean tight, double readMillis, Work work, long nowMillis) {
-    double keep = Math.exp(-Math.max(0, nowMillis - demandMillis) / LANE_MEMORY_MILLIS);
+  private void fade(long nowMillis) {
+    double keep = Math.exp(-Math.max(0, nowMillis - demandMillis) / DEMAND_MEMORY_MILLIS);
     demandMillis = nowMillis;
-    double demand = readMillis + figures.answerMillis(work.outputTokens()) * DECODE_SHARE;
-    tightDemand = tightDemand * keep + (tight ? demand : 0);
-    otherDemand = otherDemand * keep + (tight ? 0 : demand);
+    tightDemand *= keep;
+    otherDemand *= keep;
   }
-
-  // Many streams share each step of an engine.
-  private static final double DECODE_SHARE = 0.03;
 }
--- a/core/src/main/java/org/shallothold/core/placement/PlacementPolicy.java
+++ b/core/src/main/java/org/shallothold/core/placement/PlacementPolicy.java
@@ -26,4 +26,14 @@
         usable.stream().filter(server -> !server.suspended(nowMillis)).toList();
     return reachable.isEmpty() ? usable : reachable;
   }
+
+  /** Returns the median slowness of servers; at least one is given. */
+  static double usualSlowness(List<ServerModel> servers) {
+    return servers.stream()
+        .mapToDouble(ServerModel::slowness)
+        .sorted()
+        .skip(servers.size() / 2)
+        .findFirst()
+        .orElse(1);
+  }
 }
--- a/core/src/main/java/org/shallothold/core/placement/PlainPlacement.java
+++ b/core/src/main/java/org/shallothold/core/placement/PlainPlacement.java
@@ -2,6 +2,7 @@
 
 import java.util.Collection;
 import java.util.Comparator;
+import java.util.List;
 import java.util.Optional;
 
 /**
@@ -28,17 +29,20 @@
 
   @Override
   public Optional<Placement> choose(Work work, Collection<ServerModel> candidates, long nowMillis) {
-    return PlacementPolicy.reachable(candidates, nowMillis).stream()
+    List<ServerModel> usable = PlacementPolicy.reachable(candidates, nowMillis);
+    double usual = usable.isEmpty() ? 1 : PlacementPolicy.usualSlowness(usable);
+    usable.forEach(server -> server.compareSlowness(usual));
+    return usable.stream()
         .min(Comparator.comparingDouble(server -> cost(server, nowMillis)))
-        .map(server -> new Placement(server, 0, work.latencyTargetMillis() / 2.0, 0));
+        .map(server -> new Placement(server, 0, work.latencyTargetMillis() / 2.0, 0, 0));
   }
 
   private double cost(ServerModel server, long nowMillis) {
     double fill = (double) server.openRequests(nowMillis) / Math.max(1, server.entry().slots());
     double distance = server.entry().failureDomain().equals(failureDomain) ? 0 : OTHER_DOMAIN_COST;
-    return fill * Math.max(1, server.slowness())
+    return fill * server.relativeSlowness()
         + distance
-        + SLOWNESS_COST * Math.max(0, server.slowness() - 1)
+        + SLOWNESS_COST * (server.relativeSlowness() - 1)
         + FAILURE_COST * server.failureRate();
   }
 }
--- a/core/src/main/java/org/shallothold/core/placement/PrefixCacheEstimate.java
+++ b/core/src/main/java/org/shallothold/core/placement/PrefixCacheEstimate.java
@@ -11,12 +11,12 @@
  */
 final class PrefixCacheEstimate {
 
-  private final long capacityTokens;
   private final Map<Long, Integer> tokensByChain = new LinkedHashMap<>(16, 0.75f, true);
+  private long capacityTokens;
   private long usedTokens;
 
-  PrefixCacheEstimate(long capacityTokens) {
-    this.capacityTokens = capacityTokens;
+  void capacity(long tokens) {
+    capacityTokens = tokens;
   }
 
   /** Returns how many tokens at the start of the prompt are probably cached. */
--- a/core/src/main/java/org/shallothold/core/placement/ServerModel.java
+++ b/core/src/main/java/org/shallothold/core/placement/ServerModel.java
@@ -23,15 +23,20 @@
 
   private ServerEntry entry;
   private final long idHash;
-  private final PrefixCacheEstimate cache;
+  private final PrefixCacheEstimate cache = new PrefixCacheEstimate();
 
   private final Map<Long, OpenWork> open = new HashMap<>();
   private final Map<String, PeerLoad> peers = new HashMap<>();
+  private final Map<String, Double> peersSentMillis = new HashMap<>();
+  private double sentReadMillis;
+  private double pacedMillis;
+  private long pacedAtMillis;
   private int reportedRunning;
   private int reportedWaiting;
   private int openAtReport;
   private long reportMillis = Long.MIN_VALUE / 2;
   private double slowness = 1;
+  private double relativeSlowness = 1;
   private double failureRate;
   private int failuresInRow;
   private long suspendedUntilMillis = Long.MIN_VALUE / 2;
@@ -51,19 +56,19 @@
   public record PeerLoad(
       int requests, double readMillis, int tightStreams, int tokens, long receivedMillis) {}
 
-  private ServerModel(ServerEntry entry, long cacheTokens) {
+  private ServerModel(ServerEntry entry) {
     this.entry = entry;
     this.idHash = Hashing.of(entry.id());
-    this.cache = new PrefixCacheEstimate(cacheTokens);
   }
 
-  /**
-   * Returns a model of a server that nothing is known of.
-   *
-   * @param cacheTokens tokens that its memory holds; 0 for plain services
-   */
-  public static ServerModel of(ServerEntry entry, long cacheTokens) {
-    return new ServerModel(entry, cacheTokens);
+  /** Returns a model of a server that nothing is known of. */
+  public static ServerModel of(ServerEntry entry) {
+    return new ServerModel(entry);
+  }
+
+  /** Sets the tokens that the server's memory holds; 0 for plain services. */
+  public void cacheCapacity(long tokens) {
+    cache.capacity(tokens);
   }
 
   /** Returns the server as listed. */
@@ -91,12 +96,31 @@
             work.pauseTargetMillis(),
             nowMillis,
             false));
+    sentReadMillis += readMillis;
+    addPaced(readMillis, nowMillis);
     long[] chain = work.chain();
     for (int i = 0; i + 1 < chain.length; i++) {
       cache.used(chain[i], work.parts().get(i).tokens());
     }
   }
 
+  /** Returns the time to read all prompts that this gateway sent there since it was listed. */
+  public double sentReadMillis() {
+    return sentReadMillis;
+  }
+
+  /**
+   * Takes a peer's {@link #sentReadMillis}; what it sent before its first news is not counted.
+   *
+   * @param peer name of the peer's process; a restarted peer counts from zero again
+   */
+  public void peerSentReadMillis(String peer, double total, long nowMillis) {
+    Double before = peersSentMillis.put(peer, total);
+    if (before != null) {
+      addPaced(total >= before ? total - before : total, nowMillis);
+    }
+  }
+
   /** Notes the first event of a request. */
   public void started(long request, double expectedMillis, long nowMillis) {
     OpenWork work = open.get(request);
@@ -196,9 +220,24 @@
             .mapToDouble(
                 load -> Math.max(0, load.readMillis() - (nowMillis - load.receivedMillis())))
             .sum();
-    return own + others;
+    return Math.max(own + others, paced(nowMillis));
   }
 
+  private void addPaced(double readMillis, long nowMillis) {
+    pacedMillis = paced(nowMillis) + readMillis;
+    pacedAtMillis = nowMillis;
+  }
+
+  /**
+   * Returns the reading that is left if the engine reads for a fixed part of its time. Prompts sent
+   * at this pace leave it the rest to produce tokens for its running streams.
+   */
+  private double paced(long nowMillis) {
+    return Math.max(0, pacedMillis - READING_PART * (nowMillis - pacedAtMillis) / relativeSlowness);
+  }
+
+  private static final double READING_PART = 0.85;
+
   // Of the prompts being read a part has been read already.
   private static final double REST_OF_READ = 0.8;
 
@@ -225,10 +264,25 @@
     return cache.cachedTokens(chain, work.parts());
   }
 
+  /** Returns how much longer than estimated first events take; 1 if as estimated. */
   double slowness() {
     return slowness;
   }
 
+  /** Returns how much slower than its peers the server is; 1 if it is no straggler. */
+  double relativeSlowness() {
+    return relativeSlowness;
+  }
+
+  /** Compares the server with the usual slowness of its service. */
+  void compareSlowness(double usual) {
+    double ratio = slowness / usual;
+    relativeSlowness = ratio < STRAGGLER_RATIO ? 1 : ratio;
+  }
+
+  // Load alone makes first events differ by less than this between servers.
+  private static final double STRAGGLER_RATIO = 2;
+
   double failureRate() {
     return failureRate;
   }
--- a/core/src/main/java/org/shallothold/core/placement/Work.java
+++ b/core/src/main/java/org/shallothold/core/placement/Work.java
@@ -25,6 +25,11 @@
     return new Work(List.of(), 0, 0, priority, latencyTargetMillis, 0);
   }
 
+  /** Returns the tokens of all parts but the last, which belongs to the request itself. */
+  public int sharedTokens() {
+    return parts.stream().limit(Math.max(0, parts.size() - 1)).mapToInt(PromptPart::tokens).sum();
+  }
+
   /**
    * Returns, for each part, a hash of it and of all parts before it: an engine can use a cached
    * part only if it caches all before it.
--- a/core/src/main/java/org/shallothold/core/route/RoutingConfiguration.java
+++ b/core/src/main/java/org/shallothold/core/route/RoutingConfiguration.java
@@ -15,6 +15,7 @@
   private final Map<String, RoutedService> services;
   private final Map<String, CustomerIdentity> customersByKey;
   private final CallerLimits limits;
+  private final Map<String, Integer> lowestPriorities;
 
   private RoutingConfiguration(
       long version,
@@ -27,6 +28,13 @@
     this.services = services;
     this.customersByKey = customersByKey;
     this.limits = limits;
+    this.lowestPriorities =
+        routes().stream()
+            .flatMap(
+                route ->
+                    route.services().stream()
+                        .map(share -> Map.entry(share.service(), route.priority())))
+            .collect(Collectors.toMap(Map.Entry::getKey, Map.Entry::getValue, Math::max));
   }
 
   /**
@@ -96,6 +104,11 @@
     return limits;
   }
 
+  /** Returns the rank of the least urgent route that leads to a service; 0 if none does. */
+  public int lowestPriority(String service) {
+    return lowestPriorities.getOrDefault(service, 0);
+  }
+
   /** Returns all routes, ordered by name. */
   public List<Route> routes() {
     return routesByHostAndPrefix.values().stream()
--- /dev/null
+++ b/core/src/test/java/org/shallothold/core/placement/EnginePlacementTest.java
@@ -0,0 +1,115 @@
+package org.shallothold.core.placement;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.shallothold.core.membership.ServerEntry;
+
+/** Which engine a request goes to, by the pattern of load. */
+class EnginePlacementTest {
+
+  private static final int SLOTS = 64;
+  private static final long CACHE_TOKENS = 570_000;
+
+  private final EnginePlacement policy = EnginePlacement.of(EngineFigures.DEFAULT, "north");
+  private final List<ServerModel> engines =
+      IntStream.range(0, 6).mapToObj(EnginePlacementTest::engine).toList();
+
+  private static ServerModel engine(int number) {
+    ServerModel model =
+        ServerModel.of(
+            new ServerEntry(
+                "engine-" + number, "pool", "10.0.0." + number, 80, "north", SLOTS, false, 1));
+    model.cacheCapacity(CACHE_TOKENS);
+    return model;
+  }
+
+  private static Work digest(long sharedPart, long request) {
+    return new Work(
+        List.of(new PromptPart(sharedPart, 13_300), new PromptPart(1_000_000 + request, 3_700)),
+        17_000,
+        120,
+        2,
+        1_500,
+        800);
+  }
+
+  private static Work query(long request) {
+    return new Work(
+        List.of(new PromptPart(7, 350), new PromptPart(2_000_000 + request, 1_100)),
+        1_450,
+        170,
+        0,
+        300,
+        200);
+  }
+
+  private Placement place(long number, Work work, long nowMillis) {
+    policy.requestArrived(work, nowMillis);
+    Placement placement = policy.choose(work, engines, nowMillis).orElseThrow();
+    placement.server().sent(number, work, placement.readMillis(), nowMillis);
+    return placement;
+  }
+
+  @Nested
+  class SharedParts {
+
+    /** Guards against reading a shared part again at another engine. */
+    @Test
+    void goToTheEngineThatReadThem() {
+      Placement first = place(1, digest(5, 1), 0);
+      first.server().started(1, first.expectedMillis(), 300);
+      first.server().ended(1);
+      Placement second = place(2, digest(5, 2), 2_000);
+      assertEquals(first.server(), second.server());
+      assertEquals(13_300, second.cachedTokens());
+    }
+
+    /** Guards against two engines reading a shared part since its engine is busy for a moment. */
+    @Test
+    void waitForTheirEngineRatherThanBeReadAgain() {
+      Placement first = place(1, digest(5, 1), 0);
+      Placement second = place(2, digest(5, 2), 50);
+      assertEquals(first.server(), second.server());
+    }
+
+    /** Guards against gateways choosing different engines for a part that nobody has read. */
+    @Test
+    void areReadAtTheSameEngineByAllGateways() {
+      EnginePlacement other = EnginePlacement.of(EngineFigures.DEFAULT, "north");
+      Work work = digest(9, 1);
+      assertEquals(
+          policy.choose(work, engines, 0).orElseThrow().server(),
+          other.choose(work, engines, 0).orElseThrow().server());
+    }
+  }
+
+  @Nested
+  class ShortPauses {
+
+    /** Guards against long prompts delaying the events of streams with a short pause target. */
+    @Test
+    void areKeptApartFromLongPrompts() {
+      ServerModel lane = place(1, query(1), 0).server();
+      IntStream.range(0, 30)
+          .forEach(
+              number ->
+                  assertNotEquals(lane, place(100 + number, digest(number, number), 1).server()));
+    }
+
+    /** Guards against a lane that is too small for a burst of short requests. */
+    @Test
+    void getMoreEnginesInABurst() {
+      IntStream.range(0, 400).forEach(number -> policy.requestArrived(query(number), number * 10L));
+      int calm = policy.laneSize(6, 4_000);
+      IntStream.range(0, 800)
+          .forEach(number -> policy.requestArrived(query(number), 4_000 + number * 5L));
+      assertTrue(policy.laneSize(6, 8_000) > calm);
+    }
+  }
+}
--- a/gateway/src/main/java/org/shallothold/gateway/forward/ForwardedRequest.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/ForwardedRequest.java
@@ -13,14 +13,15 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
+import org.shallothold.core.placement.EngineAdmission;
 import org.shallothold.core.placement.Placement;
 import org.shallothold.core.placement.ServerModel;
+import org.shallothold.core.placement.WaitingRoom;
 import org.shallothold.core.placement.Work;
 import org.shallothold.core.route.CallKind;
 import org.shallothold.core.route.CustomerIdentity;
@@ -43,7 +44,7 @@
  * One request of a caller from its arrival to its end: which server it goes to, whether it may go
  * to another one, and what the caller is told. Owned by the event loop.
  */
-final class ForwardedRequest implements CallerRequestListener {
+final class ForwardedRequest implements CallerRequestListener, WaitingRoom.Member {
 
   /** Answers of plain services larger than this are not held back until they are whole. */
   private static final int MAX_HELD_ANSWER_BYTES = 8 * 1024 * 1024;
@@ -69,6 +70,7 @@
   private Work work = Work.plain(0, 0);
   private long deadlineMillis;
   private @Nullable Attempt attempt;
+  private @Nullable String queuedAt;
   private int runs;
   private int rejections;
   private boolean ended;
@@ -189,25 +191,54 @@
       return;
     }
     String service = known.service(ThreadLocalRandom.current().nextDouble());
-    forwarder.requestArrived(service);
-    send(service);
+    forwarder.requestArrived(service, this);
+    submit(service);
   }
 
-  private void send(String service) {
-    List<ServerModel> candidates =
-        forwarder.state().servers(service).stream()
-            .filter(server -> !triedServers.contains(server.entry().id()))
-            .toList();
-    Optional<Placement> placement =
-        forwarder.policy(service).choose(work, candidates, Clock.millis());
-    if (placement.isEmpty()) {
-      giveUp(ReasonCode.NO_SERVER);
-      return;
-    }
-    attempt = new Attempt(service, placement.get());
+  private void submit(String service) {
+    queuedAt = service;
+    forwarder.queue(service).submit(this);
+  }
+
+  @Override
+  public Work work() {
+    return work;
+  }
+
+  @Override
+  public long arrivedMillis() {
+    return arrivedMillis;
+  }
+
+  /** Returns the request as it asks for an engine. */
+  EngineAdmission.Applicant applicant(long nowMillis) {
+    return new EngineAdmission.Applicant(work, nowMillis - arrivedMillis, left());
+  }
+
+  /** Returns whether the request was sent to a server before. */
+  boolean hasTried(String serverId) {
+    return triedServers.contains(serverId);
+  }
+
+  /** Sends the request to a server. */
+  void sendTo(String service, Placement placement) {
+    queuedAt = null;
+    attempt = new Attempt(service, placement);
     attempt.start();
   }
 
+  /** Refuses the request since the engines have too much to read. */
+  void refuseForLoad(long retryAfterMillis) {
+    queuedAt = null;
+    if (runs > 0) {
+      giveUp(ReasonCode.QUEUE_FULL);
+    } else {
+      refuse(
+          HttpResponseStatus.SERVICE_UNAVAILABLE,
+          Verdict.notRun(ReasonCode.QUEUE_FULL, retryAfterMillis));
+    }
+  }
+
   /** Sends the request to another server if it may still run, or else ends it. */
   private void sendAgain(String service, ReasonCode cause, boolean repeatCosts) {
     if (ended) {
@@ -228,8 +259,7 @@
       giveUp(cause);
       return;
     }
-    String next = serviceNow(known, service);
-    send(next);
+    submit(serviceNow(known, service));
   }
 
   /** Returns the service by the configuration in force now, which may have moved the route. */
@@ -242,7 +272,8 @@
     return current.service(ThreadLocalRandom.current().nextDouble());
   }
 
-  private void giveUp(ReasonCode cause) {
+  /** Ends the request without another attempt. */
+  void giveUp(ReasonCode cause) {
     if (streamBegun) {
       end("broken", cause.code(), false);
       caller.abort();
@@ -301,6 +332,10 @@
       return;
     }
     ended = true;
+    String queue = queuedAt;
+    if (queue != null) {
+      forwarder.queue(queue).remove(this);
+    }
     if (timer != null) {
       timer.cancel(false);
     }
@@ -363,6 +398,7 @@
           .with("service", service)
           .with("server", serverId)
           .with("expected_millis", Math.round(placement.expectedMillis()))
+          .with("backlog_millis", Math.round(placement.backlogMillis()))
           .with("cached_tokens", placement.cachedTokens())
           .with("open_requests", server.openRequests(Clock.millis()))
           .with("run", runs + 1L);
@@ -485,7 +521,10 @@
         return;
       }
       server.started(key, placement.expectedMillis(), Clock.millis());
-      noteFirstEvent();
+      if (!firstEventSeen) {
+        noteFirstEvent();
+        forwarder.queue(service).dispatch();
+      }
       caller.events(whole);
       if (!caller.isWritable()) {
         exchange.readable(false);
--- a/gateway/src/main/java/org/shallothold/gateway/forward/Forwarder.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/Forwarder.java
@@ -8,7 +8,6 @@
 import java.util.function.IntSupplier;
 import org.shallothold.core.placement.EngineFigures;
 import org.shallothold.core.placement.EnginePlacement;
-import org.shallothold.core.placement.PlacementPolicy;
 import org.shallothold.core.placement.PlainPlacement;
 import org.shallothold.core.retry.FleetRetryBudget;
 import org.shallothold.core.route.CallerLimits;
@@ -35,7 +34,7 @@
   private final IntSupplier gateways;
   private final PrefixReads prefixReads;
 
-  private final Map<String, PlacementPolicy> policies = new HashMap<>();
+  private final Map<String, ServiceQueue> queues = new HashMap<>();
   private final Map<String, FleetRetryBudget> budgets = new HashMap<>();
   private final Set<ForwardedRequest> open = new HashSet<>();
   private long requestNumber;
@@ -120,25 +119,36 @@
     return new RequestTrace(log, requestId, arrivedMillis);
   }
 
-  /** Returns how servers of a service are chosen. */
-  PlacementPolicy policy(String service) {
+  /** Returns the queue of a service. */
+  ServiceQueue queue(String service) {
     boolean engines =
         state
             .configuration()
             .flatMap(known -> known.service(service))
             .map(RoutedService::modelEngine)
             .orElse(false);
-    return policies.computeIfAbsent(
-        service + (engines ? "/engines" : "/plain"),
-        key ->
-            engines
-                ? EnginePlacement.of(EngineFigures.DEFAULT, options.failureDomain())
-                : PlainPlacement.in(options.failureDomain()));
+    return queues.computeIfAbsent(
+        service,
+        name ->
+            new ServiceQueue(
+                name,
+                engines
+                    ? EnginePlacement.of(EngineFigures.DEFAULT, options.failureDomain())
+                    : PlainPlacement.in(options.failureDomain()),
+                state,
+                eventLoop,
+                gateways));
+  }
+
+  /** Returns the queues of all services that had requests, by service. */
+  Map<String, ServiceQueue> queues() {
+    return queues;
   }
 
   /** Notes a caller's request for a service. */
-  void requestArrived(String service) {
+  void requestArrived(String service, ForwardedRequest request) {
     budget(service).requestArrived(Clock.millis());
+    queue(service).requestArrived(request);
   }
 
   /** Takes one repeat from the shared budget of a service. */
--- a/gateway/src/main/java/org/shallothold/gateway/forward/ForwardingGateway.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/ForwardingGateway.java
@@ -3,7 +3,9 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
@@ -35,6 +37,7 @@
   private static final long DRAIN_POLL_MILLIS = 50;
   // Answers that are still running are cut only just before the process would be killed.
   private static final double USED_PART_OF_SHUTDOWN = 0.93;
+  private static final double THOUSANDTHS = 1_000;
   private static final String METRICS_PATH = "/metrics";
 
   private final ForwardOptions options;
@@ -201,21 +204,39 @@
   /** Joins the exchange with peers to the state of this gateway. */
   private final class PeerSource implements PeerExchange.Source {
 
+    private final Map<String, Map<String, Integer>> tightLoads = new HashMap<>();
+
+    private void sumTightLoads(String service, ServiceQueue queue) {
+      int sum = tightLoads.values().stream().mapToInt(map -> map.getOrDefault(service, 0)).sum();
+      queue.peersTightLoad(sum / THOUSANDTHS);
+    }
+
+    @Override
+    public void lost(String peer) {
+      tightLoads.remove(peer);
+    }
+
     @Override
     public void describe(FleetNews.Builder news) {
       long now = Clock.millis();
       for (ServerModel server : state.allServers()) {
         ServerModel.PeerLoad load = server.ownLoad(now);
-        if (load.requests() > 0) {
+        if (load.requests() > 0 || server.sentReadMillis() > 0) {
           news.addOpenWork(
               OpenWork.newBuilder()
                   .setServerId(server.entry().id())
                   .setRequests(load.requests())
                   .setReadMillis((int) Math.round(load.readMillis()))
                   .setTightStreams(load.tightStreams())
-                  .setTokens(load.tokens()));
+                  .setTokens(load.tokens())
+                  .setSentReadMillis(Math.round(server.sentReadMillis())));
         }
       }
+      forwarder
+          .queues()
+          .forEach(
+              (service, queue) ->
+                  news.putTightLoad(service, (int) Math.round(queue.tightLoad() * THOUSANDTHS)));
       for (PrefixReads.Read read : prefixReads.takeAll()) {
         news.addPrefixReads(
             PrefixRead.newBuilder()
@@ -241,8 +262,11 @@
                   work.getTightStreams(),
                   work.getTokens(),
                   now));
+          server.peerSentReadMillis(peer, (double) work.getSentReadMillis(), now);
         }
       }
+      tightLoads.put(peer, news.getTightLoadMap());
+      forwarder.queues().forEach(this::sumTightLoads);
       for (PrefixRead read : news.getPrefixReadsList()) {
         ServerModel server = state.server(read.getServerId());
         if (server != null) {
--- a/gateway/src/main/java/org/shallothold/gateway/forward/RoutingState.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/RoutingState.java
@@ -232,9 +232,7 @@
             .with("former", former == null ? 0 : former.version())
             .with("source", source)
             .with("routes", decoded.routes().size()));
-    if (former == null) {
-      applyServers(source);
-    }
+    applyCacheSizes();
   }
 
   private void applyServers(String source) {
@@ -261,6 +259,12 @@
                 serversByService
                     .computeIfAbsent(server.entry().service(), name -> new HashSet<>())
                     .add(server));
+    applyCacheSizes();
+  }
+
+  /** Sets the engines' memory, which the configuration tells and may come after the servers. */
+  private void applyCacheSizes() {
+    servers.values().forEach(server -> server.cacheCapacity(cacheTokens(server.entry().service())));
   }
 
   private void put(ServerEntry entry, String source) {
@@ -275,7 +279,7 @@
             .with("leaving", entry.leaving())
             .with("source", source));
     if (known == null) {
-      servers.put(entry.id(), ServerModel.of(entry, cacheTokens(entry.service())));
+      servers.put(entry.id(), ServerModel.of(entry));
       return;
     }
     boolean moved =
--- /dev/null
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/ServiceQueue.java
@@ -0,0 +1,161 @@
+package org.shallothold.gateway.forward;
+
+import io.netty.channel.EventLoop;
+import java.util.Collection;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.IntSupplier;
+import org.shallothold.core.placement.AdmissionDecision;
+import org.shallothold.core.placement.EngineAdmission;
+import org.shallothold.core.placement.EnginePlacement;
+import org.shallothold.core.placement.Placement;
+import org.shallothold.core.placement.PlacementPolicy;
+import org.shallothold.core.placement.PlainPlacement;
+import org.shallothold.core.placement.ServerModel;
+import org.shallothold.core.placement.WaitingRoom;
+import org.shallothold.core.verdict.ReasonCode;
+
+/**
+ * The requests for one service that are not at a server yet. Requests for model engines may wait
+ * here; those for plain services are sent at once. Owned by the event loop.
+ */
+final class ServiceQueue {
+
+  private static final long DISPATCH_MILLIS = 20;
+  // Requests further back are not looked at in one round, so that a round stays short.
+  private static final int DISPATCH_LIMIT = 48;
+
+  private final String service;
+  private final PlacementPolicy policy;
+  private final RoutingState state;
+  private final EventLoop eventLoop;
+  private final IntSupplier gateways;
+  private final WaitingRoom<ForwardedRequest> room = WaitingRoom.empty();
+  private boolean scheduled;
+
+  ServiceQueue(
+      String service,
+      PlacementPolicy policy,
+      RoutingState state,
+      EventLoop eventLoop,
+      IntSupplier gateways) {
+    this.service = service;
+    this.policy = policy;
+    this.state = state;
+    this.eventLoop = eventLoop;
+    this.gateways = gateways;
+  }
+
+  /** Notes a request of a caller. */
+  void requestArrived(ForwardedRequest request) {
+    if (policy instanceof EnginePlacement engines) {
+      engines.requestArrived(request.work(), Clock.millis());
+    }
+  }
+
+  /** Returns the work of streams with a short pause target, in engines. */
+  double tightLoad() {
+    return policy instanceof EnginePlacement engines ? engines.tightLoad(Clock.millis()) : 0;
+  }
+
+  /** Sets the sum of the peers' {@link #tightLoad}. */
+  void peersTightLoad(double load) {
+    if (policy instanceof EnginePlacement engines) {
+      engines.peersTightLoad(load);
+    }
+  }
+
+  /** Sends a request, or lets it wait or refuses it. */
+  void submit(ForwardedRequest request) {
+    switch (policy) {
+      case PlainPlacement plain -> sendOrGiveUp(request);
+      case EnginePlacement engines -> {
+        room.add(request);
+        dispatch();
+      }
+    }
+  }
+
+  /** Forgets a request that has ended. */
+  void remove(ForwardedRequest request) {
+    room.remove(request);
+  }
+
+  /** Returns how many requests wait. */
+  int waiting() {
+    return room.size();
+  }
+
+  /** Looks at the waiting requests again, since something may have changed. */
+  void dispatch() {
+    if (room.isEmpty()) {
+      return;
+    }
+    long now = Clock.millis();
+    double aheadMillis = 0;
+    long engines = Math.max(1, state.servers(service).size());
+    List<ForwardedRequest> round = room.inOrder(now).stream().limit(DISPATCH_LIMIT).toList();
+    for (ForwardedRequest request : round) {
+      Optional<Placement> placement = policy.choose(request.work(), candidates(request), now);
+      if (placement.isEmpty()) {
+        room.remove(request);
+        request.giveUp(ReasonCode.NO_SERVER);
+        continue;
+      }
+      AdmissionDecision decision =
+          EngineAdmission.decide(
+              request.applicant(now), placement.get(), aheadMillis, isUrgent(request));
+      switch (decision) {
+        case AdmissionDecision.Send send -> {
+          room.remove(request);
+          request.sendTo(service, placement.get());
+        }
+        case AdmissionDecision.Wait wait ->
+            // Peers queue about as much as this gateway does.
+            aheadMillis += placement.get().readMillis() * gateways.getAsInt() / engines;
+        case AdmissionDecision.Refuse refuse -> {
+          room.remove(request);
+          request.refuseForLoad(refuse.retryAfterMillis());
+        }
+      }
+    }
+    scheduleDispatch();
+  }
+
+  private void scheduleDispatch() {
+    if (scheduled || room.isEmpty()) {
+      return;
+    }
+    scheduled = true;
+    eventLoop.schedule(
+        () -> {
+          scheduled = false;
+          dispatch();
+        },
+        DISPATCH_MILLIS,
+        TimeUnit.MILLISECONDS);
+  }
+
+  private void sendOrGiveUp(ForwardedRequest request) {
+    policy
+        .choose(request.work(), candidates(request), Clock.millis())
+        .ifPresentOrElse(
+            placement -> request.sendTo(service, placement),
+            () -> request.giveUp(ReasonCode.NO_SERVER));
+  }
+
+  private Collection<ServerModel> candidates(ForwardedRequest request) {
+    return state.servers(service).stream()
+        .filter(server -> !request.hasTried(server.entry().id()))
+        .toList();
+  }
+
+  /** Returns whether less urgent requests go to the same service. */
+  private boolean isUrgent(ForwardedRequest request) {
+    return state
+        .configuration()
+        .map(known -> known.lowestPriority(service) > request.work().priority())
+        .orElse(false);
+  }
+}
--- a/gateway/src/main/java/org/shallothold/gateway/forward/peer/PeerExchange.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/peer/PeerExchange.java
@@ -60,6 +60,9 @@
     /** Takes a peer's news. */
     void received(FleetNews news);
 
+    /** Takes that a peer is silent. */
+    void lost(String peer);
+
     /** Returns the revision up to which a topic is known. */
     long asOf(PublishedTopic topic);
 
@@ -171,6 +174,7 @@
   private boolean silent(Map.Entry<String, Heard> entry, long now) {
     boolean silent = now - entry.getValue().millis > SILENCE_MILLIS;
     if (silent) {
+      source.lost(entry.getKey());
       log.add(
           LogLine.of("peer_lost")
               .with("peer", entry.getKey())
--- a/wire/src/main/java/org/shallothold/wire/proto/FleetNews.java
+++ b/wire/src/main/java/org/shallothold/wire/proto/FleetNews.java
@@ -51,6 +51,18 @@
     return org.shallothold.wire.proto.Shallothold.internal_static_shallothold_FleetNews_descriptor;
   }
 
+  @SuppressWarnings({"rawtypes"})
+  @java.lang.Override
+  protected com.google.protobuf.MapFieldReflectionAccessor internalGetMapFieldReflection(
+      int number) {
+    switch (number) {
+      case 9:
+        return internalGetTightLoad();
+      default:
+        throw new RuntimeException(
+            "Invalid map field number: " + number);
+    }
+  }
   @java.lang.Override
   protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internalGetFieldAccessorTable() {
@@ -337,6 +349,99 @@
     return leaving_;
   }
 
+  public static final int TIGHT_LOAD_FIELD_NUMBER = 9;
+  private static final class TightLoadDefaultEntryHolder {
+    static final com.google.protobuf.MapEntry<
+        java.lang.String, java.lang.Integer> defaultEntry =
+            com.google.protobuf.MapEntry
+            .<java.lang.String, java.lang.Integer>newDefaultInstance(
+                org.shallothold.wire.proto.Shallothold.internal_static_shallothold_FleetNews_TightLoadEntry_descriptor, 
+                com.google.protobuf.WireFormat.FieldType.STRING,
+                "",
+                com.google.protobuf.WireFormat.FieldType.INT32,
+                0);
+  }
+  @SuppressWarnings("serial")
+  private com.google.protobuf.MapField<
+      java.lang.String, java.lang.Integer> tightLoad_;
+  private com.google.protobuf.MapField<java.lang.String, java.lang.Integer>
+  internalGetTightLoad() {
+    if (tightLoad_ == null) {
+      return com.google.protobuf.MapField.emptyMapField(
+          TightLoadDefaultEntryHolder.defaultEntry);
+    }
+    return tightLoad_;
+  }
+  public int getTightLoadCount() {
+    return internalGetTightLoad().getMap().size();
+  }
+  /**
+   * <pre>
+   * Work of streams with a short pause target, in thousandths of an engine, by service.
+   * </pre>
+   *
+   * <code>map&lt;string, int32&gt; tight_load = 9;</code>
+   */
+  @java.lang.Override
+  public boolean containsTightLoad(
+      java.lang.String key) {
+    if (key == null) { throw new NullPointerException("map key"); }
+    return internalGetTightLoad().getMap().containsKey(key);
+  }
+  /**
+   * Use {@link #getTightLoadMap()} instead.
+   */
+  @java.lang.Override
+  @java.lang.Deprecated
+  public java.util.Map<java.lang.String, java.lang.Integer> getTightLoad() {
+    return getTightLoadMap();
+  }
+  /**
+   * <pre>
+   * Work of streams with a short pause target, in thousandths of an engine, by service.
+   * </pre>
+   *
+   * <code>map&lt;string, int32&gt; tight_load = 9;</code>
+   */
+  @java.lang.Override
+  public java.util.Map<java.lang.String, java.lang.Integer> getTightLoadMap() {
+    return internalGetTightLoad().getMap();
+  }
+  /**
+   * <pre>
+   * Work of streams with a short pause target, in thousandths of an engine, by service.
+   * </pre>
+   *
+   * <code>map&lt;string, int32&gt; tight_load = 9;</code>
+   */
+  @java.lang.Override
+  public int getTightLoadOrDefault(
+      java.lang.String key,
+      int defaultValue) {
+    if (key == null) { throw new NullPointerException("map key"); }
+    java.util.Map<java.lang.String, java.lang.Integer> map =
+        internalGetTightLoad().getMap();
+    return map.containsKey(key) ? map.get(key) : defaultValue;
+  }
+  /**
+   * <pre>
+   * Work of streams with a short pause target, in thousandths of an engine, by service.
+   * </pre>
+   *
+   * <code>map&lt;string, int32&gt; tight_load = 9;</code>
+   */
+  @java.lang.Override
+  public int getTightLoadOrThrow(
+      java.lang.String key) {
+    if (key == null) { throw new NullPointerException("map key"); }
+    java.util.Map<java.lang.String, java.lang.Integer> map =
+        internalGetTightLoad().getMap();
+    if (!map.containsKey(key)) {
+      throw new java.lang.IllegalArgumentException();
+    }
+    return map.get(key);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -375,6 +480,12 @@
     if (leaving_ != false) {
       output.writeBool(8, leaving_);
     }
+    com.google.protobuf.GeneratedMessage
+      .serializeStringMapTo(
+        output,
+        internalGetTightLoad(),
+        TightLoadDefaultEntryHolder.defaultEntry,
+        9);
     getUnknownFields().writeTo(output);
   }
 
@@ -428,6 +539,16 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(8, leaving_);
     }
+    for (java.util.Map.Entry<java.lang.String, java.lang.Integer> entry
+         : internalGetTightLoad().getMap().entrySet()) {
+      com.google.protobuf.MapEntry<java.lang.String, java.lang.Integer>
+      tightLoad__ = TightLoadDefaultEntryHolder.defaultEntry.newBuilderForType()
+          .setKey(entry.getKey())
+          .setValue(entry.getValue())
+          .buildPartial();
+      size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(9, tightLoad__);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -459,6 +580,8 @@
         .equals(other.getPrefixReadsList())) return false;
     if (getLeaving()
         != other.getLeaving()) return false;
+    if (!internalGetTightLoad().equals(
+        other.internalGetTightLoad())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -495,6 +618,10 @@
     hash = (37 * hash) + LEAVING_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getLeaving());
+    if (!internalGetTightLoad().getMap().isEmpty()) {
+      hash = (37 * hash) + TIGHT_LOAD_FIELD_NUMBER;
+      hash = (53 * hash) + internalGetTightLoad().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -609,6 +736,28 @@
       return org.shallothold.wire.proto.Shallothold.internal_static_shallothold_FleetNews_descriptor;
     }
 
+    @SuppressWarnings({"rawtypes"})
+    protected com.google.protobuf.MapFieldReflectionAccessor internalGetMapFieldReflection(
+        int number) {
+      switch (number) {
+        case 9:
+          return internalGetTightLoad();
+        default:
+          throw new RuntimeException(
+              "Invalid map field number: " + number);
+      }
+    }
+    @SuppressWarnings({"rawtypes"})
+    protected com.google.protobuf.MapFieldReflectionAccessor internalGetMutableMapFieldReflection(
+        int number) {
+      switch (number) {
+        case 9:
+          return internalGetMutableTightLoad();
+        default:
+          throw new RuntimeException(
+              "Invalid map field number: " + number);
+      }
+    }
     @java.lang.Override
     protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
         internalGetFieldAccessorTable() {
@@ -652,6 +801,7 @@
       }
       bitField0_ = (bitField0_ & ~0x00000040);
       leaving_ = false;
+      internalGetMutableTightLoad().clear();
       return this;
     }
 
@@ -726,6 +876,10 @@
       if (((from_bitField0_ & 0x00000080) != 0)) {
         result.leaving_ = leaving_;
       }
+      if (((from_bitField0_ & 0x00000100) != 0)) {
+        result.tightLoad_ = internalGetTightLoad();
+        result.tightLoad_.makeImmutable();
+      }
     }
 
     @java.lang.Override
@@ -821,6 +975,9 @@
       if (other.getLeaving() != false) {
         setLeaving(other.getLeaving());
       }
+      internalGetMutableTightLoad().mergeFrom(
+          other.internalGetTightLoad());
+      bitField0_ |= 0x00000100;
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -903,6 +1060,15 @@
               bitField0_ |= 0x00000080;
               break;
             } // case 64
+            case 74: {
+              com.google.protobuf.MapEntry<java.lang.String, java.lang.Integer>
+              tightLoad__ = input.readMessage(
+                  TightLoadDefaultEntryHolder.defaultEntry.getParserForType(), extensionRegistry);
+              internalGetMutableTightLoad().getMutableMap().put(
+                  tightLoad__.getKey(), tightLoad__.getValue());
+              bitField0_ |= 0x00000100;
+              break;
+            } // case 74
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1891,6 +2057,159 @@
       return this;
     }
 
+    private com.google.protobuf.MapField<
+        java.lang.String, java.lang.Integer> tightLoad_;
+    private com.google.protobuf.MapField<java.lang.String, java.lang.Integer>
+        internalGetTightLoad() {
+      if (tightLoad_ == null) {
+        return com.google.protobuf.MapField.emptyMapField(
+            TightLoadDefaultEntryHolder.defaultEntry);
+      }
+      return tightLoad_;
+    }
+    private com.google.protobuf.MapField<java.lang.String, java.lang.Integer>
+        internalGetMutableTightLoad() {
+      if (tightLoad_ == null) {
+        tightLoad_ = com.google.protobuf.MapField.newMapField(
+            TightLoadDefaultEntryHolder.defaultEntry);
+      }
+      if (!tightLoad_.isMutable()) {
+        tightLoad_ = tightLoad_.copy();
+      }
+      bitField0_ |= 0x00000100;
+      onChanged();
+      return tightLoad_;
+    }
+    public int getTightLoadCount() {
+      return internalGetTightLoad().getMap().size();
+    }
+    /**
+     * <pre>
+     * Work of streams with a short pause target, in thousandths of an engine, by service.
+     * </pre>
+     *
+     * <code>map&lt;string, int32&gt; tight_load = 9;</code>
+     */
+    @java.lang.Override
+    public boolean containsTightLoad(
+        java.lang.String key) {
+      if (key == null) { throw new NullPointerException("map key"); }
+      return internalGetTightLoad().getMap().containsKey(key);
+    }
+    /**
+     * Use {@link #getTightLoadMap()} instead.
+     */
+    @java.lang.Override
+    @java.lang.Deprecated
+    public java.util.Map<java.lang.String, java.lang.Integer> getTightLoad() {
+      return getTightLoadMap();
+    }
+    /**
+     * <pre>
+     * Work of streams with a short pause target, in thousandths of an engine, by service.
+     * </pre>
+     *
+     * <code>map&lt;string, int32&gt; tight_load = 9;</code>
+     */
+    @java.lang.Override
+    public java.util.Map<java.lang.String, java.lang.Integer> getTightLoadMap() {
+      return internalGetTightLoad().getMap();
+    }
+    /**
+     * <pre>
+     * Work of streams with a short pause target, in thousandths of an engine, by service.
+     * </pre>
+     *
+     * <code>map&lt;string, int32&gt; tight_load = 9;</code>
+     */
+    @java.lang.Override
+    public int getTightLoadOrDefault(
+        java.lang.String key,
+        int defaultValue) {
+      if (key == null) { throw new NullPointerException("map key"); }
+      java.util.Map<java.lang.String, java.lang.Integer> map =
+          internalGetTightLoad().getMap();
+      return map.containsKey(key) ? map.get(key) : defaultValue;
+    }
+    /**
+     * <pre>
+     * Work of streams with a short pause target, in thousandths of an engine, by service.
+     * </pre>
+     *
+     * <code>map&lt;string, int32&gt; tight_load = 9;</code>
+     */
+    @java.lang.Override
+    public int getTightLoadOrThrow(
+        java.lang.String key) {
+      if (key == null) { throw new NullPointerException("map key"); }
+      java.util.Map<java.lang.String, java.lang.Integer> map =
+          internalGetTightLoad().getMap();
+      if (!map.containsKey(key)) {
+        throw new java.lang.IllegalArgumentException();
+      }
+      return map.get(key);
+    }
+    public Builder clearTightLoad() {
+      bitField0_ = (bitField0_ & ~0x00000100);
+      internalGetMutableTightLoad().getMutableMap()
+          .clear();
+      return this;
+    }
+    /**
+     * <pre>
+     * Work of streams with a short pause target, in thousandths of an engine, by service.
+     * </pre>
+     *
+     * <code>map&lt;string, int32&gt; tight_load = 9;</code>
+     */
+    public Builder removeTightLoad(
+        java.lang.String key) {
+      if (key == null) { throw new NullPointerException("map key"); }
+      internalGetMutableTightLoad().getMutableMap()
+          .remove(key);
+      return this;
+    }
+    /**
+     * Use alternate mutation accessors instead.
+     */
+    @java.lang.Deprecated
+    public java.util.Map<java.lang.String, java.lang.Integer>
+        getMutableTightLoad() {
+      bitField0_ |= 0x00000100;
+      return internalGetMutableTightLoad().getMutableMap();
+    }
+    /**
+     * <pre>
+     * Work of streams with a short pause target, in thousandths of an engine, by service.
+     * </pre>
+     *
+     * <code>map&lt;string, int32&gt; tight_load = 9;</code>
+     */
+    public Builder putTightLoad(
+        java.lang.String key,
+        int value) {
+      if (key == null) { throw new NullPointerException("map key"); }
+
+      internalGetMutableTightLoad().getMutableMap()
+          .put(key, value);
+      bitField0_ |= 0x00000100;
+      return this;
+    }
+    /**
+     * <pre>
+     * Work of streams with a short pause target, in thousandths of an engine, by service.
+     * </pre>
+     *
+     * <code>map&lt;string, int32&gt; tight_load = 9;</code>
+     */
+    public Builder putAllTightLoad(
+        java.util.Map<java.lang.String, java.lang.Integer> values) {
+      internalGetMutableTightLoad().getMutableMap()
+          .putAll(values);
+      bitField0_ |= 0x00000100;
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:shallothold.FleetNews)
   }
 
--- a/wire/src/main/java/org/shallothold/wire/proto/FleetNewsOrBuilder.java
+++ b/wire/src/main/java/org/shallothold/wire/proto/FleetNewsOrBuilder.java
@@ -172,4 +172,56 @@
    * @return The leaving.
    */
   boolean getLeaving();
+
+  /**
+   * <pre>
+   * Work of streams with a short pause target, in thousandths of an engine, by service.
+   * </pre>
+   *
+   * <code>map&lt;string, int32&gt; tight_load = 9;</code>
+   */
+  int getTightLoadCount();
+  /**
+   * <pre>
+   * Work of streams with a short pause target, in thousandths of an engine, by service.
+   * </pre>
+   *
+   * <code>map&lt;string, int32&gt; tight_load = 9;</code>
+   */
+  boolean containsTightLoad(
+      java.lang.String key);
+  /**
+   * Use {@link #getTightLoadMap()} instead.
+   */
+  @java.lang.Deprecated
+  java.util.Map<java.lang.String, java.lang.Integer>
+  getTightLoad();
+  /**
+   * <pre>
+   * Work of streams with a short pause target, in thousandths of an engine, by service.
+   * </pre>
+   *
+   * <code>map&lt;string, int32&gt; tight_load = 9;</code>
+   */
+  java.util.Map<java.lang.String, java.lang.Integer>
+  getTightLoadMap();
+  /**
+   * <pre>
+   * Work of streams with a short pause target, in thousandths of an engine, by service.
+   * </pre>
+   *
+   * <code>map&lt;string, int32&gt; tight_load = 9;</code>
+   */
+  int getTightLoadOrDefault(
+      java.lang.String key,
+      int defaultValue);
+  /**
+   * <pre>
+   * Work of streams with a short pause target, in thousandths of an engine, by service.
+   * </pre>
+   *
+   * <code>map&lt;string, int32&gt; tight_load = 9;</code>
+   */
+  int getTightLoadOrThrow(
+      java.lang.String key);
 }
--- a/wire/src/main/java/org/shallothold/wire/proto/OpenWork.java
+++ b/wire/src/main/java/org/shallothold/wire/proto/OpenWork.java
@@ -140,6 +140,21 @@
     return tokens_;
   }
 
+  public static final int SENT_READ_MILLIS_FIELD_NUMBER = 6;
+  private long sentReadMillis_ = 0L;
+  /**
+   * <pre>
+   * Estimated time to read all prompts sent there since the server was listed, in milliseconds.
+   * </pre>
+   *
+   * <code>int64 sent_read_millis = 6;</code>
+   * @return The sentReadMillis.
+   */
+  @java.lang.Override
+  public long getSentReadMillis() {
+    return sentReadMillis_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -169,6 +184,9 @@
     if (tokens_ != 0) {
       output.writeInt32(5, tokens_);
     }
+    if (sentReadMillis_ != 0L) {
+      output.writeInt64(6, sentReadMillis_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -197,6 +215,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt32Size(5, tokens_);
     }
+    if (sentReadMillis_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(6, sentReadMillis_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -222,6 +244,8 @@
         != other.getTightStreams()) return false;
     if (getTokens()
         != other.getTokens()) return false;
+    if (getSentReadMillis()
+        != other.getSentReadMillis()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -243,6 +267,9 @@
     hash = (53 * hash) + getTightStreams();
     hash = (37 * hash) + TOKENS_FIELD_NUMBER;
     hash = (53 * hash) + getTokens();
+    hash = (37 * hash) + SENT_READ_MILLIS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getSentReadMillis());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -383,6 +410,7 @@
       readMillis_ = 0;
       tightStreams_ = 0;
       tokens_ = 0;
+      sentReadMillis_ = 0L;
       return this;
     }
 
@@ -431,6 +459,9 @@
       if (((from_bitField0_ & 0x00000010) != 0)) {
         result.tokens_ = tokens_;
       }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.sentReadMillis_ = sentReadMillis_;
+      }
     }
 
     @java.lang.Override
@@ -462,6 +493,9 @@
       if (other.getTokens() != 0) {
         setTokens(other.getTokens());
       }
+      if (other.getSentReadMillis() != 0L) {
+        setSentReadMillis(other.getSentReadMillis());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -513,6 +547,11 @@
               bitField0_ |= 0x00000010;
               break;
             } // case 40
+            case 48: {
+              sentReadMillis_ = input.readInt64();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 48
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -742,6 +781,50 @@
       return this;
     }
 
+    private long sentReadMillis_ ;
+    /**
+     * <pre>
+     * Estimated time to read all prompts sent there since the server was listed, in milliseconds.
+     * </pre>
+     *
+     * <code>int64 sent_read_millis = 6;</code>
+     * @return The sentReadMillis.
+     */
+    @java.lang.Override
+    public long getSentReadMillis() {
+      return sentReadMillis_;
+    }
+    /**
+     * <pre>
+     * Estimated time to read all prompts sent there since the server was listed, in milliseconds.
+     * </pre>
+     *
+     * <code>int64 sent_read_millis = 6;</code>
+     * @param value The sentReadMillis to set.
+     * @return This builder for chaining.
+     */
+    public Builder setSentReadMillis(long value) {
+
+      sentReadMillis_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Estimated time to read all prompts sent there since the server was listed, in milliseconds.
+     * </pre>
+     *
+     * <code>int64 sent_read_millis = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearSentReadMillis() {
+      bitField0_ = (bitField0_ & ~0x00000020);
+      sentReadMillis_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:shallothold.OpenWork)
   }
 
--- a/wire/src/main/java/org/shallothold/wire/proto/OpenWorkOrBuilder.java
+++ b/wire/src/main/java/org/shallothold/wire/proto/OpenWorkOrBuilder.java
@@ -49,4 +49,14 @@
    * @return The tokens.
    */
   int getTokens();
+
+  /**
+   * <pre>
+   * Estimated time to read all prompts sent there since the server was listed, in milliseconds.
+   * </pre>
+   *
+   * <code>int64 sent_read_millis = 6;</code>
+   * @return The sentReadMillis.
+   */
+  long getSentReadMillis();
 }
