--- /dev/null
+++ b/command/src/main/java/org/shallothold/command/logs/RequestStory.java
@@ -0,0 +1,123 @@
+package org.shallothold.command.logs;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+/** Says in sentences what happened to a request, and what its gateway believed. Stateless. */
+public final class RequestStory {
+
+  private RequestStory() {}
+
+  /** Returns the sentences for a request with at least one line. */
+  public static List<String> of(LogFiles logs, String requestId) {
+    List<LogEntry> entries = logs.of(requestId);
+    List<String> story = new ArrayList<>();
+    entries.forEach(entry -> story.add(sentence(entry)));
+    LogEntry last = entries.getLast();
+    beliefs(logs, last).forEach(story::add);
+    story.add("cause: " + cause(entries));
+    return List.copyOf(story);
+  }
+
+  private static String sentence(LogEntry entry) {
+    String place = entry.time() + " " + entry.process() + " +" + entry.text("age_millis") + " ms: ";
+    return place
+        + switch (entry.event()) {
+          case "request_taken" ->
+              "taken on route %s (%s) for customer '%s' under configuration %s, due in %s ms"
+                  .formatted(
+                      entry.text("route"),
+                      entry.text("kind"),
+                      entry.text("customer"),
+                      entry.text("configuration"),
+                      entry.text("deadline_millis"));
+          case "server_chosen" ->
+              "run %s sent to %s of %s; expected %s ms, %s ms to read before it, %s open there"
+                  .formatted(
+                      entry.text("run"),
+                      entry.text("server"),
+                      entry.text("service"),
+                      entry.text("expected_millis"),
+                      entry.text("backlog_millis"),
+                      entry.text("open_requests"));
+          case "answer_failed" ->
+              "the answer of %s failed: %s; last event passed on: %s"
+                  .formatted(entry.text("server"), entry.text("reason"), entry.text("last_event"));
+          case "server_unreachable" -> "the server could not be reached: " + entry.text("reason");
+          case "repeat_denied" -> "the shared budget allowed no repeat to " + entry.text("service");
+          case "caller_left" -> "the caller closed its connection";
+          case "request_refused" ->
+              "answered %s, %s (%s) after %s runs and %s rejections"
+                  .formatted(
+                      entry.text("status"),
+                      entry.text("verdict"),
+                      entry.text("cause"),
+                      entry.text("runs"),
+                      entry.text("rejections"));
+          case "request_ended" -> "ended: " + entry.text("outcome") + " " + entry.text("cause");
+          default -> entry.event() + " " + entry.fields();
+        };
+  }
+
+  private static List<String> beliefs(LogFiles logs, LogEntry last) {
+    List<String> beliefs = new ArrayList<>();
+    Instant time = last.time();
+    logs.lastBefore(last.process(), List.of("configuration_in_force"), time)
+        .ifPresent(
+            entry ->
+                beliefs.add(
+                    "%s held configuration %s from %s, in force for %d ms"
+                        .formatted(
+                            last.process(),
+                            entry.text("version"),
+                            entry.text("source"),
+                            age(entry, time))));
+    Optional<LogEntry> contact =
+        logs.lastBefore(
+            last.process(), List.of("platform_contact_lost", "platform_contact_regained"), time);
+    contact
+        .filter(entry -> entry.event().equals("platform_contact_lost"))
+        .ifPresent(
+            entry ->
+                beliefs.add(
+                    "%s had been out of contact with the platform for %d ms (%s: %s)"
+                        .formatted(
+                            last.process(),
+                            age(entry, time),
+                            entry.text("topic"),
+                            entry.text("reason"))));
+    return beliefs;
+  }
+
+  private static long age(LogEntry entry, Instant time) {
+    return Duration.between(entry.time(), time).toMillis();
+  }
+
+  private static String cause(List<LogEntry> entries) {
+    LogEntry last = entries.getLast();
+    String code = last.text("cause");
+    String detail =
+        entries.stream()
+            .filter(entry -> entry.event().equals("answer_failed"))
+            .reduce((former, latter) -> latter)
+            .map(entry -> " (" + entry.text("server") + ": " + entry.text("reason") + ")")
+            .orElse("");
+    if (last.text("outcome").equals("completed")) {
+      return "none, the answer was delivered whole";
+    }
+    return switch (code) {
+      case "deadline" -> "no whole answer within the time allowed" + detail;
+      case "queue_full" -> "the engines had too much to read for it to be on time";
+      case "no_server" -> "no backend server took it";
+      case "backend_failed" -> "the backend server failed" + detail;
+      case "not_configured" -> "the gateway had no configuration yet";
+      case "not_found" -> "no route of the configuration in force matches it";
+      case "unauthenticated" -> "its key belongs to no customer of the configuration in force";
+      case "" -> last.text("outcome").equals("caller_left") ? "the caller left" : "unknown";
+      default -> code.startsWith("status_") ? "the server answered " + code.substring(7) : code;
+    };
+  }
+}
--- a/command/src/main/java/org/shallothold/command/process/Explain.java
+++ b/command/src/main/java/org/shallothold/command/process/Explain.java
@@ -11,6 +11,8 @@
 import org.shallothold.command.Result;
 import org.shallothold.command.Subcommand;
 import org.shallothold.command.UnreachableException;
+import org.shallothold.command.logs.LogFiles;
+import org.shallothold.command.logs.RequestStory;
 import org.shallothold.wire.proto.Envelope;
 import org.shallothold.wire.proto.ExplainRequest;
 
@@ -27,22 +29,26 @@
 
   @Override
   public String usage() {
-    return "explain REQUEST_ID --process HOST:PORT [--process HOST:PORT...]";
+    return "explain REQUEST_ID --process HOST:PORT... | --logs FILE...";
   }
 
   @Override
   public String purpose() {
-    return "Shows what processes decided about a request; they remember the latest ones.";
+    return "Shows what was decided about a request, as processes remember it or from their logs.";
   }
 
   @Override
   public Options ownOptions() {
-    return CommandOptions.process();
+    return CommandOptions.process()
+        .addOption(CommandOptions.valued("logs", "FILE", "reads collected log lines"));
   }
 
   @Override
   public Result run(CommandLine line) {
     String requestId = CommandOptions.arguments(line, 1, "REQUEST_ID").getFirst();
+    if (line.hasOption("logs")) {
+      return fromLogs(requestId, List.of(line.getOptionValues("logs")));
+    }
     ArrayNode found = JsonNodeFactory.instance.arrayNode();
     List<String> notes = new ArrayList<>();
     for (String process : Answers.processes(line)) {
@@ -74,6 +80,18 @@
     return new Result(Result.SUCCESS, text.toString(), found, notes);
   }
 
+  private static Result fromLogs(String requestId, List<String> files) {
+    LogFiles logs = LogFiles.read(files);
+    ArrayNode lines = JsonNodeFactory.instance.arrayNode();
+    logs.of(requestId).forEach(entry -> lines.add(entry.fields()));
+    if (lines.isEmpty()) {
+      String text = "no line names request " + requestId + "\n";
+      return new Result(Result.NEGATIVE, text, lines, logs.notes());
+    }
+    String text = String.join("\n", RequestStory.of(logs, requestId)) + "\n";
+    return new Result(Result.SUCCESS, text, lines, logs.notes());
+  }
+
   private static JsonNode report(OperatorConnection connection, String requestId) {
     Envelope question =
         Envelope.newBuilder()
--- /dev/null
+++ b/command/src/test/java/org/shallothold/command/logs/RequestStoryTest.java
@@ -0,0 +1,73 @@
+package org.shallothold.command.logs;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** From a request's id to its cause, by collected log lines alone. */
+class RequestStoryTest {
+
+  private static final List<String> FIRST =
+      List.of(
+          "{\"time\":\"2026-01-01T00:00:00Z\",\"process\":\"one\","
+              + "\"event\":\"configuration_in_force\",\"version\":7,\"source\":\"platform\"}",
+          "{\"time\":\"2026-01-01T00:00:01Z\",\"process\":\"one\","
+              + "\"event\":\"platform_contact_lost\",\"topic\":\"SERVERS\",\"reason\":\"reset\"}",
+          "12.5 one {\"time\":\"2026-01-01T00:00:03Z\",\"process\":\"one\","
+              + "\"event\":\"answer_failed\",\"request\":\"r1\",\"server\":\"s1\","
+              + "\"reason\":\"connection closed\",\"last_event\":4}",
+          "{\"time\":\"2026-01-01T00:00:04Z\",\"process\":\"one\",\"event\":\"request_en");
+  private static final List<String> SECOND =
+      List.of(
+          "{\"time\":\"2026-01-01T00:00:03.500Z\",\"process\":\"one\","
+              + "\"event\":\"request_ended\",\"request\":\"r1\",\"outcome\":\"may_have_run\","
+              + "\"cause\":\"backend_failed\"}",
+          "no log line");
+
+  @TempDir private Path directory;
+
+  private LogFiles logs() throws IOException {
+    Path first = Files.write(directory.resolve("first.log"), FIRST);
+    Path second = Files.write(directory.resolve("second.log"), SECOND);
+    return LogFiles.read(List.of(second.toString(), first.toString()));
+  }
+
+  @Test
+  void linesOfAllFilesAreMergedByTime() throws IOException {
+    assertEquals(
+        List.of("answer_failed", "request_ended"),
+        logs().of("r1").stream().map(LogEntry::event).toList());
+  }
+
+  @Test
+  void causeNamesTheServerThatFailed() throws IOException {
+    assertEquals(
+        "cause: the backend server failed (s1: connection closed)",
+        RequestStory.of(logs(), "r1").getLast());
+  }
+
+  /** Guards against a cause that hides how old the gateway's view was. */
+  @Test
+  void beliefsAreToldWithTheirAge() throws IOException {
+    List<String> story = RequestStory.of(logs(), "r1");
+    assertTrue(
+        story.contains("one held configuration 7 from platform, in force for 3500 ms"),
+        story.toString());
+    assertTrue(
+        story.contains(
+            "one had been out of contact with the platform for 2500 ms (SERVERS: reset)"),
+        story.toString());
+  }
+
+  /** Guards against a cut line ending the whole reading. */
+  @Test
+  void cutLinesAreCounted() throws IOException {
+    assertEquals(1, logs().skipped());
+  }
+}
--- a/core/src/main/java/org/shallothold/core/placement/EngineAdmission.java
+++ b/core/src/main/java/org/shallothold/core/placement/EngineAdmission.java
@@ -10,8 +10,9 @@
 public final class EngineAdmission {
 
   // Reading left at an engine at which it may get another prompt. Long enough that it is not idle
-  // until news of its progress arrives.
-  private static final double BACKLOG_MILLIS = 150;
+  // until news of its progress arrives, and short enough that urgent prompts find room.
+  private static final double BACKLOG_MILLIS = 100;
+  private static final double URGENT_BACKLOG_MILLIS = 220;
   // A request that is late already yields to those that can be on time.
   private static final double LATE_BACKLOG_MILLIS = 40;
   // The rest of the way between the engine's estimate and the caller.
@@ -64,7 +65,8 @@
   public static AdmissionDecision decide(
       Applicant applicant, Placement placement, double aheadMillis, boolean urgent) {
     boolean onTime = applicant.canBeOnTime(placement.expectedMillis());
-    double allowed = onTime ? BACKLOG_MILLIS : LATE_BACKLOG_MILLIS;
+    double inTime = urgent ? URGENT_BACKLOG_MILLIS : BACKLOG_MILLIS;
+    double allowed = onTime ? inTime : LATE_BACKLOG_MILLIS;
     if (placement.backlogMillis() <= allowed) {
       return new AdmissionDecision.Send();
     }
--- a/core/src/main/java/org/shallothold/core/placement/EnginePlacement.java
+++ b/core/src/main/java/org/shallothold/core/placement/EnginePlacement.java
@@ -4,7 +4,9 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
-import java.util.stream.IntStream;
+import java.util.Set;
+import java.util.function.Predicate;
+import java.util.stream.Collectors;
 
 /**
  * Chooses a model engine by the estimated time to the first event and by what reading the prompt
@@ -77,26 +79,24 @@
   }
 
   @Override
-  public Optional<Placement> choose(Work work, Collection<ServerModel> candidates, long nowMillis) {
-    List<ServerModel> usable = PlacementPolicy.reachable(candidates, nowMillis);
+  public Optional<Placement> choose(
+      Work work, Collection<ServerModel> servers, Predicate<ServerModel> excluded, long nowMillis) {
+    List<ServerModel> inService = PlacementPolicy.inService(servers);
+    List<ServerModel> usable = PlacementPolicy.reachable(inService, excluded, nowMillis);
     if (usable.isEmpty()) {
       return Optional.empty();
     }
     double usual = PlacementPolicy.usualSlowness(usable);
     usable.forEach(server -> server.compareSlowness(usual));
+    // Engines out of reach keep their places, so that gateways that reach them agree with others.
+    Set<ServerModel> lane =
+        inService.stream().limit(laneSize(inService.size(), nowMillis)).collect(Collectors.toSet());
     long[] chain = work.chain();
     boolean tight = isTight(work);
-    int lane = laneSize(usable.size(), nowMillis);
-    List<ServerModel> order =
-        usable.stream()
-            .sorted(
-                Comparator.comparingLong(ServerModel::idHash)
-                    .thenComparing(server -> server.entry().id()))
-            .toList();
-    return IntStream.range(0, order.size())
-        .mapToObj(
-            place ->
-                assess(order.get(place), work, chain, laneCost(tight, place < lane), nowMillis))
+    return usable.stream()
+        .map(
+            server ->
+                assess(server, work, chain, laneCost(tight, lane.contains(server)), nowMillis))
         .min(Comparator.comparingDouble(Choice::cost))
         .map(Choice::placement);
   }
--- a/core/src/main/java/org/shallothold/core/placement/PlacementPolicy.java
+++ b/core/src/main/java/org/shallothold/core/placement/PlacementPolicy.java
@@ -4,6 +4,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Predicate;
 
 /** Chooses a backend server for a request. Behaviour differs by kind of service. */
 public sealed interface PlacementPolicy permits EnginePlacement, PlainPlacement {
@@ -11,20 +12,29 @@
   /**
    * Returns the choice among servers that take new work, or empty if there is none.
    *
-   * @param candidates servers of the service that are not excluded for this request
+   * @param servers all servers of the service
+   * @param excluded servers that the request was sent to before
    */
-  Optional<Placement> choose(Work work, Collection<ServerModel> candidates, long nowMillis);
+  Optional<Placement> choose(
+      Work work, Collection<ServerModel> servers, Predicate<ServerModel> excluded, long nowMillis);
 
-  /** Returns the candidates to choose from: servers out of reach only if there are no others. */
-  static List<ServerModel> reachable(Collection<ServerModel> candidates, long nowMillis) {
-    List<ServerModel> usable =
-        candidates.stream()
-            .filter(server -> !server.entry().leaving())
-            .sorted(Comparator.comparing((ServerModel server) -> server.entry().id()))
-            .toList();
+  /** Returns the servers that take new work, in an order that all gateways share. */
+  static List<ServerModel> inService(Collection<ServerModel> servers) {
+    return servers.stream()
+        .filter(server -> !server.entry().leaving())
+        .sorted(
+            Comparator.comparingLong(ServerModel::idHash)
+                .thenComparing(server -> server.entry().id()))
+        .toList();
+  }
+
+  /** Returns the servers to choose from: those out of reach only if there are no others. */
+  static List<ServerModel> reachable(
+      List<ServerModel> inService, Predicate<ServerModel> excluded, long nowMillis) {
+    List<ServerModel> allowed = inService.stream().filter(excluded.negate()).toList();
     List<ServerModel> reachable =
-        usable.stream().filter(server -> !server.suspended(nowMillis)).toList();
-    return reachable.isEmpty() ? usable : reachable;
+        allowed.stream().filter(server -> !server.suspended(nowMillis)).toList();
+    return reachable.isEmpty() ? allowed : reachable;
   }
 
   /** Returns the median slowness of servers; at least one is given. */
--- a/core/src/main/java/org/shallothold/core/placement/PlainPlacement.java
+++ b/core/src/main/java/org/shallothold/core/placement/PlainPlacement.java
@@ -4,6 +4,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Predicate;
 
 /**
  * Chooses a server of a plain service: the one with the fewest open requests for its slots, in the
@@ -28,8 +29,10 @@
   }
 
   @Override
-  public Optional<Placement> choose(Work work, Collection<ServerModel> candidates, long nowMillis) {
-    List<ServerModel> usable = PlacementPolicy.reachable(candidates, nowMillis);
+  public Optional<Placement> choose(
+      Work work, Collection<ServerModel> servers, Predicate<ServerModel> excluded, long nowMillis) {
+    List<ServerModel> usable =
+        PlacementPolicy.reachable(PlacementPolicy.inService(servers), excluded, nowMillis);
     double usual = usable.isEmpty() ? 1 : PlacementPolicy.usualSlowness(usable);
     usable.forEach(server -> server.compareSlowness(usual));
     return usable.stream()
--- /dev/null
+++ b/core/src/test/java/org/shallothold/core/placement/EngineAdmissionTest.java
@@ -0,0 +1,104 @@
+package org.shallothold.core.placement;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.shallothold.core.membership.ServerEntry;
+
+/** Who is sent, who waits and who is refused under a burst of long prompts. */
+class EngineAdmissionTest {
+
+  private static final Work DIGEST = new Work(List.of(), 17_000, 120, 2, 1_500, 800);
+  private static final Work SHEET = new Work(List.of(), 9_000, 50, 1, 500, 300);
+
+  private static Placement engineWithBacklog(double backlogMillis) {
+    ServerModel server =
+        ServerModel.of(new ServerEntry("e", "pool", "10.0.0.1", 80, "north", 64, false, 1));
+    return new Placement(server, 80, backlogMillis + 80, backlogMillis, 0);
+  }
+
+  private static AdmissionDecision decide(
+      Work work, long waited, long left, double backlog, double ahead, boolean urgent) {
+    return EngineAdmission.decide(
+        new EngineAdmission.Applicant(work, waited, left),
+        engineWithBacklog(backlog),
+        ahead,
+        urgent);
+  }
+
+  @Nested
+  class LeastUrgent {
+
+    /** Guards against refusals while engines are free. */
+    @Test
+    void isSentToAFreeEngine() {
+      assertInstanceOf(AdmissionDecision.Send.class, decide(DIGEST, 0, 8_000, 0, 0, false));
+    }
+
+    /** Guards against engines that read without a break and starve their running streams. */
+    @Test
+    void waitsWhileItsEngineHasEnoughToRead() {
+      assertInstanceOf(AdmissionDecision.Wait.class, decide(DIGEST, 0, 8_000, 400, 200, false));
+    }
+
+    /** Guards against holding requests that can't be on time until their callers give up. */
+    @Test
+    void isRefusedAtOnceWhenItCannotBeOnTime() {
+      AdmissionDecision decision = decide(DIGEST, 0, 8_000, 900, 3_000, false);
+      AdmissionDecision.Refuse refuse = assertInstanceOf(AdmissionDecision.Refuse.class, decision);
+      assertTrue(refuse.retryAfterMillis() <= 8_000 / 3);
+      assertTrue(refuse.retryAfterMillis() >= 300);
+    }
+
+    /** Guards against refusing a late request that an idle engine could serve. */
+    @Test
+    void isSentLateToAnIdleEngine() {
+      assertInstanceOf(AdmissionDecision.Send.class, decide(DIGEST, 1_600, 6_000, 20, 0, false));
+    }
+
+    /** Guards against late requests taking the place of those that can be on time. */
+    @Test
+    void yieldsWhenItIsLate() {
+      assertInstanceOf(AdmissionDecision.Refuse.class, decide(DIGEST, 1_600, 6_000, 90, 0, false));
+    }
+  }
+
+  @Nested
+  class MoreUrgent {
+
+    /** Guards against refusing urgent requests while less urgent ones are served. */
+    @Test
+    void isNeverRefused() {
+      for (long waited = 0; waited < 4_000; waited += 100) {
+        AdmissionDecision decision = decide(SHEET, waited, 5_000 - waited, 2_000, 5_000, true);
+        assertTrue(!(decision instanceof AdmissionDecision.Refuse), "after " + waited + " ms");
+      }
+    }
+
+    /** Guards against a wait beyond which callers give the stream up. */
+    @Test
+    void isSentWellBeforeItsCallerLeaves() {
+      assertInstanceOf(AdmissionDecision.Wait.class, decide(SHEET, 1_100, 3_900, 500, 0, true));
+      assertInstanceOf(AdmissionDecision.Send.class, decide(SHEET, 1_250, 3_750, 500, 0, true));
+    }
+
+    /** Guards against urgent prompts waiting as long as others for the same engine. */
+    @Test
+    void mayEnterAFullerEngine() {
+      assertInstanceOf(AdmissionDecision.Send.class, decide(SHEET, 0, 5_000, 200, 0, true));
+      assertInstanceOf(AdmissionDecision.Wait.class, decide(SHEET, 0, 5_000, 200, 0, false));
+    }
+  }
+
+  @Test
+  void retryTimeFollowsTheQueue() {
+    AdmissionDecision.Refuse refuse =
+        assertInstanceOf(
+            AdmissionDecision.Refuse.class, decide(DIGEST, 0, 8_000, 1_000, 1_000, false));
+    assertEquals(1_900, refuse.retryAfterMillis());
+  }
+}
--- a/core/src/test/java/org/shallothold/core/placement/EnginePlacementTest.java
+++ b/core/src/test/java/org/shallothold/core/placement/EnginePlacementTest.java
@@ -20,6 +20,10 @@
   private final List<ServerModel> engines =
       IntStream.range(0, 6).mapToObj(EnginePlacementTest::engine).toList();
 
+  private static boolean isExcluded(ServerModel server) {
+    return false;
+  }
+
   private static ServerModel engine(int number) {
     ServerModel model =
         ServerModel.of(
@@ -51,7 +55,8 @@
 
   private Placement place(long number, Work work, long nowMillis) {
     policy.requestArrived(work, nowMillis);
-    Placement placement = policy.choose(work, engines, nowMillis).orElseThrow();
+    Placement placement =
+        policy.choose(work, engines, EnginePlacementTest::isExcluded, nowMillis).orElseThrow();
     placement.server().sent(number, work, placement.readMillis(), nowMillis);
     return placement;
   }
@@ -84,8 +89,8 @@
       EnginePlacement other = EnginePlacement.of(EngineFigures.DEFAULT, "north");
       Work work = digest(9, 1);
       assertEquals(
-          policy.choose(work, engines, 0).orElseThrow().server(),
-          other.choose(work, engines, 0).orElseThrow().server());
+          policy.choose(work, engines, EnginePlacementTest::isExcluded, 0).orElseThrow().server(),
+          other.choose(work, engines, EnginePlacementTest::isExcluded, 0).orElseThrow().server());
     }
   }
 
@@ -112,4 +117,50 @@
       assertTrue(policy.laneSize(6, 8_000) > calm);
     }
   }
+
+  @Nested
+  class Stragglers {
+
+    /** Guards against load being taken for slowness, which moved prompts off their caches. */
+    @Test
+    void areNotSeenWhenAllEnginesAreSlowUnderLoad() {
+      Placement first = place(1, digest(5, 1), 0);
+      engines.forEach(
+          engine ->
+              IntStream.range(0, 20)
+                  .forEach(
+                      number -> {
+                        Work work = digest(900 + number, number);
+                        long key = 10_000L + number;
+                        engine.sent(key, work, 0, 0);
+                        engine.started(key, 100, 1_000);
+                        engine.ended(key);
+                      }));
+      first.server().ended(1);
+      assertEquals(first.server(), place(2, digest(5, 2), 5_000).server());
+    }
+
+    /** Guards against sending more to an engine that is many times slower than its peers. */
+    @Test
+    void getNoNewWorkWhileOthersAreFree() {
+      Placement first = place(1, digest(5, 1), 0);
+      first.server().ended(1);
+      IntStream.range(0, 20)
+          .forEach(
+              number -> {
+                first.server().sent(100 + number, query(number), 0, 0);
+                first.server().started(100 + number, 50, 2_000);
+                first.server().ended(100 + number);
+              });
+      assertNotEquals(first.server(), place(2, digest(6, 2), 5_000).server());
+    }
+
+    /** Guards against new work for an engine that fell silent. */
+    @Test
+    void thatCannotBeReachedAreLeftOut() {
+      Placement first = place(1, digest(5, 1), 0);
+      first.server().unreachable(10);
+      assertNotEquals(first.server(), place(2, digest(5, 2), 20).server());
+    }
+  }
 }
--- /dev/null
+++ b/core/src/test/java/org/shallothold/core/placement/PlainPlacementTest.java
@@ -0,0 +1,63 @@
+package org.shallothold.core.placement;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.shallothold.core.membership.ServerEntry;
+
+/** Which server of a plain service a request goes to. */
+class PlainPlacementTest {
+
+  private static final Work CALL = Work.plain(2, 150);
+
+  private final ServerModel near = server("near", "north", false);
+  private final ServerModel far = server("far", "south", false);
+  private final PlainPlacement policy = PlainPlacement.in("north");
+
+  private static ServerModel server(String id, String domain, boolean leaving) {
+    return ServerModel.of(new ServerEntry(id, "desk", "10.0.0.1", 80, domain, 6, leaving, 1));
+  }
+
+  private ServerModel choose(ServerModel... servers) {
+    return policy.choose(CALL, List.of(servers), server -> false, 0).orElseThrow().server();
+  }
+
+  @Test
+  void prefersItsOwnFailureDomain() {
+    assertEquals(near, choose(near, far));
+  }
+
+  /** Guards against a burst that fills the nearest server while others are free. */
+  @Test
+  void leavesTheFailureDomainWhenItsServerIsBusier() {
+    near.sent(1, CALL, 0, 0);
+    near.sent(2, CALL, 0, 0);
+    assertEquals(far, choose(near, far));
+  }
+
+  /** Guards against requests that fail at a server whose health looks good. */
+  @Test
+  void avoidsAServerThatFailsItsRequests() {
+    for (int i = 0; i < 5; i++) {
+      near.failed();
+    }
+    assertEquals(far, choose(near, far));
+  }
+
+  /** Guards against new work for a server that is leaving. */
+  @Test
+  void choosesNoLeavingServer() {
+    assertTrue(policy.choose(CALL, List.of(server("x", "north", true)), s -> false, 0).isEmpty());
+  }
+
+  /** Guards against refusals when all servers were out of reach a moment ago. */
+  @Test
+  void takesAnUnreachableServerWhenThereIsNoOther() {
+    near.unreachable(0);
+    assertEquals(near, choose(near));
+    assertNotEquals(near, choose(near, far));
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/shallothold/core/placement/WaitingRoomTest.java
@@ -0,0 +1,57 @@
+package org.shallothold.core.placement;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** The order in which waiting requests are sent. */
+class WaitingRoomTest {
+
+  private record Request(String name, int priority, long arrivedMillis)
+      implements WaitingRoom.Member {
+
+    @Override
+    public Work work() {
+      return new Work(List.of(), 1_000, 50, priority, 500, 300);
+    }
+  }
+
+  private final WaitingRoom<Request> room = WaitingRoom.empty();
+
+  private List<String> order(long nowMillis) {
+    return room.inOrder(nowMillis).stream().map(Request::name).toList();
+  }
+
+  /** Guards against a burst of less urgent requests in front of urgent ones. */
+  @Test
+  void urgentRequestsComeFirst() {
+    room.add(new Request("early", 2, 0));
+    room.add(new Request("urgent", 0, 100));
+    assertEquals(List.of("urgent", "early"), order(200));
+  }
+
+  /** Guards against requests that are late already making others late. */
+  @Test
+  void lateRequestsYieldToThoseThatCanBeOnTime() {
+    room.add(new Request("late", 0, 0));
+    room.add(new Request("in time", 2, 400));
+    assertEquals(List.of("in time", "late"), order(600));
+  }
+
+  @Test
+  void equalRequestsKeepTheirOrderOfArrival() {
+    room.add(new Request("second", 1, 20));
+    room.add(new Request("first", 1, 10));
+    assertEquals(List.of("first", "second"), order(30));
+  }
+
+  @Test
+  void removedRequestsAreGone() {
+    Request request = new Request("one", 1, 10);
+    room.add(request);
+    room.remove(request);
+    assertTrue(room.isEmpty());
+  }
+}
--- a/gateway/src/main/java/org/shallothold/gateway/forward/ForwardedRequest.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/ForwardedRequest.java
@@ -507,6 +507,14 @@
       for (int i = scanned; i < all.writerIndex(); i++) {
         if (framer.accept(all.getByte(i))) {
           long id = framer.lastId();
+          if (missesEvents(id)) {
+            all.release();
+            whole.release();
+            held = null;
+            exchange.abandon();
+            failed("event " + id + " came after " + lastEventId, false);
+            return;
+          }
           if (id > lastEventId || id == EventFramer.NO_EVENT) {
             whole.writeBytes(all, begin, i + 1 - begin);
             lastEventId = Math.max(lastEventId, id);
@@ -531,6 +539,11 @@
       }
     }
 
+    /** Returns whether a run that goes on from another one left events out. */
+    private boolean missesEvents(long id) {
+      return firstEventSeen && id != EventFramer.NO_EVENT && id > lastEventId + 1;
+    }
+
     @Override
     public void end() {
       if (over) {
--- a/gateway/src/main/java/org/shallothold/gateway/forward/ForwardingGateway.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/ForwardingGateway.java
@@ -87,6 +87,11 @@
     return gateway;
   }
 
+  /** Returns the port that callers connect to. */
+  public int callersPort() {
+    return callers == null ? 0 : callers.port();
+  }
+
   /**
    * Leaves: no new callers, whole answers for those that are being served. Blocks until all have
    * ended or the time to shut down is nearly over.
--- a/gateway/src/main/java/org/shallothold/gateway/forward/ServiceQueue.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/ServiceQueue.java
@@ -1,7 +1,6 @@
 package org.shallothold.gateway.forward;
 
 import io.netty.channel.EventLoop;
-import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -12,7 +11,6 @@
 import org.shallothold.core.placement.Placement;
 import org.shallothold.core.placement.PlacementPolicy;
 import org.shallothold.core.placement.PlainPlacement;
-import org.shallothold.core.placement.ServerModel;
 import org.shallothold.core.placement.WaitingRoom;
 import org.shallothold.core.verdict.ReasonCode;
 
@@ -97,7 +95,7 @@
     long engines = Math.max(1, state.servers(service).size());
     List<ForwardedRequest> round = room.inOrder(now).stream().limit(DISPATCH_LIMIT).toList();
     for (ForwardedRequest request : round) {
-      Optional<Placement> placement = policy.choose(request.work(), candidates(request), now);
+      Optional<Placement> placement = choose(request, now);
       if (placement.isEmpty()) {
         room.remove(request);
         request.giveUp(ReasonCode.NO_SERVER);
@@ -138,17 +136,18 @@
   }
 
   private void sendOrGiveUp(ForwardedRequest request) {
-    policy
-        .choose(request.work(), candidates(request), Clock.millis())
+    choose(request, Clock.millis())
         .ifPresentOrElse(
             placement -> request.sendTo(service, placement),
             () -> request.giveUp(ReasonCode.NO_SERVER));
   }
 
-  private Collection<ServerModel> candidates(ForwardedRequest request) {
-    return state.servers(service).stream()
-        .filter(server -> !request.hasTried(server.entry().id()))
-        .toList();
+  private Optional<Placement> choose(ForwardedRequest request, long nowMillis) {
+    return policy.choose(
+        request.work(),
+        state.servers(service),
+        server -> request.hasTried(server.entry().id()),
+        nowMillis);
   }
 
   /** Returns whether less urgent requests go to the same service. */
--- a/gateway/src/main/java/org/shallothold/gateway/forward/caller/CallerListener.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/caller/CallerListener.java
@@ -21,6 +21,7 @@
 
   private final CallerService service;
   private final Set<CallerConnection> connections = new HashSet<>();
+  private int port;
 
   private CallerListener(CallerService service) {
     this.service = service;
@@ -53,9 +54,15 @@
     if (!bound.isSuccess()) {
       throw new IllegalStateException("cannot listen on " + address, bound.cause());
     }
+    listener.port = ((InetSocketAddress) bound.channel().localAddress()).getPort();
     return listener;
   }
 
+  /** Returns the port that callers connect to. */
+  public int port() {
+    return port;
+  }
+
   /** Closes the connections that wait for a request. */
   public void closeIdle() {
     List.copyOf(connections).forEach(CallerConnection::closeIfIdle);
--- /dev/null
+++ b/gateway/src/test/java/org/shallothold/gateway/forward/TestTranslation.java
@@ -0,0 +1,67 @@
+package org.shallothold.gateway.forward;
+
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import java.util.List;
+import org.shallothold.gateway.forward.port.AnswerFacts;
+import org.shallothold.gateway.forward.port.HeaderTranslation;
+import org.shallothold.gateway.forward.port.RequestFacts;
+import org.shallothold.gateway.forward.port.SendFacts;
+
+/** Header fields of an invented platform. */
+final class TestTranslation implements HeaderTranslation {
+
+  @Override
+  public RequestFacts request(HttpRequest head) {
+    HttpHeaders headers = head.headers();
+    return new RequestFacts(
+        headers.get("X-Request"),
+        headers.getInt("X-Deadline", 0),
+        headers.get("X-Key"),
+        headers.getInt("X-After", -1),
+        List.of(),
+        headers.getInt("X-Tokens", 0),
+        0,
+        0);
+  }
+
+  @Override
+  public HttpHeaders forward(HttpRequest head, SendFacts facts) {
+    HttpHeaders headers = new DefaultHttpHeaders();
+    headers.set(HttpHeaderNames.HOST, head.headers().get(HttpHeaderNames.HOST));
+    headers.set("X-Request", head.headers().get("X-Request"));
+    headers.set("X-Server", facts.serverId());
+    headers.set("X-Deadline", facts.deadlineMillis());
+    if (facts.customer() != null) {
+      headers.set("X-Customer", facts.customer());
+    }
+    if (facts.resumeAfter() >= 0) {
+      headers.set("X-After", facts.resumeAfter());
+    }
+    return headers;
+  }
+
+  @Override
+  public AnswerFacts answer(HttpResponse head) {
+    HttpHeaders headers = head.headers();
+    return new AnswerFacts(
+        headers.get("X-Request"),
+        headers.contains("X-Signed"),
+        headers.contains("X-Not-Run"),
+        -1,
+        -1,
+        -1);
+  }
+
+  @Override
+  public HttpHeaders backward(HttpResponse head) {
+    HttpHeaders headers = new DefaultHttpHeaders();
+    head.headers().forEach(field -> headers.add(field.getKey(), field.getValue()));
+    headers.remove(HttpHeaderNames.TRANSFER_ENCODING);
+    headers.remove(HttpHeaderNames.CONNECTION);
+    return headers;
+  }
+}
