Take no more requests once a shutting-down gateway is out of rotation

Three of four gateways shut down at once, so the platform sent new callers to the leaving ones; catania-1 never fell idle and cut 16 streams at the end of its time. Ruled out: cut by the engine (its run ended well), idle connections (closed at 2.6 s). Change: after 2.6 s the listener closes, and requests on open connections get a true 503. Contract test Shutdown.

--- a/core/src/main/java/org/shallothold/core/placement/EngineAdmission.java
+++ b/core/src/main/java/org/shallothold/core/placement/EngineAdmission.java
@@ -13,6 +13,8 @@
   // until news of its progress arrives, and short enough that urgent prompts find room.
   private static final double BACKLOG_MILLIS = 100;
   private static final double URGENT_BACKLOG_MILLIS = 220;
+  // With more to read, an engine pauses its streams for longer than a short pause target.
+  private static final double SHORT_PAUSE_BACKLOG_MILLIS = 90;
   // A request that is late already yields to those that can be on time.
   private static final double LATE_BACKLOG_MILLIS = 40;
   // The rest of the way between the engine's estimate and the caller.
@@ -65,8 +67,7 @@
   public static AdmissionDecision decide(
       Applicant applicant, Placement placement, double aheadMillis, boolean urgent) {
     boolean onTime = applicant.canBeOnTime(placement.expectedMillis());
-    double inTime = urgent ? URGENT_BACKLOG_MILLIS : BACKLOG_MILLIS;
-    double allowed = onTime ? inTime : LATE_BACKLOG_MILLIS;
+    double allowed = onTime ? backlogInTime(applicant.work(), urgent) : LATE_BACKLOG_MILLIS;
     if (placement.backlogMillis() <= allowed) {
       return new AdmissionDecision.Send();
     }
@@ -82,4 +83,11 @@
     double ceiling = Math.max(MIN_RETRY_MILLIS, applicant.leftMillis() * RETRY_PART);
     return new AdmissionDecision.Refuse((long) Math.clamp(expectedWait, MIN_RETRY_MILLIS, ceiling));
   }
+
+  private static double backlogInTime(Work work, boolean urgent) {
+    if (work.hasShortPauses()) {
+      return SHORT_PAUSE_BACKLOG_MILLIS;
+    }
+    return urgent ? URGENT_BACKLOG_MILLIS : BACKLOG_MILLIS;
+  }
 }
--- a/core/src/main/java/org/shallothold/core/placement/EnginePlacement.java
+++ b/core/src/main/java/org/shallothold/core/placement/EnginePlacement.java
@@ -21,7 +21,7 @@
   // Cost of missing the pause target of one stream, in milliseconds of the first event's delay.
   private static final double BROKEN_PAUSE_COST_MILLIS = 150;
   // A stream with a short pause target goes to another engine when its own are this much busier.
-  private static final double LEAVE_LANE_COST_MILLIS = 120;
+  private static final double LEAVE_LANE_COST_MILLIS = 250;
   // Other work enters the lane only when its own engines can't be reached.
   private static final double ENTER_LANE_COST_MILLIS = 5_000;
   // All else equal, gateways agree on the engine that caches a prefix.
@@ -31,9 +31,9 @@
   private static final double FAILURE_COST_MILLIS = 1_500;
   private static final double OTHER_DOMAIN_COST_MILLIS = 3;
   private static final double FULL_COST_MILLIS = 2_000;
-  private static final double DEMAND_MEMORY_MILLIS = 4_000;
+  private static final double DEMAND_MEMORY_MILLIS = 2_500;
   // Above this load, requests that come together wait too long for their first events.
-  private static final double LANE_LOAD = 0.5;
+  private static final double LANE_LOAD = 0.4;
   // Under overload of both kinds, short pauses get this much more than their share.
   private static final double LANE_FAVOUR = 1.5;
   // The measured pause is reached only by part of the streams.
@@ -60,7 +60,7 @@
   public void requestArrived(Work work, long nowMillis) {
     fade(nowMillis);
     double read = figures.readMillis(work.promptTokens(), work.sharedTokens());
-    if (isTight(work)) {
+    if (work.hasShortPauses()) {
       tightDemand += read;
     } else {
       otherDemand += read;
@@ -92,7 +92,7 @@
     Set<ServerModel> lane =
         inService.stream().limit(laneSize(inService.size(), nowMillis)).collect(Collectors.toSet());
     long[] chain = work.chain();
-    boolean tight = isTight(work);
+    boolean tight = work.hasShortPauses();
     return usable.stream()
         .map(
             server ->
@@ -124,7 +124,7 @@
     int open = server.openRequests(nowMillis);
     double cost = (backlog + read * READ_WEIGHT) * server.relativeSlowness() + laneCost;
     if (figures.pauseMillis(backlog + read) * server.relativeSlowness()
-        > ServerModel.TIGHT_PAUSE_MILLIS * PAUSE_MARGIN) {
+        > Work.SHORT_PAUSE_MILLIS * PAUSE_MARGIN) {
       cost += BROKEN_PAUSE_COST_MILLIS * server.tightStreams(nowMillis);
     }
     cost += RANK_COST_MILLIS * Hashing.unit(affinity(chain), server.idHash());
@@ -148,11 +148,6 @@
     return chain.length < 2 ? 0 : chain[chain.length - 2];
   }
 
-  private static boolean isTight(Work work) {
-    return work.pauseTargetMillis() > 0
-        && work.pauseTargetMillis() <= ServerModel.TIGHT_PAUSE_MILLIS;
-  }
-
   private void fade(long nowMillis) {
     double keep = Math.exp(-Math.max(0, nowMillis - demandMillis) / DEMAND_MEMORY_MILLIS);
     demandMillis = nowMillis;
--- a/core/src/main/java/org/shallothold/core/placement/ServerModel.java
+++ b/core/src/main/java/org/shallothold/core/placement/ServerModel.java
@@ -301,9 +301,6 @@
   }
 
   private static boolean isTight(OpenWork work) {
-    return work.pauseTargetMillis() > 0 && work.pauseTargetMillis() <= TIGHT_PAUSE_MILLIS;
+    return work.pauseTargetMillis() > 0 && work.pauseTargetMillis() <= Work.SHORT_PAUSE_MILLIS;
   }
-
-  /** Pause targets up to this can be missed while an engine reads a long prompt. */
-  static final long TIGHT_PAUSE_MILLIS = 250;
 }
--- a/core/src/main/java/org/shallothold/core/verdict/ReasonCode.java
+++ b/core/src/main/java/org/shallothold/core/verdict/ReasonCode.java
@@ -37,6 +37,8 @@
   NO_SERVER,
   /** The backend server is leaving. */
   SERVER_LEAVING,
+  /** The gateway is shutting down and another one is to be asked. */
+  GATEWAY_LEAVING,
   /** The submission was made under a configuration that a newer one forbids. */
   CONFIGURATION_BEHIND,
   /** The process holds no configuration yet. */
--- a/core/src/test/java/org/shallothold/core/placement/EngineAdmissionTest.java
+++ b/core/src/test/java/org/shallothold/core/placement/EngineAdmissionTest.java
@@ -86,6 +86,14 @@
       assertInstanceOf(AdmissionDecision.Send.class, decide(SHEET, 1_250, 3_750, 500, 0, true));
     }
 
+    /** Guards against a clump of short requests that breaks the pauses of those before it. */
+    @Test
+    void withShortPausesWaitsForABreakInReading() {
+      Work query = new Work(List.of(), 1_450, 170, 0, 300, 200);
+      assertInstanceOf(AdmissionDecision.Send.class, decide(query, 0, 10_000, 80, 0, true));
+      assertInstanceOf(AdmissionDecision.Wait.class, decide(query, 0, 10_000, 120, 0, true));
+    }
+
     /** Guards against urgent prompts waiting as long as others for the same engine. */
     @Test
     void mayEnterAFullerEngine() {
--- a/gateway/src/main/java/org/shallothold/gateway/forward/ForwardedRequest.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/ForwardedRequest.java
@@ -51,6 +51,8 @@
 
   private static final long NOT_CONFIGURED_RETRY_MILLIS = 500;
   private static final long NO_SERVER_RETRY_MILLIS = 400;
+  // Another gateway can take it at once.
+  private static final long OTHER_GATEWAY_RETRY_MILLIS = 20;
   // Below this a repeat can't be answered in time any more.
   private static final long MIN_REPEAT_MILLIS = 20;
   // A server that rejects a request says so at once, so a few more can be asked.
@@ -76,6 +78,7 @@
   private boolean ended;
   private boolean streamBegun;
   private boolean firstEventSeen;
+  private boolean late;
   private long lastEventId;
   private boolean callerGone;
   private @Nullable ScheduledFuture<?> timer;
@@ -93,6 +96,12 @@
   }
 
   void start() {
+    if (forwarder.isRefusing()) {
+      refuse(
+          HttpResponseStatus.SERVICE_UNAVAILABLE,
+          Verdict.notRun(ReasonCode.GATEWAY_LEAVING, OTHER_GATEWAY_RETRY_MILLIS));
+      return;
+    }
     Optional<RoutingConfiguration> configuration = forwarder.state().configuration();
     if (configuration.isEmpty()) {
       refuse(
@@ -349,6 +358,11 @@
     forwarder.ended(this);
   }
 
+  /** Returns whether nothing about the request is worth a line. */
+  private boolean isOrdinary() {
+    return runs == 1 && rejections == 0 && !late;
+  }
+
   private void noteFirstEvent() {
     if (firstEventSeen) {
       return;
@@ -356,6 +370,10 @@
     firstEventSeen = true;
     Route known = route;
     if (known != null) {
+      late = Clock.millis() - arrivedMillis > known.latencyTargetMillis();
+      if (late) {
+        trace.line("first_event_late").with("target_millis", known.latencyTargetMillis());
+      }
       forwarder
           .metrics()
           .firstEvent
@@ -578,7 +596,7 @@
     }
 
     private void finish() {
-      ForwardedRequest.this.end("completed", "", runs == 1 && rejections == 0);
+      ForwardedRequest.this.end("completed", "", isOrdinary());
     }
 
     private void endWhole(HttpResponse answerHead, AnswerFacts answered) {
@@ -641,7 +659,7 @@
       ForwardedRequest.this.end(
           success ? "completed" : "server_error",
           success ? "" : "status_" + status,
-          success && runs == 1 && rejections == 0);
+          success && isOrdinary());
       if (callerGone) {
         body.release();
         return;
--- a/gateway/src/main/java/org/shallothold/gateway/forward/Forwarder.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/Forwarder.java
@@ -39,6 +39,7 @@
   private final Set<ForwardedRequest> open = new HashSet<>();
   private long requestNumber;
   private boolean leaving;
+  private boolean refusing;
 
   Forwarder(
       ForwardOptions options,
@@ -87,6 +88,15 @@
     leaving = true;
   }
 
+  /** Refuses requests from now on; those taken before go on. */
+  void refuseNew() {
+    refusing = true;
+  }
+
+  boolean isRefusing() {
+    return refusing;
+  }
+
   int openRequests() {
     return open.size();
   }
--- a/gateway/src/main/java/org/shallothold/gateway/forward/ForwardingGateway.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/ForwardingGateway.java
@@ -108,7 +108,7 @@
       boolean outOfRotation = Clock.millis() - begun >= ROTATION_MILLIS;
       if (outOfRotation && !idleClosed) {
         idleClosed = true;
-        eventLoop.execute(this::closeIdleCallers);
+        onLoop(this::stopTaking);
       }
       if (outOfRotation && onLoop(this::openWork) == 0) {
         break;
@@ -176,10 +176,19 @@
     return forwarder.openRequests() + (int) busy;
   }
 
-  private void closeIdleCallers() {
+  /**
+   * Takes no more connections and requests. While other gateways leave too, the platform may go on
+   * sending callers here; without this end, the last of them would be cut.
+   *
+   * @return the requests that go on
+   */
+  int stopTaking() {
+    forwarder.refuseNew();
     if (callers != null) {
+      callers.stopAccepting();
       callers.closeIdle();
     }
+    return forwarder.openRequests();
   }
 
   private int onLoop(java.util.function.IntSupplier supplier) {
--- a/gateway/src/main/java/org/shallothold/gateway/forward/caller/CallerListener.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/caller/CallerListener.java
@@ -10,6 +10,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import org.jspecify.annotations.Nullable;
 import org.shallothold.wire.connection.Transport;
 
 /** Accepts callers' connections. Owned by the event loop. */
@@ -21,7 +22,7 @@
 
   private final CallerService service;
   private final Set<CallerConnection> connections = new HashSet<>();
-  private int port;
+  private @Nullable Channel listening;
 
   private CallerListener(CallerService service) {
     this.service = service;
@@ -54,13 +55,22 @@
     if (!bound.isSuccess()) {
       throw new IllegalStateException("cannot listen on " + address, bound.cause());
     }
-    listener.port = ((InetSocketAddress) bound.channel().localAddress()).getPort();
+    listener.listening = bound.channel();
     return listener;
   }
 
   /** Returns the port that callers connect to. */
   public int port() {
-    return port;
+    Channel open = listening;
+    return open == null ? 0 : ((InetSocketAddress) open.localAddress()).getPort();
+  }
+
+  /** Takes no more connections; open ones stay. */
+  public void stopAccepting() {
+    Channel open = listening;
+    if (open != null) {
+      open.close();
+    }
   }
 
   /** Closes the connections that wait for a request. */
--- a/gateway/src/main/java/org/shallothold/gateway/http/HttpErrors.java
+++ b/gateway/src/main/java/org/shallothold/gateway/http/HttpErrors.java
@@ -62,6 +62,7 @@
           DISPLACED,
           NO_SERVER,
           SERVER_LEAVING,
+          GATEWAY_LEAVING,
           CONFIGURATION_BEHIND,
           NOT_CONFIGURED,
           CANCELLED,
--- a/gateway/src/test/java/org/shallothold/gateway/forward/ForwardContractTest.java
+++ b/gateway/src/test/java/org/shallothold/gateway/forward/ForwardContractTest.java
@@ -2,11 +2,13 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CountDownLatch;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.shallothold.gateway.forward.ScriptedServer.Exchange;
@@ -348,4 +350,52 @@
       }
     }
   }
+
+  @Nested
+  class Shutdown {
+
+    /** Guards against requests that are taken until the end of a shutdown and cut by it. */
+    @Test
+    void refusesLateRequestsTruthfullyAndFinishesEarlierOnes()
+        throws IOException, InterruptedException {
+      CountDownLatch answer = new CountDownLatch(1);
+      CountDownLatch arrived = new CountDownLatch(1);
+      Script slow =
+          exchange -> {
+            arrived.countDown();
+            awaitUninterruptibly(answer);
+            exchange.answer(200, "whole");
+          };
+      try (ForwardFixture fixture = ForwardFixture.before(slow, slow);
+          Socket earlier = fixture.connect();
+          Socket later = fixture.connect()) {
+        ForwardFixture.send(earlier, "/once/x", "Connection: close\r\n", "");
+        arrived.await();
+        String half = "POST /once/y HTTP/1.1\r\nHost: a.example\r\nX-Request: r2\r\n";
+        later.getOutputStream().write(half.getBytes(StandardCharsets.UTF_8));
+        fixture.stopTaking();
+        String rest = "Connection: close\r\nContent-Length: 0\r\n\r\n";
+        try {
+          later.getOutputStream().write(rest.getBytes(StandardCharsets.UTF_8));
+          String refusal = ForwardFixture.readAll(later);
+          assertTrue(
+              refusal.isEmpty() || refusal.equals("<reset>") || refusal.contains("gateway_leaving"),
+              refusal);
+        } finally {
+          answer.countDown();
+        }
+        assertTrue(ForwardFixture.readAll(earlier).endsWith("whole"));
+        assertEquals(1, fixture.arrivals());
+        assertThrows(IOException.class, fixture::connect);
+      }
+    }
+
+    private static void awaitUninterruptibly(CountDownLatch latch) throws IOException {
+      try {
+        latch.await();
+      } catch (InterruptedException e) {
+        throw new IOException(e);
+      }
+    }
+  }
 }
--- a/gateway/src/test/java/org/shallothold/gateway/forward/ForwardFixture.java
+++ b/gateway/src/test/java/org/shallothold/gateway/forward/ForwardFixture.java
@@ -36,6 +36,7 @@
   private final CompletableFuture<EventLoop> eventLoop = new CompletableFuture<>();
   private final CompletableFuture<PublishedSource.Listener> listener = new CompletableFuture<>();
   private final ForwardingGateway gateway;
+  private final int port;
 
   private ForwardFixture() {
     InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
@@ -61,6 +62,7 @@
               listener.complete(receiver);
             },
             DecisionLog.start(System.out, "test"));
+    port = gateway.callersPort();
   }
 
   /** Starts a gateway that knows no configuration. */
@@ -90,8 +92,11 @@
     return servers.stream().mapToInt(server -> server.requests().size()).sum();
   }
 
-  ForwardingGateway gateway() {
-    return gateway;
+  /** Makes the gateway take no more requests; returns when it has. */
+  void stopTaking() {
+    CompletableFuture<Integer> goingOn = new CompletableFuture<>();
+    eventLoop.join().execute(() -> goingOn.complete(gateway.stopTaking()));
+    goingOn.join();
   }
 
   /** Publishes the configuration and all servers; returns when the gateway has taken them. */
@@ -119,7 +124,7 @@
 
   /** Opens a connection of a caller. */
   Socket connect() throws IOException {
-    return new Socket(InetAddress.getLoopbackAddress(), gateway.callersPort());
+    return new Socket(InetAddress.getLoopbackAddress(), port);
   }
 
   /** Sends a request on a connection of its own and returns all that comes until it closes. */
