--- a/core/src/main/java/org/shallothold/core/placement/ServerModel.java
+++ b/core/src/main/java/org/shallothold/core/placement/ServerModel.java
@@ -31,6 +31,7 @@
   private double sentReadMillis;
   private double pacedMillis;
   private long pacedAtMillis;
+  private long heardMillis = Long.MIN_VALUE / 2;
   private int reportedRunning;
   private int reportedWaiting;
   private int openAtReport;
@@ -165,6 +166,16 @@
     suspendedUntilMillis = nowMillis + pause;
   }
 
+  /** Notes that bytes of an answer came from the server. */
+  public void heard(long nowMillis) {
+    heardMillis = nowMillis;
+  }
+
+  /** Returns whether nothing came from the server since a time. */
+  public boolean silentSince(long millis) {
+    return heardMillis < millis;
+  }
+
   /** Notes what the server said of its load in an answer. */
   public void reported(int running, int waiting, long nowMillis) {
     reportedRunning = running;
--- a/core/src/test/java/org/shallothold/core/placement/PlainPlacementTest.java
+++ b/core/src/test/java/org/shallothold/core/placement/PlainPlacementTest.java
@@ -1,6 +1,7 @@
 package org.shallothold.core.placement;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -60,4 +61,12 @@
     assertEquals(near, choose(near));
     assertNotEquals(near, choose(near, far));
   }
+
+  /** Guards against leaving a server alone for one slow request while it answers others. */
+  @Test
+  void serverThatAnswersOthersIsNotSilent() {
+    near.heard(100);
+    assertFalse(near.silentSince(50));
+    assertTrue(near.silentSince(150));
+  }
 }
--- a/gateway/src/main/java/org/shallothold/gateway/forward/ForwardedRequest.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/ForwardedRequest.java
@@ -301,8 +301,9 @@
     boolean ran = runs > 0;
     if (current != null) {
       current.abandon();
-      if (!firstEventSeen && current.sent) {
-        current.placement.server().unreachable(Clock.millis());
+      // One slow request says nothing of a server that answers others meanwhile.
+      if (current.sent && current.server.silentSince(current.sentMillis)) {
+        current.server.unreachable(Clock.millis());
       }
     }
     if (callerGone) {
@@ -395,6 +396,7 @@
     private final long key = number;
     private BackendPool.Exchange exchange = BackendPool.Exchange.none();
     private boolean sent;
+    private long sentMillis;
     private boolean over;
     private @Nullable HttpResponse head;
     private @Nullable AnswerFacts answerFacts;
@@ -463,6 +465,7 @@
     @Override
     public void sending() {
       sent = true;
+      sentMillis = Clock.millis();
       runs++;
     }
 
@@ -473,6 +476,7 @@
       }
       head = answerHead;
       answerFacts = answered;
+      server.heard(Clock.millis());
       if (answered.running() >= 0) {
         server.reported(answered.running(), answered.waiting(), Clock.millis());
       }
