--- a/command/src/main/java/org/shallothold/command/CommandMain.java
+++ b/command/src/main/java/org/shallothold/command/CommandMain.java
@@ -64,7 +64,12 @@
       return Result.SUCCESS;
     }
     if (arguments.length == 1 && arguments[0].equals("--help")) {
-      output.print(help());
+      output.print(help(SUBCOMMANDS));
+      return Result.SUCCESS;
+    }
+    List<Subcommand> group = groupAskedFor(arguments);
+    if (!group.isEmpty()) {
+      output.print(help(group));
       return Result.SUCCESS;
     }
     Subcommand subcommand =
@@ -97,6 +102,14 @@
     return result.exitCode();
   }
 
+  /** Returns the subcommands that begin with a word, if the line is that word and --help. */
+  private static List<Subcommand> groupAskedFor(String[] arguments) {
+    if (arguments.length != 2 || !arguments[1].equals("--help")) {
+      return List.of();
+    }
+    return SUBCOMMANDS.stream().filter(one -> one.name().startsWith(arguments[0] + " ")).toList();
+  }
+
   private static Optional<Subcommand> find(String[] arguments) {
     String line = String.join(" ", arguments) + " ";
     return SUBCOMMANDS.stream().filter(one -> line.startsWith(one.name() + " ")).findFirst();
@@ -118,9 +131,9 @@
     }
   }
 
-  private static String help() {
+  private static String help(List<Subcommand> subcommands) {
     StringBuilder text = new StringBuilder("usage: shallothold SUBCOMMAND [OPTION...]\n\n");
-    for (Subcommand subcommand : SUBCOMMANDS) {
+    for (Subcommand subcommand : subcommands) {
       text.append("  ").append(subcommand.usage()).append('\n');
       text.append("      ").append(subcommand.purpose()).append('\n');
     }
--- a/command/src/test/java/org/shallothold/command/CommandMainTest.java
+++ b/command/src/test/java/org/shallothold/command/CommandMainTest.java
@@ -37,6 +37,8 @@
     "--help,0",
     "--version,0",
     "config patch --help,0",
+    "config --help,0",
+    "explain r1 --logs /nowhere.log,2",
     "'',2",
     "config,2",
     "config chekc,2",
