Need a key also when no customer holds one, and put constants at the head of their classes

Found in the read-through: a configuration whose last key is taken away opened its routes, since the list of keys, not of customers, decided. The moved constants keep their values; an unused method is gone.

--- a/core/src/main/java/org/shallothold/core/placement/EngineFigures.java
+++ b/core/src/main/java/org/shallothold/core/placement/EngineFigures.java
@@ -18,6 +18,9 @@
     int chunkTokens,
     int tokensPerEvent) {
 
+  // Attention makes a chunk of a long prompt slower than its tokens alone.
+  private static final double READ_OVERHEAD = 1.2;
+
   /** Figures of the deployments' engines, from the users' description of them. */
   public static final EngineFigures DEFAULT = new EngineFigures(61.8, 0.367, 4.0, 2_048, 5);
 
@@ -38,12 +41,4 @@
     double read = Math.min(readMillis, tokensPerEvent * chunkMillis * READ_OVERHEAD);
     return read + tokensPerEvent * stepMillis;
   }
-
-  /** Returns the time from the first event to the last, in milliseconds, on a calm engine. */
-  public double answerMillis(int outputTokens) {
-    return outputTokens * stepMillis;
-  }
-
-  // Attention makes a chunk of a long prompt slower than its tokens alone.
-  private static final double READ_OVERHEAD = 1.2;
 }
--- a/core/src/main/java/org/shallothold/core/placement/ServerModel.java
+++ b/core/src/main/java/org/shallothold/core/placement/ServerModel.java
@@ -20,6 +20,14 @@
   private static final long FIRST_SUSPENSION_MILLIS = 400;
   private static final long LONGEST_SUSPENSION_MILLIS = 4_000;
   private static final double FAILURE_WEIGHT = 0.1;
+  // Below this, delays of the network and of the engine's steps hide the time to read.
+  private static final double MIN_EXPECTED_MILLIS = 30;
+  // Load alone makes first events differ by less than this between servers.
+  private static final double STRAGGLER_RATIO = 2;
+  // Part of its time for which an engine reads prompts; the rest is for its running streams.
+  private static final double READING_PART = 0.85;
+  // Of the prompts being read a part has been read already.
+  private static final double REST_OF_READ = 0.8;
 
   private ServerEntry entry;
   private final long idHash;
@@ -135,9 +143,6 @@
     slowness += SLOWNESS_WEIGHT * (Math.clamp(ratio, MIN_SLOWNESS, MAX_SLOWNESS) - slowness);
   }
 
-  // Below this, delays of the network and of the engine's steps hide the time to read.
-  private static final double MIN_EXPECTED_MILLIS = 30;
-
   /** Notes that a request has ended at the server, or that it was never sent. */
   public void ended(long request) {
     open.remove(request);
@@ -247,11 +252,6 @@
     return Math.max(0, pacedMillis - READING_PART * (nowMillis - pacedAtMillis) / relativeSlowness);
   }
 
-  private static final double READING_PART = 0.85;
-
-  // Of the prompts being read a part has been read already.
-  private static final double REST_OF_READ = 0.8;
-
   /** Returns the running streams with a short pause target. */
   int tightStreams(long nowMillis) {
     int own = (int) open.values().stream().filter(ServerModel::isTight).count();
@@ -291,9 +291,6 @@
     relativeSlowness = ratio < STRAGGLER_RATIO ? 1 : ratio;
   }
 
-  // Load alone makes first events differ by less than this between servers.
-  private static final double STRAGGLER_RATIO = 2;
-
   double failureRate() {
     return failureRate;
   }
--- a/core/src/main/java/org/shallothold/core/route/RoutingConfiguration.java
+++ b/core/src/main/java/org/shallothold/core/route/RoutingConfiguration.java
@@ -13,6 +13,7 @@
   private final long version;
   private final Map<String, Map<String, Route>> routesByHostAndPrefix;
   private final Map<String, RoutedService> services;
+  private final boolean keysNeeded;
   private final Map<String, CustomerIdentity> customersByKey;
   private final CallerLimits limits;
   private final Map<String, Integer> lowestPriorities;
@@ -21,11 +22,13 @@
       long version,
       Map<String, Map<String, Route>> routesByHostAndPrefix,
       Map<String, RoutedService> services,
+      boolean keysNeeded,
       Map<String, CustomerIdentity> customersByKey,
       CallerLimits limits) {
     this.version = version;
     this.routesByHostAndPrefix = routesByHostAndPrefix;
     this.services = services;
+    this.keysNeeded = keysNeeded;
     this.customersByKey = customersByKey;
     this.limits = limits;
     this.lowestPriorities =
@@ -40,12 +43,14 @@
   /**
    * Returns a configuration.
    *
-   * @param customersByKey empty if the deployment has no customers, and then no key is asked for
+   * @param keysNeeded whether callers of routes that aren't anonymous need a key, also when no
+   *     customer holds one
    */
   public static RoutingConfiguration of(
       long version,
       List<Route> routes,
       List<RoutedService> services,
+      boolean keysNeeded,
       Map<String, CustomerIdentity> customersByKey,
       CallerLimits limits) {
     Map<String, Map<String, Route>> byHost =
@@ -57,7 +62,8 @@
     Map<String, RoutedService> byName =
         services.stream()
             .collect(Collectors.toMap(RoutedService::name, Function.identity(), (a, b) -> b));
-    return new RoutingConfiguration(version, byHost, byName, Map.copyOf(customersByKey), limits);
+    return new RoutingConfiguration(
+        version, byHost, byName, keysNeeded, Map.copyOf(customersByKey), limits);
   }
 
   /** Returns the version number; a later configuration has a greater one. */
@@ -90,8 +96,8 @@
   }
 
   /** Returns whether callers of routes that aren't anonymous need a key. */
-  public boolean hasCustomers() {
-    return !customersByKey.isEmpty();
+  public boolean keysNeeded() {
+    return keysNeeded;
   }
 
   /** Returns the customer of a key, or empty if no customer holds it. */
--- a/gateway/src/main/java/org/shallothold/gateway/forward/ForwardedRequest.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/ForwardedRequest.java
@@ -115,7 +115,7 @@
       return;
     }
     route = found;
-    if (configuration.get().hasCustomers() && !found.anonymous()) {
+    if (configuration.get().keysNeeded() && !found.anonymous()) {
       String key = facts.key();
       customer = key == null ? null : configuration.get().customer(key).orElse(null);
       if (customer == null) {
--- a/gateway/src/test/java/org/shallothold/gateway/forward/ForwardFixture.java
+++ b/gateway/src/test/java/org/shallothold/gateway/forward/ForwardFixture.java
@@ -199,6 +199,7 @@
                   route("/stream/", CallKind.STREAM_RESUMABLE),
                   route("/private/", CallKind.REPEATABLE)),
               List.of(new RoutedService("desk", 10, false, 0)),
+              true,
               Map.of("good", new CustomerIdentity("mill", CustomerIdentity.NO_PRIORITY)),
               CallerLimits.DEFAULT));
     }
