Wait for missing servers only in the first answers after an outage

Change: PlatformContact allows that only for 0.5 s after contact is regained. PlatformContactTest fails with the old rule.

--- a/gateway/src/main/java/org/shallothold/gateway/forward/RoutingState.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/RoutingState.java
@@ -14,6 +14,7 @@
 import org.jspecify.annotations.Nullable;
 import org.shallothold.core.membership.ServerEntry;
 import org.shallothold.core.placement.ServerModel;
+import org.shallothold.core.publish.PlatformContact;
 import org.shallothold.core.publish.PublishedItem;
 import org.shallothold.core.publish.PublishedState;
 import org.shallothold.core.route.RoutedService;
@@ -32,29 +33,19 @@
  */
 final class RoutingState implements PublishedSource.Listener {
 
-  /** After contact was lost, removals are taken as possibly temporary for this long. */
-  private static final long OUTAGE_MEMORY_MILLIS = 3_000;
-
   private final EventLoop eventLoop;
   private final PublishedDecoder decoder;
   private final HeaderTranslation translation;
   private final DecisionLog log;
 
   private final Map<PublishedTopic, PublishedState> published = new EnumMap<>(PublishedTopic.class);
-  private final Map<PublishedTopic, Contact> contacts = new EnumMap<>(PublishedTopic.class);
+  private final Map<PublishedTopic, PlatformContact> contacts = new EnumMap<>(PublishedTopic.class);
   private final Map<String, ServerModel> servers = new HashMap<>();
   private final Map<String, Set<ServerModel>> serversByService = new HashMap<>();
   private final Map<String, BackendPool> pools = new HashMap<>();
   private @Nullable RoutingConfiguration configuration;
   private long configurationRevision;
 
-  private static final class Contact {
-    private boolean lost = true;
-    private boolean everRead;
-    private long lastFailureMillis = Long.MIN_VALUE / 2;
-    private long lastReadMillis = Long.MIN_VALUE / 2;
-  }
-
   RoutingState(
       EventLoop eventLoop,
       PublishedDecoder decoder,
@@ -66,7 +57,7 @@
     this.log = log;
     for (PublishedTopic topic : PublishedTopic.values()) {
       published.put(topic, PublishedState.empty());
-      contacts.put(topic, new Contact());
+      contacts.put(topic, PlatformContact.create());
     }
   }
 
@@ -121,12 +112,12 @@
 
   /** Returns the milliseconds since a topic was last read from the platform. */
   long readAgeMillis(PublishedTopic topic) {
-    return Clock.millis() - contact(topic).lastReadMillis;
+    return Clock.millis() - contact(topic).lastReadMillis();
   }
 
   /** Returns whether the platform's last answer for a topic was a failure. */
   boolean isOutOfContact(PublishedTopic topic) {
-    return contact(topic).lost;
+    return contact(topic).isLost();
   }
 
   @Override
@@ -155,10 +146,7 @@
 
   @Override
   public void failed(PublishedTopic topic, String reason) {
-    Contact contact = contact(topic);
-    contact.lastFailureMillis = Clock.millis();
-    if (!contact.lost) {
-      contact.lost = true;
+    if (contact(topic).failed()) {
       log.add(
           LogLine.of("platform_contact_lost").with("topic", topic.name()).with("reason", reason));
     }
@@ -176,7 +164,8 @@
   /** Drops servers that did not come back after an outage, and idle connections. */
   void maintain() {
     for (PublishedTopic topic : PublishedTopic.values()) {
-      boolean dropped = !contact(topic).lost && !state(topic).dropExpired(Clock.millis()).isEmpty();
+      boolean dropped =
+          !contact(topic).isLost() && !state(topic).dropExpired(Clock.millis()).isEmpty();
       if (dropped) {
         apply(topic, "grace period over");
       }
@@ -184,23 +173,20 @@
     pools.values().forEach(BackendPool::closeExpired);
   }
 
+  /** Notes an answer; returns whether an item that it shows missing may come back. */
   private boolean regained(PublishedTopic topic) {
-    Contact contact = contact(topic);
+    PlatformContact contact = contact(topic);
     long now = Clock.millis();
-    if (contact.lost) {
+    boolean first = !contact.everRead();
+    long away = first ? 0 : now - contact.lastReadMillis();
+    if (contact.answered(now)) {
       log.add(
           LogLine.of("platform_contact_regained")
               .with("topic", topic.name())
-              .with("first", !contact.everRead)
-              .with("away_millis", contact.everRead ? now - contact.lastReadMillis : 0));
+              .with("first", first)
+              .with("away_millis", away));
     }
-    boolean afterOutage =
-        contact.everRead
-            && (contact.lost || now - contact.lastFailureMillis < OUTAGE_MEMORY_MILLIS);
-    contact.lost = false;
-    contact.everRead = true;
-    contact.lastReadMillis = now;
-    return afterOutage;
+    return contact.mayHaveLapsed(now);
   }
 
   private void apply(PublishedTopic topic, String source) {
@@ -316,7 +302,7 @@
     return Objects.requireNonNull(published.get(topic));
   }
 
-  private Contact contact(PublishedTopic topic) {
+  private PlatformContact contact(PublishedTopic topic) {
     return Objects.requireNonNull(contacts.get(topic));
   }
 }
