Rank requests by customer and route, and refuse what would only overfill engines

Cause: on both sites every customer has a priority of its own, 0 or 1, while the routes have 0 to 2. The lowest rank of a service was taken from the routes alone, so every request counted as more urgent than others: none was ever refused, late ones waited for half of their callers' patience and were then forced onto engines that read without a break, whose streams broke off at the deadline. Among customers of one priority the order was that of arrival, so long prompts with 1,500 ms to spare went before those with 300 ms. The cache estimate left out the prompts' own parts, which displace shared ones within about ten seconds of a burst. Change: Rank (customer's priority, then the route's); lowest rank over customers; refusal after half of the patience, but for requests of which an earlier run broke off; own parts, outputs and peers' prompts displace cached parts.

--- a/core/src/main/java/org/shallothold/core/placement/EngineAdmission.java
+++ b/core/src/main/java/org/shallothold/core/placement/EngineAdmission.java
@@ -23,7 +23,9 @@
   private static final long PATIENCE_TARGETS = 4;
   private static final long PATIENCE_PAUSES = 8;
   private static final long MIN_PATIENCE_MILLIS = 2_000;
-  // Part of a caller's patience that an urgent request may wait; the engine needs the rest.
+  // Part of a caller's patience that an urgent request may wait; the engine needs the rest. After
+  // that it is refused: sent to engines that have too much to read, it would break off the streams
+  // that run there.
   private static final double WAIT_PART = 0.5;
   private static final long MIN_RETRY_MILLIS = 300;
   // Callers honour a pause up to a third of the time that they have left.
@@ -37,8 +39,9 @@
    * @param work what it asks for
    * @param waitedMillis time since its arrival
    * @param leftMillis time until its deadline
+   * @param begun whether an earlier run of it broke off, so that it can't be refused any more
    */
-  public record Applicant(Work work, long waitedMillis, long leftMillis) {
+  public record Applicant(Work work, long waitedMillis, long leftMillis, boolean begun) {
 
     /** Returns whether its first event can still be on time, after the given delay. */
     boolean canBeOnTime(double expectedMillis) {
@@ -61,11 +64,14 @@
    *
    * @param placement the best engine for it now
    * @param aheadMillis reading that waits in the gateway ahead of it, shared out over the engines
-   * @param urgent whether less urgent requests are sent to the same engines, so that it may not be
-   *     refused
+   * @param urgent whether less urgent requests are sent to the same engines, so that it isn't
+   *     refused while its caller's patience lasts
    */
   public static AdmissionDecision decide(
       Applicant applicant, Placement placement, double aheadMillis, boolean urgent) {
+    if (applicant.begun()) {
+      return new AdmissionDecision.Send();
+    }
     boolean onTime = applicant.canBeOnTime(placement.expectedMillis());
     double allowed = onTime ? backlogInTime(applicant.work(), urgent) : LATE_BACKLOG_MILLIS;
     if (placement.backlogMillis() <= allowed) {
@@ -75,10 +81,8 @@
     if (applicant.canBeOnTime(expectedWait + placement.readMillis())) {
       return new AdmissionDecision.Wait();
     }
-    if (urgent) {
-      return applicant.waitedMillis() < applicant.longestWaitMillis()
-          ? new AdmissionDecision.Wait()
-          : new AdmissionDecision.Send();
+    if (urgent && applicant.waitedMillis() < applicant.longestWaitMillis()) {
+      return new AdmissionDecision.Wait();
     }
     double ceiling = Math.max(MIN_RETRY_MILLIS, applicant.leftMillis() * RETRY_PART);
     return new AdmissionDecision.Refuse((long) Math.clamp(expectedWait, MIN_RETRY_MILLIS, ceiling));
--- a/core/src/main/java/org/shallothold/core/placement/PrefixCacheEstimate.java
+++ b/core/src/main/java/org/shallothold/core/placement/PrefixCacheEstimate.java
@@ -11,9 +11,14 @@
  */
 final class PrefixCacheEstimate {
 
+  // Keeps the number of entries small; a shared part has a few thousand tokens.
+  private static final int DISPLACED_ENTRY_TOKENS = 1_024;
+
   private final Map<Long, Integer> tokensByChain = new LinkedHashMap<>(16, 0.75f, true);
   private long capacityTokens;
   private long usedTokens;
+  private int displacedTokens;
+  private long displacedEntries;
 
   void capacity(long tokens) {
     capacityTokens = tokens;
@@ -39,8 +44,21 @@
     }
   }
 
+  /**
+   * Notes tokens that came into the engine's memory and are not asked for again: they take the
+   * place of parts that are.
+   */
+  void displaced(int tokens) {
+    displacedTokens += tokens;
+    if (displacedTokens >= DISPLACED_ENTRY_TOKENS) {
+      used(Hashing.mix(--displacedEntries), displacedTokens);
+      displacedTokens = 0;
+    }
+  }
+
   void clear() {
     tokensByChain.clear();
     usedTokens = 0;
+    displacedTokens = 0;
   }
 }
--- a/core/src/main/java/org/shallothold/core/placement/ServerModel.java
+++ b/core/src/main/java/org/shallothold/core/placement/ServerModel.java
@@ -108,9 +108,10 @@
     sentReadMillis += readMillis;
     addPaced(readMillis, nowMillis);
     long[] chain = work.chain();
-    for (int i = 0; i + 1 < chain.length; i++) {
+    for (int i = 0; i < chain.length; i++) {
       cache.used(chain[i], work.parts().get(i).tokens());
     }
+    cache.displaced(work.outputTokens());
   }
 
   /** Returns the time to read all prompts that this gateway sent there since it was listed. */
@@ -126,7 +127,9 @@
   public void peerSentReadMillis(String peer, double total, long nowMillis) {
     Double before = peersSentMillis.put(peer, total);
     if (before != null) {
-      addPaced(total >= before ? total - before : total, nowMillis);
+      double read = total >= before ? total - before : total;
+      addPaced(read, nowMillis);
+      cache.displaced((int) (read * EngineFigures.DEFAULT.promptTokensPerMilli()));
     }
   }
 
--- a/core/src/main/java/org/shallothold/core/placement/WaitingRoom.java
+++ b/core/src/main/java/org/shallothold/core/placement/WaitingRoom.java
@@ -70,7 +70,7 @@
 
   private static <R extends Member> Comparator<R> order(long nowMillis) {
     return Comparator.comparing((R member) -> isLate(member, nowMillis))
-        .thenComparingInt(member -> member.work().priority())
+        .thenComparing(member -> member.work().rank())
         .thenComparingLong(Member::arrivedMillis);
   }
 
--- a/core/src/main/java/org/shallothold/core/placement/Work.java
+++ b/core/src/main/java/org/shallothold/core/placement/Work.java
@@ -1,6 +1,7 @@
 package org.shallothold.core.placement;
 
 import java.util.List;
+import org.shallothold.core.route.Rank;
 
 /**
  * What a request asks of a backend server.
@@ -8,7 +9,7 @@
  * @param parts parts of the prompt in order; empty for plain services
  * @param promptTokens tokens of the whole prompt
  * @param outputTokens expected tokens of the answer
- * @param priority rank, 0 is the highest
+ * @param rank how urgent it is
  * @param latencyTargetMillis time in which the first event is on time
  * @param pauseTargetMillis longest pause between events that is on time; 0 if there is no target
  */
@@ -16,7 +17,7 @@
     List<PromptPart> parts,
     int promptTokens,
     int outputTokens,
-    int priority,
+    Rank rank,
     long latencyTargetMillis,
     long pauseTargetMillis) {
 
@@ -24,8 +25,8 @@
   static final long SHORT_PAUSE_MILLIS = 250;
 
   /** Work of a plain service. */
-  public static Work plain(int priority, long latencyTargetMillis) {
-    return new Work(List.of(), 0, 0, priority, latencyTargetMillis, 0);
+  public static Work plain(Rank rank, long latencyTargetMillis) {
+    return new Work(List.of(), 0, 0, rank, latencyTargetMillis, 0);
   }
 
   /** Returns whether an engine that reads a long prompt breaks the request's pause target. */
--- a/core/src/main/java/org/shallothold/core/route/CustomerIdentity.java
+++ b/core/src/main/java/org/shallothold/core/route/CustomerIdentity.java
@@ -12,7 +12,9 @@
   public static final int NO_PRIORITY = -1;
 
   /** Returns the rank of a request of this customer on a route. */
-  public int priorityOn(Route route) {
-    return priority == NO_PRIORITY ? route.priority() : priority;
+  public Rank rankOn(Route route) {
+    return priority == NO_PRIORITY
+        ? Rank.of(route.priority())
+        : new Rank(priority, route.priority());
   }
 }
--- a/core/src/main/java/org/shallothold/core/route/RoutingConfiguration.java
+++ b/core/src/main/java/org/shallothold/core/route/RoutingConfiguration.java
@@ -16,7 +16,7 @@
   private final boolean keysNeeded;
   private final Map<String, CustomerIdentity> customersByKey;
   private final CallerLimits limits;
-  private final Map<String, Integer> lowestPriorities;
+  private final Map<String, Rank> lowestRanks;
 
   private RoutingConfiguration(
       long version,
@@ -31,13 +31,17 @@
     this.keysNeeded = keysNeeded;
     this.customersByKey = customersByKey;
     this.limits = limits;
-    this.lowestPriorities =
+    this.lowestRanks =
         routes().stream()
             .flatMap(
                 route ->
                     route.services().stream()
-                        .map(share -> Map.entry(share.service(), route.priority())))
-            .collect(Collectors.toMap(Map.Entry::getKey, Map.Entry::getValue, Math::max));
+                        .map(share -> Map.entry(share.service(), lowestRank(route))))
+            .collect(
+                Collectors.toMap(
+                    Map.Entry::getKey,
+                    Map.Entry::getValue,
+                    (first, second) -> first.isAbove(second) ? second : first));
   }
 
   /**
@@ -110,9 +114,21 @@
     return limits;
   }
 
-  /** Returns the rank of the least urgent route that leads to a service; 0 if none does. */
-  public int lowestPriority(String service) {
-    return lowestPriorities.getOrDefault(service, 0);
+  /** Returns the rank of the least urgent requests for a service; empty if no route leads there. */
+  public Optional<Rank> lowestRank(String service) {
+    return Optional.ofNullable(lowestRanks.get(service));
+  }
+
+  /** Customers with a priority of their own may leave no request with the route's. */
+  private Rank lowestRank(Route route) {
+    Rank withoutCustomer = Rank.of(route.priority());
+    if (!keysNeeded || route.anonymous()) {
+      return withoutCustomer;
+    }
+    return customersByKey.values().stream()
+        .map(customer -> customer.rankOn(route))
+        .max(Comparator.naturalOrder())
+        .orElse(withoutCustomer);
   }
 
   /** Returns all routes, ordered by name. */
--- a/core/src/test/java/org/shallothold/core/placement/EnginePlacementTest.java
+++ b/core/src/test/java/org/shallothold/core/placement/EnginePlacementTest.java
@@ -6,9 +6,11 @@
 
 import java.util.List;
 import java.util.stream.IntStream;
+import java.util.stream.LongStream;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.shallothold.core.membership.ServerEntry;
+import org.shallothold.core.route.Rank;
 
 /** Which engine a request goes to, by the pattern of load. */
 class EnginePlacementTest {
@@ -38,7 +40,7 @@
         List.of(new PromptPart(sharedPart, 13_300), new PromptPart(1_000_000 + request, 3_700)),
         17_000,
         120,
-        2,
+        Rank.of(2),
         1_500,
         800);
   }
@@ -48,7 +50,7 @@
         List.of(new PromptPart(7, 350), new PromptPart(2_000_000 + request, 1_100)),
         1_450,
         170,
-        0,
+        Rank.of(0),
         300,
         200);
   }
@@ -83,6 +85,32 @@
       assertEquals(first.server(), second.server());
     }
 
+    /**
+     * Guards against taking a part for cached after other prompts displaced it: under a burst the
+     * prompts' own parts fill an engine's memory in some seconds.
+     */
+    @Test
+    void areDisplacedByThePromptsOwnParts() {
+      ServerModel engine = place(1, digest(5, 1), 0).server();
+      Work again = digest(5, 2);
+      assertEquals(13_300, engine.cachedTokens(again.chain(), again));
+      long prompts = CACHE_TOKENS / 3_700 + 1;
+      LongStream.range(0, prompts)
+          .forEach(number -> engine.sent(100 + number, digest(6, 100 + number), 50, number));
+      assertEquals(0, engine.cachedTokens(again.chain(), again));
+    }
+
+    /** Guards against forgetting that peers' prompts displace cached parts too. */
+    @Test
+    void areDisplacedByWhatPeersSend() {
+      ServerModel engine = place(1, digest(5, 1), 0).server();
+      Work again = digest(5, 2);
+      engine.peerSentReadMillis("peer", 0, 0);
+      IntStream.rangeClosed(1, 200)
+          .forEach(number -> engine.peerSentReadMillis("peer", number * 50.0, number));
+      assertEquals(0, engine.cachedTokens(again.chain(), again));
+    }
+
     /** Guards against gateways choosing different engines for a part that nobody has read. */
     @Test
     void areReadAtTheSameEngineByAllGateways() {
--- a/gateway/src/main/java/org/shallothold/gateway/forward/ForwardedRequest.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/ForwardedRequest.java
@@ -25,6 +25,7 @@
 import org.shallothold.core.placement.Work;
 import org.shallothold.core.route.CallKind;
 import org.shallothold.core.route.CustomerIdentity;
+import org.shallothold.core.route.Rank;
 import org.shallothold.core.route.Route;
 import org.shallothold.core.route.RoutingConfiguration;
 import org.shallothold.core.stream.EventFramer;
@@ -69,7 +70,7 @@
 
   private @Nullable Route route;
   private @Nullable CustomerIdentity customer;
-  private Work work = Work.plain(0, 0);
+  private Work work = Work.plain(Rank.of(0), 0);
   private long deadlineMillis;
   private @Nullable Attempt attempt;
   private @Nullable String queuedAt;
@@ -179,9 +180,9 @@
   }
 
   private Work describeWork(Route found) {
-    int priority = customer == null ? found.priority() : customer.priorityOn(found);
+    Rank rank = customer == null ? Rank.of(found.priority()) : customer.rankOn(found);
     if (facts.promptTokens() == 0) {
-      return Work.plain(priority, found.latencyTargetMillis());
+      return Work.plain(rank, found.latencyTargetMillis());
     }
     int output =
         facts.expectedOutputTokens() > 0 ? facts.expectedOutputTokens() : facts.maxOutputTokens();
@@ -189,7 +190,7 @@
         facts.parts(),
         facts.promptTokens(),
         output,
-        priority,
+        rank,
         found.latencyTargetMillis(),
         found.pauseTargetMillis());
   }
@@ -221,7 +222,7 @@
 
   /** Returns the request as it asks for an engine. */
   EngineAdmission.Applicant applicant(long nowMillis) {
-    return new EngineAdmission.Applicant(work, nowMillis - arrivedMillis, left());
+    return new EngineAdmission.Applicant(work, nowMillis - arrivedMillis, left(), runs > 0);
   }
 
   /** Returns whether the request was sent to a server before. */
@@ -438,7 +439,7 @@
           new SendFacts(
               serverId,
               Math.max(1, left()),
-              work.priority(),
+              work.rank().priority(),
               customer == null ? null : customer.name(),
               lastEventId);
       HttpHeaders headers = forwarder.translation().forward(request.head(), sendFacts);
--- a/gateway/src/main/java/org/shallothold/gateway/forward/ServiceQueue.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/ServiceQueue.java
@@ -154,7 +154,8 @@
   private boolean isUrgent(ForwardedRequest request) {
     return state
         .configuration()
-        .map(known -> known.lowestPriority(service) > request.work().priority())
+        .flatMap(known -> known.lowestRank(service))
+        .map(request.work().rank()::isAbove)
         .orElse(false);
   }
 }
