--- a/command/src/main/java/org/shallothold/command/CommandMain.java
+++ b/command/src/main/java/org/shallothold/command/CommandMain.java
@@ -15,6 +15,7 @@
 import org.shallothold.command.config.ConfigPatch;
 import org.shallothold.command.config.ConfigShow;
 import org.shallothold.command.config.ConfigSnapshot;
+import org.shallothold.command.logs.Report;
 import org.shallothold.command.process.Explain;
 import org.shallothold.command.process.Status;
 import org.shallothold.runtime.ProductVersion;
@@ -34,7 +35,8 @@
           new ConfigPatch(),
           new ConfigSnapshot(),
           new Status(),
-          new Explain());
+          new Explain(),
+          new Report());
 
   private CommandMain() {}
 
--- a/command/src/main/java/org/shallothold/command/CommandOptions.java
+++ b/command/src/main/java/org/shallothold/command/CommandOptions.java
@@ -21,6 +21,16 @@
     return Option.builder().longOpt(name).desc(description).get();
   }
 
+  /** Returns the option that names collected log files. */
+  public static Option logs() {
+    return Option.builder()
+        .longOpt("logs")
+        .hasArgs()
+        .argName("FILE...")
+        .desc("reads collected log lines")
+        .get();
+  }
+
   /** Returns the options that say where a configuration is read from. */
   public static Options source() {
     return process().addOption(valued("platform", "URL", "reads from the platform"));
--- a/command/src/main/java/org/shallothold/command/Subcommand.java
+++ b/command/src/main/java/org/shallothold/command/Subcommand.java
@@ -13,6 +13,9 @@
   /** Returns the usage line, from the name on. */
   String usage();
 
+  /** Returns one line that can be typed, from the name on. */
+  String example();
+
   /** Returns what it does, in one sentence. */
   String purpose();
 
@@ -51,6 +54,6 @@
                   "  %-24s %s%n"
                       .formatted("--" + option.getLongOpt() + argument, option.getDescription()));
             });
-    return text.toString();
+    return text.append("\nexample: shallothold ").append(example()).append('\n').toString();
   }
 }
--- a/command/src/main/java/org/shallothold/command/config/ConfigCheck.java
+++ b/command/src/main/java/org/shallothold/command/config/ConfigCheck.java
@@ -6,6 +6,8 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
+import java.util.ServiceLoader;
 import java.util.TreeMap;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.Options;
@@ -23,6 +25,7 @@
 import org.shallothold.runtime.platform.EntryCodec;
 import org.shallothold.runtime.settings.SettingsDocument;
 import org.shallothold.runtime.settings.SettingsException;
+import org.shallothold.runtime.settings.SettingsFormat;
 import org.shallothold.runtime.settings.SettingsProblem;
 import org.shallothold.sidecar.settings.SidecarSettings;
 
@@ -42,9 +45,14 @@
     return "config check FILE [--platform URL | --process HOST:PORT]";
   }
 
+  @Override
+  public String example() {
+    return "config check conf/gateway.toml";
+  }
+
   @Override
   public String purpose() {
-    return "Checks a patch or snapshot (JSON; with a source also against it) or settings (TOML).";
+    return "Checks a patch or snapshot (JSON; with a source also against it) or settings (TOML, or a platform's .conf).";
   }
 
   @Override
@@ -58,6 +66,12 @@
     if (file.endsWith(".toml")) {
       return result("settings", settingsProblems(file));
     }
+    Optional<SettingsFormat> format = formatOf(Path.of(file));
+    if (format.isPresent()) {
+      return result(
+          "settings",
+          format.get().problems(Path.of(file)).stream().map(SettingsProblem::toString).toList());
+    }
     boolean againstSource = line.hasOption("platform") || line.hasOption("process");
     return switch (Documents.read(file)) {
       case Document.PatchDocument(Patch patch) ->
@@ -71,6 +85,13 @@
     };
   }
 
+  private static Optional<SettingsFormat> formatOf(Path file) {
+    return ServiceLoader.load(SettingsFormat.class).stream()
+        .map(ServiceLoader.Provider::get)
+        .filter(format -> format.reads(file))
+        .findFirst();
+  }
+
   private static List<String> settingsProblems(String file) {
     try {
       SettingsDocument settings = SettingsDocument.read(Path.of(file));
--- a/command/src/main/java/org/shallothold/command/config/ConfigDiff.java
+++ b/command/src/main/java/org/shallothold/command/config/ConfigDiff.java
@@ -33,6 +33,11 @@
     return "config diff A B [--platform URL | --process HOST:PORT]";
   }
 
+  @Override
+  public String example() {
+    return "config diff 17 18 --platform http://10.0.0.9:8080";
+  }
+
   @Override
   public String purpose() {
     return "Shows what differs between two versions, each a number or a snapshot file.";
--- a/command/src/main/java/org/shallothold/command/config/ConfigLog.java
+++ b/command/src/main/java/org/shallothold/command/config/ConfigLog.java
@@ -44,6 +44,11 @@
     return "config log --platform URL | --process HOST:PORT [--last N]";
   }
 
+  @Override
+  public String example() {
+    return "config log --process 10.0.0.1:7001 --last 5";
+  }
+
   @Override
   public String purpose() {
     return "Shows who changed what, on which base, with which result, oldest first.";
--- a/command/src/main/java/org/shallothold/command/config/ConfigPatch.java
+++ b/command/src/main/java/org/shallothold/command/config/ConfigPatch.java
@@ -64,6 +64,12 @@
           where SOURCE is --platform URL or --process HOST:PORT""";
   }
 
+  @Override
+  public String example() {
+    return "config patch --platform http://10.0.0.9:8080 --base 17 --author ada --reason slower "
+        + "--set classes.urgent.first_token_target_ms=800";
+  }
+
   @Override
   public String purpose() {
     return "Prints a patch document, or one that lost a race moved onto the current version.";
--- a/command/src/main/java/org/shallothold/command/config/ConfigShow.java
+++ b/command/src/main/java/org/shallothold/command/config/ConfigShow.java
@@ -24,6 +24,11 @@
     return "config show --platform URL | --process HOST:PORT";
   }
 
+  @Override
+  public String example() {
+    return "config show --platform http://10.0.0.9:8080";
+  }
+
   @Override
   public String purpose() {
     return "Shows the current configuration, one line for each key.";
--- a/command/src/main/java/org/shallothold/command/config/ConfigSnapshot.java
+++ b/command/src/main/java/org/shallothold/command/config/ConfigSnapshot.java
@@ -23,6 +23,11 @@
     return "config snapshot --platform URL | --process HOST:PORT";
   }
 
+  @Override
+  public String example() {
+    return "config snapshot --platform http://10.0.0.9:8080";
+  }
+
   @Override
   public String purpose() {
     return "Prints a snapshot of the current configuration, to be published as an entry.";
--- a/command/src/main/java/org/shallothold/command/process/Explain.java
+++ b/command/src/main/java/org/shallothold/command/process/Explain.java
@@ -32,6 +32,11 @@
     return "explain REQUEST_ID --process HOST:PORT... | --logs FILE...";
   }
 
+  @Override
+  public String example() {
+    return "explain 9c41d07be2a35f68 --logs gateway-1.log gateway-2.log";
+  }
+
   @Override
   public String purpose() {
     return "Shows what was decided about a request, as processes remember it or from their logs.";
@@ -39,8 +44,7 @@
 
   @Override
   public Options ownOptions() {
-    return CommandOptions.process()
-        .addOption(CommandOptions.valued("logs", "FILE", "reads collected log lines"));
+    return CommandOptions.process().addOption(CommandOptions.logs());
   }
 
   @Override
--- a/command/src/main/java/org/shallothold/command/process/Status.java
+++ b/command/src/main/java/org/shallothold/command/process/Status.java
@@ -32,6 +32,11 @@
     return "status --process HOST:PORT [--process HOST:PORT...]";
   }
 
+  @Override
+  public String example() {
+    return "status --process 10.0.0.1:7001 --process 10.0.0.2:7001";
+  }
+
   @Override
   public String purpose() {
     return "Shows role, incarnation, configuration version and queue of running processes.";
--- a/command/src/test/java/org/shallothold/command/ConfigCommandTest.java
+++ b/command/src/test/java/org/shallothold/command/ConfigCommandTest.java
@@ -172,5 +172,15 @@
       CommandFixture.Run run = fixture.run("config", "check", file.toString());
       assertEquals(new CommandFixture.Run(0, "valid settings\n", ""), run);
     }
+
+    /** Guards against settings of another format being checked as a patch, or not at all. */
+    @Test
+    void settingsOfThePlatformAreCheckedByItsAdapter() throws Exception {
+      String file = fixture.file("local.conf", "# none\nNodeName=one\nListen.Front=here\n");
+      CommandFixture.Run run = fixture.run("config", "check", file);
+      assertEquals(1, run.code());
+      assertTrue(run.output().contains("local.conf:3: Listen.Front"), run.output());
+      assertTrue(run.output().contains("Zone"), run.output());
+    }
   }
 }
