--- a/command/src/main/java/org/shallothold/command/logs/LogFiles.java
+++ b/command/src/main/java/org/shallothold/command/logs/LogFiles.java
@@ -65,12 +65,17 @@
     return entries.stream().filter(entry -> entry.isOf(requestId)).toList();
   }
 
-  /** Returns the last line of an event that a process wrote before a time. */
+  /**
+   * Returns the last line of some events that a process wrote before a time. A process that started
+   * again knows nothing of what it wrote before.
+   */
   public Optional<LogEntry> lastBefore(String process, List<String> events, Instant time) {
     return entries.stream()
-        .filter(entry -> entry.process().equals(process) && events.contains(entry.event()))
+        .filter(entry -> entry.process().equals(process))
+        .filter(entry -> events.contains(entry.event()) || entry.event().equals("started"))
         .filter(entry -> entry.time().isBefore(time))
-        .reduce((former, latter) -> latter);
+        .reduce((former, latter) -> latter)
+        .filter(entry -> events.contains(entry.event()));
   }
 
   /** Returns a note on skipped lines, or none. */
--- a/command/src/test/java/org/shallothold/command/logs/RequestStoryTest.java
+++ b/command/src/test/java/org/shallothold/command/logs/RequestStoryTest.java
@@ -52,6 +52,25 @@
         RequestStory.of(logs(), "r1").getLast());
   }
 
+  /** Guards against telling what a process believed before it was killed and started again. */
+  @Test
+  void beliefsOfAnEarlierLifeAreLeftOut() throws IOException {
+    Path restart =
+        Files.write(
+            directory.resolve("restart.log"),
+            List.of(
+                "{\"time\":\"2026-01-01T00:00:02Z\",\"process\":\"one\",\"event\":\"started\"}"));
+    logs();
+    LogFiles both =
+        LogFiles.read(
+            List.of(
+                directory.resolve("first.log").toString(),
+                directory.resolve("second.log").toString(),
+                restart.toString()));
+    assertTrue(
+        RequestStory.of(both, "r1").stream().noneMatch(line -> line.contains("configuration")));
+  }
+
   /** Guards against a cause that hides how old the gateway's view was. */
   @Test
   void beliefsAreToldWithTheirAge() throws IOException {
