Take servers at the share of connections when all others are too

Cause: the share of a server's connection limit excluded the server; with many gateways or one small service that refuses requests while servers are free (25 requests at once to two servers of 10 connections: 5 refused). Change: such servers come last instead of never.

--- a/core/src/main/java/org/shallothold/core/placement/EnginePlacement.java
+++ b/core/src/main/java/org/shallothold/core/placement/EnginePlacement.java
@@ -26,9 +26,8 @@
   private static final double ENTER_LANE_COST_MILLIS = 5_000;
   // All else equal, gateways agree on the engine that caches a prefix.
   private static final double RANK_COST_MILLIS = 40;
-  // Reading takes time from the requests that come later, and a part that is read at a second
-  // engine
-  // displaces what that one caches. So a request rather waits for the engine that caches its parts.
+  // Reading takes time from the requests that come later, and a part that a second engine reads
+  // displaces what it caches. So a request rather waits for the engine that caches its parts.
   private static final double READ_WEIGHT = 6;
   private static final double FAILURE_COST_MILLIS = 1_500;
   private static final double OTHER_DOMAIN_COST_MILLIS = 3;
--- a/core/src/main/java/org/shallothold/core/placement/ServerModel.java
+++ b/core/src/main/java/org/shallothold/core/placement/ServerModel.java
@@ -132,6 +132,8 @@
     Double before = peersSentMillis.put(peer, total);
     if (before != null) {
       double read = total >= before ? total - before : total;
+      // Shared parts are in here and in the peer's news of its reads: counted twice, they make the
+      // estimate forget early rather than late.
       addPaced(read, nowMillis);
       cache.displaced((int) (read * EngineFigures.DEFAULT.promptTokensPerMilli()));
     }
--- a/gateway/src/main/java/org/shallothold/gateway/forward/ServiceQueue.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/ServiceQueue.java
@@ -5,12 +5,14 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.IntSupplier;
+import java.util.function.Predicate;
 import org.shallothold.core.placement.AdmissionDecision;
 import org.shallothold.core.placement.EngineAdmission;
 import org.shallothold.core.placement.EnginePlacement;
 import org.shallothold.core.placement.Placement;
 import org.shallothold.core.placement.PlacementPolicy;
 import org.shallothold.core.placement.PlainPlacement;
+import org.shallothold.core.placement.ServerModel;
 import org.shallothold.core.placement.WaitingRoom;
 import org.shallothold.core.verdict.ReasonCode;
 
@@ -142,13 +144,20 @@
             () -> request.giveUp(ReasonCode.NO_SERVER));
   }
 
+  /**
+   * Servers to which this gateway has its share of connections are taken only if all are like that:
+   * other gateways may leave theirs unused, and a request is not refused while a server is free.
+   */
   private Optional<Placement> choose(ForwardedRequest request, long nowMillis) {
     int connections = connectionsPerServer();
-    return policy.choose(
-        request.work(),
-        state.servers(service),
-        server -> request.hasTried(server.entry().id()) || server.ownOpenRequests() >= connections,
-        nowMillis);
+    Predicate<ServerModel> tried = server -> request.hasTried(server.entry().id());
+    Predicate<ServerModel> full = server -> server.ownOpenRequests() >= connections;
+    return choose(request, tried.or(full), nowMillis).or(() -> choose(request, tried, nowMillis));
+  }
+
+  private Optional<Placement> choose(
+      ForwardedRequest request, Predicate<ServerModel> excluded, long nowMillis) {
+    return policy.choose(request.work(), state.servers(service), excluded, nowMillis);
   }
 
   /** Returns how many connections this gateway may have to one server. */
--- a/gateway/src/test/java/org/shallothold/gateway/forward/ForwardContractTest.java
+++ b/gateway/src/test/java/org/shallothold/gateway/forward/ForwardContractTest.java
@@ -8,6 +8,8 @@
 import java.io.IOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
@@ -383,6 +385,38 @@
       }
     }
 
+    /** Guards against refusals at the gateway's share of connections while servers are free. */
+    @Test
+    void areNotGivenAtTheShareOfConnections() throws IOException, InterruptedException {
+      CountDownLatch allArrived = new CountDownLatch(25);
+      Script slow =
+          exchange -> {
+            allArrived.countDown();
+            awaitAll(allArrived);
+            exchange.answer(200, "whole");
+          };
+      try (ForwardFixture fixture = ForwardFixture.before(slow, slow)) {
+        List<Socket> sockets = new ArrayList<>();
+        for (int i = 0; i < 25; i++) {
+          Socket socket = fixture.connect();
+          sockets.add(socket);
+          ForwardFixture.send(socket, "/once/x", "Connection: close\r\n", "");
+        }
+        for (Socket socket : sockets) {
+          assertTrue(ForwardFixture.readAll(socket).endsWith("whole"));
+          socket.close();
+        }
+      }
+    }
+
+    private static void awaitAll(CountDownLatch latch) {
+      try {
+        latch.await();
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+      }
+    }
+
     @Test
     void ofUnknownRoutesAndKeys() throws IOException {
       try (ForwardFixture fixture = ForwardFixture.before(GOOD, GOOD)) {
