--- a/command/src/main/java/org/shallothold/command/logs/FailureReport.java
+++ b/command/src/main/java/org/shallothold/command/logs/FailureReport.java
@@ -9,7 +9,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
-import java.util.function.Function;
 import java.util.stream.Collectors;
 import java.util.stream.LongStream;
 import org.shallothold.command.TextTable;
@@ -77,7 +76,7 @@
     }
     StringBuilder text = new StringBuilder();
     TextTable table = TextTable.of("cause", "outcome", "route", "requests");
-    counts(failure -> List.of(failure.cause(), failure.outcome(), failure.route()))
+    counts()
         .forEach(
             (key, count) -> table.add(key.get(0), key.get(1), key.get(2), Long.toString(count)));
     text.append(table.text()).append('\n');
@@ -107,7 +106,7 @@
     ObjectNode json = JsonNodeFactory.instance.objectNode();
     json.put("failures", failures.size()).put("log_lines_dropped", linesDropped);
     ArrayNode causes = json.putArray("by_cause_outcome_and_route");
-    counts(failure -> List.of(failure.cause(), failure.outcome(), failure.route()))
+    counts()
         .forEach(
             (key, count) ->
                 causes
@@ -128,11 +127,11 @@
     return json;
   }
 
-  private Map<List<String>, Long> counts(Function<Failure, List<String>> key) {
+  private Map<List<String>, Long> counts() {
     return failures.stream()
         .collect(
             Collectors.groupingBy(
-                key,
+                failure -> List.of(failure.cause(), failure.outcome(), failure.route()),
                 () -> new TreeMap<>(Comparator.comparing(Object::toString)),
                 Collectors.counting()));
   }
--- a/core/src/main/java/org/shallothold/core/membership/ReaderElection.java
+++ b/core/src/main/java/org/shallothold/core/membership/ReaderElection.java
@@ -1,8 +1,7 @@
 package org.shallothold.core.membership;
 
-import java.nio.charset.StandardCharsets;
 import java.util.Comparator;
-import java.util.zip.CRC32C;
+import org.shallothold.core.hash.Hashing;
 
 /**
  * Decides which processes of a failure domain keep a watch on the platform. Every process decides
@@ -34,8 +33,6 @@
   }
 
   private static long weight(String domain, String processId) {
-    CRC32C checksum = new CRC32C();
-    checksum.update((domain + '\n' + processId).getBytes(StandardCharsets.UTF_8));
-    return checksum.getValue();
+    return Hashing.checksum(domain + '\n' + processId);
   }
 }
--- a/core/src/main/java/org/shallothold/core/placement/EnginePlacement.java
+++ b/core/src/main/java/org/shallothold/core/placement/EnginePlacement.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
+import org.shallothold.core.hash.Hashing;
 
 /**
  * Chooses a model engine by the estimated time to the first event and by what reading the prompt
@@ -87,8 +88,7 @@
     if (usable.isEmpty()) {
       return Optional.empty();
     }
-    double usual = PlacementPolicy.usualSlowness(usable);
-    usable.forEach(server -> server.compareSlowness(usual));
+    PlacementPolicy.compareSlowness(usable);
     // Engines out of reach keep their places, so that gateways that reach them agree with others.
     Set<ServerModel> lane =
         inService.stream().limit(laneSize(inService.size(), nowMillis)).collect(Collectors.toSet());
--- a/core/src/main/java/org/shallothold/core/placement/PlacementPolicy.java
+++ b/core/src/main/java/org/shallothold/core/placement/PlacementPolicy.java
@@ -37,13 +37,15 @@
     return reachable.isEmpty() ? allowed : reachable;
   }
 
-  /** Returns the median slowness of servers; at least one is given. */
-  static double usualSlowness(List<ServerModel> servers) {
-    return servers.stream()
-        .mapToDouble(ServerModel::slowness)
-        .sorted()
-        .skip(servers.size() / 2)
-        .findFirst()
-        .orElse(1);
+  /** Compares each server with the median slowness of all. */
+  static void compareSlowness(List<ServerModel> servers) {
+    double usual =
+        servers.stream()
+            .mapToDouble(ServerModel::slowness)
+            .sorted()
+            .skip(servers.size() / 2)
+            .findFirst()
+            .orElse(1);
+    servers.forEach(server -> server.compareSlowness(usual));
   }
 }
--- a/core/src/main/java/org/shallothold/core/placement/PlainPlacement.java
+++ b/core/src/main/java/org/shallothold/core/placement/PlainPlacement.java
@@ -33,8 +33,7 @@
       Work work, Collection<ServerModel> servers, Predicate<ServerModel> excluded, long nowMillis) {
     List<ServerModel> usable =
         PlacementPolicy.reachable(PlacementPolicy.inService(servers), excluded, nowMillis);
-    double usual = usable.isEmpty() ? 1 : PlacementPolicy.usualSlowness(usable);
-    usable.forEach(server -> server.compareSlowness(usual));
+    PlacementPolicy.compareSlowness(usable);
     return usable.stream()
         .min(Comparator.comparingDouble(server -> cost(server, nowMillis)))
         .map(server -> new Placement(server, 0, work.latencyTargetMillis() / 2.0, 0, 0));
--- a/core/src/main/java/org/shallothold/core/placement/PrefixCacheEstimate.java
+++ b/core/src/main/java/org/shallothold/core/placement/PrefixCacheEstimate.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import org.shallothold.core.hash.Hashing;
 
 /**
  * What an engine probably caches: the parts that requests took there, the least recently used
--- a/core/src/main/java/org/shallothold/core/placement/ServerModel.java
+++ b/core/src/main/java/org/shallothold/core/placement/ServerModel.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import org.shallothold.core.hash.Hashing;
 import org.shallothold.core.membership.ServerEntry;
 
 /**
@@ -55,7 +56,7 @@
   private long suspendedUntilMillis = Long.MIN_VALUE / 2;
 
   private record OpenWork(
-      double readMillis, int tokens, long pauseTargetMillis, long sentMillis, boolean started) {}
+      double readMillis, long pauseTargetMillis, long sentMillis, boolean started) {}
 
   /**
    * Open work of one peer at the server.
@@ -63,11 +64,9 @@
    * @param requests requests that have no end yet
    * @param readMillis time to read the prompts whose first event has not come, in milliseconds
    * @param tightStreams streams with a short pause target
-   * @param tokens tokens in memory
    * @param receivedMillis when the news came
    */
-  public record PeerLoad(
-      int requests, double readMillis, int tightStreams, int tokens, long receivedMillis) {}
+  public record PeerLoad(int requests, double readMillis, int tightStreams, long receivedMillis) {}
 
   private ServerModel(ServerEntry entry) {
     this.entry = entry;
@@ -101,14 +100,7 @@
 
   /** Notes that a request is sent to the server. */
   public void sent(long request, Work work, double readMillis, long nowMillis) {
-    open.put(
-        request,
-        new OpenWork(
-            readMillis,
-            work.promptTokens() + work.outputTokens(),
-            work.pauseTargetMillis(),
-            nowMillis,
-            false));
+    open.put(request, new OpenWork(readMillis, work.pauseTargetMillis(), nowMillis, false));
     sentReadMillis += readMillis;
     addPaced(readMillis, nowMillis);
     long[] chain = work.chain();
@@ -145,8 +137,7 @@
     if (work == null || work.started()) {
       return;
     }
-    open.put(
-        request, new OpenWork(0, work.tokens(), work.pauseTargetMillis(), work.sentMillis(), true));
+    open.put(request, new OpenWork(0, work.pauseTargetMillis(), work.sentMillis(), true));
     double observed = Math.max(1, nowMillis - work.sentMillis());
     double ratio = observed / Math.max(MIN_EXPECTED_MILLIS, expectedMillis);
     slowness += SLOWNESS_WEIGHT * (Math.clamp(ratio, MIN_SLOWNESS, MAX_SLOWNESS) - slowness);
@@ -217,8 +208,7 @@
   public PeerLoad ownLoad(long nowMillis) {
     double reading = open.values().stream().mapToDouble(OpenWork::readMillis).sum();
     int tight = (int) open.values().stream().filter(ServerModel::isTight).count();
-    int tokens = open.values().stream().mapToInt(OpenWork::tokens).sum();
-    return new PeerLoad(open.size(), reading, tight, tokens, nowMillis);
+    return new PeerLoad(open.size(), reading, tight, nowMillis);
   }
 
   /** Returns the open requests of this gateway; each has a connection of its own. */
--- a/core/src/main/java/org/shallothold/core/placement/Work.java
+++ b/core/src/main/java/org/shallothold/core/placement/Work.java
@@ -1,6 +1,7 @@
 package org.shallothold.core.placement;
 
 import java.util.List;
+import org.shallothold.core.hash.Hashing;
 import org.shallothold.core.route.Rank;
 
 /**
--- a/core/src/main/java/org/shallothold/core/route/RoutingConfiguration.java
+++ b/core/src/main/java/org/shallothold/core/route/RoutingConfiguration.java
@@ -31,12 +31,18 @@
     this.keysNeeded = keysNeeded;
     this.customersByKey = customersByKey;
     this.limits = limits;
+    List<CustomerIdentity> leastUrgent = keysNeeded ? leastUrgentCustomers() : List.of();
     this.lowestRanks =
         routes().stream()
             .flatMap(
                 route ->
                     route.services().stream()
-                        .map(share -> Map.entry(share.service(), lowestRank(route))))
+                        .map(
+                            share ->
+                                Map.entry(
+                                    share.service(),
+                                    lowestRank(
+                                        route, route.anonymous() ? List.of() : leastUrgent))))
             .collect(
                 Collectors.toMap(
                     Map.Entry::getKey,
@@ -119,16 +125,27 @@
     return Optional.ofNullable(lowestRanks.get(service));
   }
 
-  /** Customers with a priority of their own may leave no request with the route's. */
-  private Rank lowestRank(Route route) {
-    Rank withoutCustomer = Rank.of(route.priority());
-    if (!keysNeeded || route.anonymous()) {
-      return withoutCustomer;
-    }
+  /**
+   * Returns the customers whose requests are the least urgent: by priority, and those who leave it
+   * to the route. Customers with a priority of their own may leave no request with the route's.
+   */
+  private List<CustomerIdentity> leastUrgentCustomers() {
     return customersByKey.values().stream()
+        .collect(
+            Collectors.partitioningBy(
+                customer -> customer.priority() == CustomerIdentity.NO_PRIORITY,
+                Collectors.maxBy(Comparator.comparingInt(CustomerIdentity::priority))))
+        .values()
+        .stream()
+        .flatMap(Optional::stream)
+        .toList();
+  }
+
+  private static Rank lowestRank(Route route, List<CustomerIdentity> customers) {
+    return customers.stream()
         .map(customer -> customer.rankOn(route))
         .max(Comparator.naturalOrder())
-        .orElse(withoutCustomer);
+        .orElse(Rank.of(route.priority()));
   }
 
   /** Returns all routes, ordered by name. */
--- a/core/src/main/java/org/shallothold/core/routing/SubsetSelector.java
+++ b/core/src/main/java/org/shallothold/core/routing/SubsetSelector.java
@@ -1,6 +1,5 @@
 package org.shallothold.core.routing;
 
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
@@ -9,7 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.zip.CRC32C;
+import org.shallothold.core.hash.Hashing;
 
 /**
  * Chooses the servers of a class that one gateway connects to. By rendezvous hashing each server
@@ -115,19 +114,6 @@
   }
 
   private static long weight(String gateway, String server) {
-    return mix(hash(gateway) * 31 + hash(server));
-  }
-
-  private static long hash(String text) {
-    CRC32C checksum = new CRC32C();
-    checksum.update(text.getBytes(StandardCharsets.UTF_8));
-    return checksum.getValue();
-  }
-
-  /** Finalizer of SplitMix64: spreads close inputs over all bits. */
-  private static long mix(long value) {
-    long mixed = (value ^ (value >>> 30)) * 0xbf58476d1ce4e5b9L;
-    mixed = (mixed ^ (mixed >>> 27)) * 0x94d049bb133111ebL;
-    return (mixed ^ (mixed >>> 31)) >>> 1;
+    return Hashing.mix(Hashing.checksum(gateway) * 31 + Hashing.checksum(server)) >>> 1;
   }
 }
--- a/core/src/main/java/org/shallothold/core/verdict/Verdict.java
+++ b/core/src/main/java/org/shallothold/core/verdict/Verdict.java
@@ -1,5 +1,7 @@
 package org.shallothold.core.verdict;
 
+import java.util.Optional;
+
 /**
  * Whether a request ran, as far as there is evidence. {@link NotRun} is said only on evidence that
  * the backend server never got the request and never will; without it the verdict is {@link
@@ -53,6 +55,15 @@
     };
   }
 
+  /** Returns why the request has no answer of its own; empty if it was completed. */
+  default Optional<ReasonCode> cause() {
+    return switch (this) {
+      case Completed completed -> Optional.empty();
+      case NotRun notRun -> Optional.of(notRun.reason());
+      case MayHaveRun mayHaveRun -> Optional.of(mayHaveRun.reason());
+    };
+  }
+
   /** Returns the verdict as it stands in HTTP answers. */
   default String wireName() {
     return switch (this) {
--- a/gateway/src/main/java/org/shallothold/gateway/forward/ForwardedRequest.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/ForwardedRequest.java
@@ -237,16 +237,12 @@
     attempt.start();
   }
 
-  /** Refuses the request since the engines have too much to read. */
+  /** Refuses the request, of which nothing ran, since the engines have too much to read. */
   void refuseForLoad(long retryAfterMillis) {
     queuedAt = null;
-    if (runs > 0) {
-      giveUp(ReasonCode.QUEUE_FULL);
-    } else {
-      refuse(
-          HttpResponseStatus.SERVICE_UNAVAILABLE,
-          Verdict.notRun(ReasonCode.QUEUE_FULL, retryAfterMillis));
-    }
+    refuse(
+        HttpResponseStatus.SERVICE_UNAVAILABLE,
+        Verdict.notRun(ReasonCode.QUEUE_FULL, retryAfterMillis));
   }
 
   /** Sends the request to another server if it may still run, or else ends it. */
@@ -321,12 +317,7 @@
 
   private void refuse(HttpResponseStatus status, Verdict verdict) {
     Refusal refusal = Refusal.of(status, verdict);
-    String cause =
-        switch (verdict) {
-          case Verdict.Completed completed -> "";
-          case Verdict.NotRun notRun -> notRun.reason().code();
-          case Verdict.MayHaveRun mayHaveRun -> mayHaveRun.reason().code();
-        };
+    String cause = verdict.cause().map(ReasonCode::code).orElse("");
     trace
         .line("request_refused")
         .with("status", status.code())
--- a/gateway/src/main/java/org/shallothold/gateway/forward/Forwarder.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/Forwarder.java
@@ -8,6 +8,7 @@
 import java.util.function.IntSupplier;
 import org.shallothold.core.placement.EngineFigures;
 import org.shallothold.core.placement.EnginePlacement;
+import org.shallothold.core.placement.PlacementPolicy;
 import org.shallothold.core.placement.PlainPlacement;
 import org.shallothold.core.retry.FleetRetryBudget;
 import org.shallothold.core.route.CallerLimits;
@@ -131,23 +132,20 @@
 
   /** Returns the queue of a service. */
   ServiceQueue queue(String service) {
+    return queues.computeIfAbsent(
+        service, name -> new ServiceQueue(name, policy(name), state, eventLoop, gateways));
+  }
+
+  private PlacementPolicy policy(String service) {
     boolean engines =
         state
             .configuration()
             .flatMap(known -> known.service(service))
             .map(RoutedService::modelEngine)
             .orElse(false);
-    return queues.computeIfAbsent(
-        service,
-        name ->
-            new ServiceQueue(
-                name,
-                engines
-                    ? EnginePlacement.of(EngineFigures.DEFAULT, options.failureDomain())
-                    : PlainPlacement.in(options.failureDomain()),
-                state,
-                eventLoop,
-                gateways));
+    return engines
+        ? EnginePlacement.of(EngineFigures.DEFAULT, options.failureDomain())
+        : PlainPlacement.in(options.failureDomain());
   }
 
   /** Returns the queues of all services that had requests, by service. */
--- a/gateway/src/main/java/org/shallothold/gateway/forward/ForwardingGateway.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/ForwardingGateway.java
@@ -241,7 +241,6 @@
                   .setRequests(load.requests())
                   .setReadMillis((int) Math.round(load.readMillis()))
                   .setTightStreams(load.tightStreams())
-                  .setTokens(load.tokens())
                   .setSentReadMillis(Math.round(server.sentReadMillis())));
         }
       }
@@ -270,11 +269,7 @@
           server.peerLoad(
               peer,
               new ServerModel.PeerLoad(
-                  work.getRequests(),
-                  work.getReadMillis(),
-                  work.getTightStreams(),
-                  work.getTokens(),
-                  now));
+                  work.getRequests(), work.getReadMillis(), work.getTightStreams(), now));
           server.peerSentReadMillis(peer, (double) work.getSentReadMillis(), now);
         }
       }
--- a/gateway/src/main/java/org/shallothold/gateway/forward/caller/Refusal.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/caller/Refusal.java
@@ -27,17 +27,10 @@
     HttpHeaders headers = new DefaultHttpHeaders();
     headers.set(HttpHeaderNames.CONTENT_TYPE, "application/json");
     headers.set(VERDICT_HEADER, verdict.wireName());
-    ReasonCode reason =
-        switch (verdict) {
-          case Verdict.Completed completed -> ReasonCode.INTERNAL;
-          case Verdict.MayHaveRun mayHaveRun -> mayHaveRun.reason();
-          case Verdict.NotRun notRun -> {
-            if (notRun.retryAfterMillis() > 0) {
-              headers.set(HttpHeaderNames.RETRY_AFTER, seconds(notRun.retryAfterMillis()));
-            }
-            yield notRun.reason();
-          }
-        };
+    if (verdict instanceof Verdict.NotRun notRun && notRun.retryAfterMillis() > 0) {
+      headers.set(HttpHeaderNames.RETRY_AFTER, seconds(notRun.retryAfterMillis()));
+    }
+    ReasonCode reason = verdict.cause().orElse(ReasonCode.INTERNAL);
     String text =
         "{\"error\":{\"code\":\"%s\",\"verdict\":\"%s\"}}"
             .formatted(reason.code(), verdict.wireName());
--- a/wire/src/main/java/org/shallothold/wire/proto/OpenWork.java
+++ b/wire/src/main/java/org/shallothold/wire/proto/OpenWork.java
@@ -129,17 +129,6 @@
     return tightStreams_;
   }
 
-  public static final int TOKENS_FIELD_NUMBER = 5;
-  private int tokens_ = 0;
-  /**
-   * <code>int32 tokens = 5;</code>
-   * @return The tokens.
-   */
-  @java.lang.Override
-  public int getTokens() {
-    return tokens_;
-  }
-
   public static final int SENT_READ_MILLIS_FIELD_NUMBER = 6;
   private long sentReadMillis_ = 0L;
   /**
@@ -181,9 +170,6 @@
     if (tightStreams_ != 0) {
       output.writeInt32(4, tightStreams_);
     }
-    if (tokens_ != 0) {
-      output.writeInt32(5, tokens_);
-    }
     if (sentReadMillis_ != 0L) {
       output.writeInt64(6, sentReadMillis_);
     }
@@ -211,10 +197,6 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt32Size(4, tightStreams_);
     }
-    if (tokens_ != 0) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeInt32Size(5, tokens_);
-    }
     if (sentReadMillis_ != 0L) {
       size += com.google.protobuf.CodedOutputStream
         .computeInt64Size(6, sentReadMillis_);
@@ -242,8 +224,6 @@
         != other.getReadMillis()) return false;
     if (getTightStreams()
         != other.getTightStreams()) return false;
-    if (getTokens()
-        != other.getTokens()) return false;
     if (getSentReadMillis()
         != other.getSentReadMillis()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
@@ -265,8 +245,6 @@
     hash = (53 * hash) + getReadMillis();
     hash = (37 * hash) + TIGHT_STREAMS_FIELD_NUMBER;
     hash = (53 * hash) + getTightStreams();
-    hash = (37 * hash) + TOKENS_FIELD_NUMBER;
-    hash = (53 * hash) + getTokens();
     hash = (37 * hash) + SENT_READ_MILLIS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getSentReadMillis());
@@ -409,7 +387,6 @@
       requests_ = 0;
       readMillis_ = 0;
       tightStreams_ = 0;
-      tokens_ = 0;
       sentReadMillis_ = 0L;
       return this;
     }
@@ -457,9 +434,6 @@
         result.tightStreams_ = tightStreams_;
       }
       if (((from_bitField0_ & 0x00000010) != 0)) {
-        result.tokens_ = tokens_;
-      }
-      if (((from_bitField0_ & 0x00000020) != 0)) {
         result.sentReadMillis_ = sentReadMillis_;
       }
     }
@@ -490,9 +464,6 @@
       if (other.getTightStreams() != 0) {
         setTightStreams(other.getTightStreams());
       }
-      if (other.getTokens() != 0) {
-        setTokens(other.getTokens());
-      }
       if (other.getSentReadMillis() != 0L) {
         setSentReadMillis(other.getSentReadMillis());
       }
@@ -542,14 +513,9 @@
               bitField0_ |= 0x00000008;
               break;
             } // case 32
-            case 40: {
-              tokens_ = input.readInt32();
-              bitField0_ |= 0x00000010;
-              break;
-            } // case 40
             case 48: {
               sentReadMillis_ = input.readInt64();
-              bitField0_ |= 0x00000020;
+              bitField0_ |= 0x00000010;
               break;
             } // case 48
             default: {
@@ -749,38 +715,6 @@
       return this;
     }
 
-    private int tokens_ ;
-    /**
-     * <code>int32 tokens = 5;</code>
-     * @return The tokens.
-     */
-    @java.lang.Override
-    public int getTokens() {
-      return tokens_;
-    }
-    /**
-     * <code>int32 tokens = 5;</code>
-     * @param value The tokens to set.
-     * @return This builder for chaining.
-     */
-    public Builder setTokens(int value) {
-
-      tokens_ = value;
-      bitField0_ |= 0x00000010;
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>int32 tokens = 5;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearTokens() {
-      bitField0_ = (bitField0_ & ~0x00000010);
-      tokens_ = 0;
-      onChanged();
-      return this;
-    }
-
     private long sentReadMillis_ ;
     /**
      * <pre>
@@ -806,7 +740,7 @@
     public Builder setSentReadMillis(long value) {
 
       sentReadMillis_ = value;
-      bitField0_ |= 0x00000020;
+      bitField0_ |= 0x00000010;
       onChanged();
       return this;
     }
@@ -819,7 +753,7 @@
      * @return This builder for chaining.
      */
     public Builder clearSentReadMillis() {
-      bitField0_ = (bitField0_ & ~0x00000020);
+      bitField0_ = (bitField0_ & ~0x00000010);
       sentReadMillis_ = 0L;
       onChanged();
       return this;
--- a/wire/src/main/java/org/shallothold/wire/proto/OpenWorkOrBuilder.java
+++ b/wire/src/main/java/org/shallothold/wire/proto/OpenWorkOrBuilder.java
@@ -44,12 +44,6 @@
    */
   int getTightStreams();
 
-  /**
-   * <code>int32 tokens = 5;</code>
-   * @return The tokens.
-   */
-  int getTokens();
-
   /**
    * <pre>
    * Estimated time to read all prompts sent there since the server was listed, in milliseconds.
--- a/wire/src/main/java/org/shallothold/wire/proto/Shallothold.java
+++ b/wire/src/main/java/org/shallothold/wire/proto/Shallothold.java
@@ -353,30 +353,30 @@
       "2\027.shallothold.PrefixRead\022\017\n\007leaving\030\010 \001" +
       "(\010\0229\n\ntight_load\030\t \003(\0132%.shallothold.Fle" +
       "etNews.TightLoadEntry\0320\n\016TightLoadEntry\022" +
-      "\013\n\003key\030\001 \001(\t\022\r\n\005value\030\002 \001(\005:\0028\001\"\205\001\n\010Open" +
-      "Work\022\021\n\tserver_id\030\001 \001(\t\022\020\n\010requests\030\002 \001(" +
-      "\005\022\023\n\013read_millis\030\003 \001(\005\022\025\n\rtight_streams\030" +
-      "\004 \001(\005\022\016\n\006tokens\030\005 \001(\005\022\030\n\020sent_read_milli" +
-      "s\030\006 \001(\003\"C\n\nPrefixRead\022\021\n\tserver_id\030\001 \001(\t" +
-      "\022\022\n\nchain_hash\030\002 \001(\006\022\016\n\006tokens\030\003 \001(\005\"M\n\020" +
-      "PublishedRequest\022*\n\005topic\030\001 \001(\0162\033.shallo" +
-      "thold.PublishedTopic\022\r\n\005as_of\030\002 \001(\003\"=\n\rP" +
-      "ublishedItem\022\013\n\003key\030\001 \001(\t\022\r\n\005value\030\002 \001(\014" +
-      "\022\020\n\010revision\030\003 \001(\003\"v\n\016PublishedItems\022*\n\005" +
-      "topic\030\001 \001(\0162\033.shallothold.PublishedTopic" +
-      "\022\r\n\005as_of\030\002 \001(\003\022)\n\005items\030\003 \003(\0132\032.shallot" +
-      "hold.PublishedItem*S\n\004Role\022\024\n\020ROLE_UNSPE" +
-      "CIFIED\020\000\022\020\n\014ROLE_GATEWAY\020\001\022\020\n\014ROLE_SIDEC" +
-      "AR\020\002\022\021\n\rROLE_OPERATOR\020\003*v\n\nFinishKind\022\033\n" +
-      "\027FINISH_KIND_UNSPECIFIED\020\000\022\030\n\024FINISH_KIN" +
-      "D_COMPLETE\020\001\022\026\n\022FINISH_KIND_BROKEN\020\002\022\031\n\025" +
-      "FINISH_KIND_CANCELLED\020\003*d\n\013VerdictKind\022\034" +
-      "\n\030VERDICT_KIND_UNSPECIFIED\020\000\022\030\n\024VERDICT_" +
-      "KIND_NOT_RUN\020\001\022\035\n\031VERDICT_KIND_MAY_HAVE_" +
-      "RUN\020\002*q\n\016PublishedTopic\022\037\n\033PUBLISHED_TOP" +
-      "IC_UNSPECIFIED\020\000\022!\n\035PUBLISHED_TOPIC_CONF" +
-      "IGURATION\020\001\022\033\n\027PUBLISHED_TOPIC_SERVERS\020\002" +
-      "B\036\n\032org.shallothold.wire.protoP\001b\006proto3"
+      "\013\n\003key\030\001 \001(\t\022\r\n\005value\030\002 \001(\005:\0028\001\"{\n\010OpenW" +
+      "ork\022\021\n\tserver_id\030\001 \001(\t\022\020\n\010requests\030\002 \001(\005" +
+      "\022\023\n\013read_millis\030\003 \001(\005\022\025\n\rtight_streams\030\004" +
+      " \001(\005\022\030\n\020sent_read_millis\030\006 \001(\003J\004\010\005\020\006\"C\n\n" +
+      "PrefixRead\022\021\n\tserver_id\030\001 \001(\t\022\022\n\nchain_h" +
+      "ash\030\002 \001(\006\022\016\n\006tokens\030\003 \001(\005\"M\n\020PublishedRe" +
+      "quest\022*\n\005topic\030\001 \001(\0162\033.shallothold.Publi" +
+      "shedTopic\022\r\n\005as_of\030\002 \001(\003\"=\n\rPublishedIte" +
+      "m\022\013\n\003key\030\001 \001(\t\022\r\n\005value\030\002 \001(\014\022\020\n\010revisio" +
+      "n\030\003 \001(\003\"v\n\016PublishedItems\022*\n\005topic\030\001 \001(\016" +
+      "2\033.shallothold.PublishedTopic\022\r\n\005as_of\030\002" +
+      " \001(\003\022)\n\005items\030\003 \003(\0132\032.shallothold.Publis" +
+      "hedItem*S\n\004Role\022\024\n\020ROLE_UNSPECIFIED\020\000\022\020\n" +
+      "\014ROLE_GATEWAY\020\001\022\020\n\014ROLE_SIDECAR\020\002\022\021\n\rROL" +
+      "E_OPERATOR\020\003*v\n\nFinishKind\022\033\n\027FINISH_KIN" +
+      "D_UNSPECIFIED\020\000\022\030\n\024FINISH_KIND_COMPLETE\020" +
+      "\001\022\026\n\022FINISH_KIND_BROKEN\020\002\022\031\n\025FINISH_KIND" +
+      "_CANCELLED\020\003*d\n\013VerdictKind\022\034\n\030VERDICT_K" +
+      "IND_UNSPECIFIED\020\000\022\030\n\024VERDICT_KIND_NOT_RU" +
+      "N\020\001\022\035\n\031VERDICT_KIND_MAY_HAVE_RUN\020\002*q\n\016Pu" +
+      "blishedTopic\022\037\n\033PUBLISHED_TOPIC_UNSPECIF" +
+      "IED\020\000\022!\n\035PUBLISHED_TOPIC_CONFIGURATION\020\001" +
+      "\022\033\n\027PUBLISHED_TOPIC_SERVERS\020\002B\036\n\032org.sha" +
+      "llothold.wire.protoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -603,7 +603,7 @@
     internal_static_shallothold_OpenWork_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_shallothold_OpenWork_descriptor,
-        new java.lang.String[] { "ServerId", "Requests", "ReadMillis", "TightStreams", "Tokens", "SentReadMillis", });
+        new java.lang.String[] { "ServerId", "Requests", "ReadMillis", "TightStreams", "SentReadMillis", });
     internal_static_shallothold_PrefixRead_descriptor =
       getDescriptor().getMessageType(36);
     internal_static_shallothold_PrefixRead_fieldAccessorTable = new
