--- a/core/src/main/java/org/shallothold/core/placement/EngineAdmission.java
+++ b/core/src/main/java/org/shallothold/core/placement/EngineAdmission.java
@@ -13,8 +13,6 @@
   // until news of its progress arrives, and short enough that urgent prompts find room.
   private static final double BACKLOG_MILLIS = 100;
   private static final double URGENT_BACKLOG_MILLIS = 220;
-  // With more to read, an engine pauses its streams for longer than a short pause target.
-  private static final double SHORT_PAUSE_BACKLOG_MILLIS = 90;
   // A request that is late already yields to those that can be on time.
   private static final double LATE_BACKLOG_MILLIS = 40;
   // The rest of the way between the engine's estimate and the caller.
@@ -73,7 +71,7 @@
       return new AdmissionDecision.Send();
     }
     boolean onTime = applicant.canBeOnTime(placement.expectedMillis());
-    double allowed = onTime ? backlogInTime(applicant.work(), urgent) : LATE_BACKLOG_MILLIS;
+    double allowed = onTime ? backlogInTime(placement, urgent) : LATE_BACKLOG_MILLIS;
     if (placement.backlogMillis() <= allowed) {
       return new AdmissionDecision.Send();
     }
@@ -88,10 +86,8 @@
     return new AdmissionDecision.Refuse((long) Math.clamp(expectedWait, MIN_RETRY_MILLIS, ceiling));
   }
 
-  private static double backlogInTime(Work work, boolean urgent) {
-    if (work.hasShortPauses()) {
-      return SHORT_PAUSE_BACKLOG_MILLIS;
-    }
-    return urgent ? URGENT_BACKLOG_MILLIS : BACKLOG_MILLIS;
+  private static double backlogInTime(Placement placement, boolean urgent) {
+    double allowed = urgent ? URGENT_BACKLOG_MILLIS : BACKLOG_MILLIS;
+    return Math.max(LATE_BACKLOG_MILLIS, Math.min(allowed, placement.pauseRoomMillis()));
   }
 }
--- a/core/src/main/java/org/shallothold/core/placement/EngineFigures.java
+++ b/core/src/main/java/org/shallothold/core/placement/EngineFigures.java
@@ -1,28 +1,27 @@
 package org.shallothold.core.placement;
 
 /**
- * Speed of a model engine of ordinary build. Only ratios between engines and requests follow from
- * it; what an engine really does is measured and scales it.
+ * Speed of the model engines of one service.
  *
- * @param promptTokensPerMilli prompt tokens read in a millisecond
- * @param attentionMillisPerMillionPairs extra time to read a prompt, for each million pairs of a
- *     token with one before it
+ * @param tokenMillis time to read one prompt token, in milliseconds
+ * @param pairMillis extra time to read a prompt, in milliseconds for each million pairs of a token
+ *     with one before it
  * @param stepMillis time to produce one token for every running stream
- * @param chunkTokens prompt tokens read between two steps of the running streams
+ * @param readingPauseMillis what reading without a break adds to the time between two events;
+ *     {@link #UNKNOWN_PAUSE} until it was seen
  * @param tokensPerEvent tokens that one event of a stream holds
  */
 public record EngineFigures(
-    double promptTokensPerMilli,
-    double attentionMillisPerMillionPairs,
+    double tokenMillis,
+    double pairMillis,
     double stepMillis,
-    int chunkTokens,
+    double readingPauseMillis,
     int tokensPerEvent) {
 
-  // Attention makes a chunk of a long prompt slower than its tokens alone.
-  private static final double READ_OVERHEAD = 1.2;
+  /** Nothing bounds the pause but the prompts that wait to be read. */
+  public static final double UNKNOWN_PAUSE = Double.POSITIVE_INFINITY;
 
-  /** Figures of the deployments' engines, from the users' description of them. */
-  public static final EngineFigures DEFAULT = new EngineFigures(61.8, 0.367, 4.0, 2_048, 5);
+  private static final double PAIRS_UNIT = 1e6;
 
   /**
    * Returns the time to read a prompt, in milliseconds.
@@ -31,14 +30,17 @@
    */
   public double readMillis(int promptTokens, int cachedTokens) {
     int fresh = Math.max(1, promptTokens - cachedTokens);
-    double pairs = fresh * (cachedTokens + fresh / 2.0) / 1e6;
-    return fresh / promptTokensPerMilli + pairs * attentionMillisPerMillionPairs;
+    return fresh * tokenMillis + millionPairs(promptTokens, cachedTokens) * pairMillis;
   }
 
   /** Returns the pause between two events while prompts of the given reading time are read. */
   public double pauseMillis(double readMillis) {
-    double chunkMillis = chunkTokens / promptTokensPerMilli;
-    double read = Math.min(readMillis, tokensPerEvent * chunkMillis * READ_OVERHEAD);
-    return read + tokensPerEvent * stepMillis;
+    return Math.min(readMillis, readingPauseMillis) + tokensPerEvent * stepMillis;
+  }
+
+  /** Returns the pairs of a token that is read with one before it, in millions. */
+  static double millionPairs(int promptTokens, int cachedTokens) {
+    int fresh = Math.max(1, promptTokens - cachedTokens);
+    return fresh * (cachedTokens + fresh / 2.0) / PAIRS_UNIT;
   }
 }
--- a/core/src/main/java/org/shallothold/core/placement/EnginePlacement.java
+++ b/core/src/main/java/org/shallothold/core/placement/EnginePlacement.java
@@ -38,31 +38,53 @@
   private static final double LANE_LOAD = 0.4;
   // Under overload of both kinds, short pauses get this much more than their share.
   private static final double LANE_FAVOUR = 1.5;
-  // The measured pause is reached only by part of the streams.
+  // Part of a pause target that reading may take; the rest is for delays on the way.
   private static final double PAUSE_MARGIN = 0.7;
+  // Streams that are kept apart take at most this part of their engines' slots.
+  private static final double LANE_FILL = 0.5;
+  // Counting all open streams takes longer than a choice; their number changes slowly.
+  private static final long COUNT_LIFE_MILLIS = 100;
 
-  private final EngineFigures figures;
+  private final EngineEstimator estimator;
   private final String failureDomain;
+  private final PauseRisk pauseRisk = new PauseRisk();
   private double tightDemand;
   private double otherDemand;
   private long demandMillis;
   private double peersTightLoad;
-
-  private EnginePlacement(EngineFigures figures, String failureDomain) {
-    this.figures = figures;
+  private OpenStreams openStreams = new OpenStreams(0, 0, 0, Long.MIN_VALUE / 2);
+
+  /**
+   * Streams at all engines.
+   *
+   * @param tight streams whose pause target is at risk
+   * @param all all open requests
+   * @param slotsOfOne slots of an engine
+   */
+  private record OpenStreams(int tight, int all, int slotsOfOne, long countedMillis) {}
+
+  private EnginePlacement(EngineEstimator estimator, String failureDomain) {
+    this.estimator = estimator;
     this.failureDomain = failureDomain;
   }
 
   /** Returns a policy for a gateway in a failure domain. */
-  public static EnginePlacement of(EngineFigures figures, String failureDomain) {
-    return new EnginePlacement(figures, failureDomain);
+  public static EnginePlacement of(EngineEstimator estimator, String failureDomain) {
+    return new EnginePlacement(estimator, failureDomain);
+  }
+
+  /** Returns what is known of the engines' speed. */
+  public EngineEstimator estimator() {
+    return estimator;
   }
 
   /** Notes a request for an engine, whether it is sent or not. */
   public void requestArrived(Work work, long nowMillis) {
     fade(nowMillis);
+    EngineFigures figures = estimator.figures();
     double read = figures.readMillis(work.promptTokens(), work.sharedTokens());
-    if (work.hasShortPauses()) {
+    pauseRisk.arrived(work, read, figures, nowMillis);
+    if (pauseRisk.isAtRisk(work, figures)) {
       tightDemand += read;
     } else {
       otherDemand += read;
@@ -89,15 +111,18 @@
       return Optional.empty();
     }
     PlacementPolicy.compareSlowness(usable);
+    countStreams(inService, nowMillis);
+    EngineFigures figures = estimator.figures();
     // Engines out of reach keep their places, so that gateways that reach them agree with others.
     Set<ServerModel> lane =
         inService.stream().limit(laneSize(inService.size(), nowMillis)).collect(Collectors.toSet());
     long[] chain = work.chain();
-    boolean tight = work.hasShortPauses();
+    boolean tight = pauseRisk.isAtRisk(work, figures);
+    Request request = new Request(work, tight, figures, pauseRisk.shortestTargetMillis(nowMillis));
     return usable.stream()
         .map(
             server ->
-                assess(server, work, chain, laneCost(tight, lane.contains(server)), nowMillis))
+                assess(server, request, chain, laneCost(tight, lane.contains(server)), nowMillis))
         .min(Comparator.comparingDouble(Choice::cost))
         .map(Choice::placement);
   }
@@ -109,23 +134,50 @@
       return 0;
     }
     double favoured = tightDemand * LANE_FAVOUR;
-    long fair = Math.round(engines * favoured / (favoured + otherDemand));
-    long wanted = (long) Math.ceil(load / LANE_LOAD);
+    double partOfReading = favoured / (favoured + otherDemand);
+    double partOfStreams = (double) openStreams.tight() / Math.max(1, openStreams.all());
+    long fair = Math.round(engines * Math.max(partOfReading, partOfStreams));
+    double enginesForStreams =
+        openStreams.tight() / Math.max(1, openStreams.slotsOfOne() * LANE_FILL);
+    long wanted = (long) Math.ceil(Math.max(load / LANE_LOAD, enginesForStreams));
     return (int) Math.clamp(Math.min(wanted, Math.max(1, fair)), 1, engines - 1L);
   }
 
+  private void countStreams(List<ServerModel> engines, long nowMillis) {
+    if (nowMillis - openStreams.countedMillis() < COUNT_LIFE_MILLIS) {
+      return;
+    }
+    openStreams =
+        new OpenStreams(
+            engines.stream().mapToInt(engine -> engine.tightStreams(nowMillis)).sum(),
+            engines.stream().mapToInt(engine -> engine.openRequests(nowMillis)).sum(),
+            engines.isEmpty() ? 0 : engines.getFirst().entry().slots(),
+            nowMillis);
+  }
+
   private record Choice(Placement placement, double cost) {}
 
+  /**
+   * A request and what is the same for all engines.
+   *
+   * @param tight whether its pause target is at risk
+   * @param shortestTargetMillis shortest pause target that reading puts at risk
+   */
+  private record Request(
+      Work work, boolean tight, EngineFigures figures, double shortestTargetMillis) {}
+
   private Choice assess(
-      ServerModel server, Work work, long[] chain, double laneCost, long nowMillis) {
+      ServerModel server, Request request, long[] chain, double laneCost, long nowMillis) {
+    Work work = request.work();
+    EngineFigures figures = request.figures();
     int cached = Math.min(server.cachedTokens(chain, work), work.promptTokens());
     double read = figures.readMillis(work.promptTokens(), cached);
+    double slowness = server.relativeSlowness();
     double backlog = server.backlogMillis(nowMillis);
-    double first = (backlog + read) * server.relativeSlowness();
     int open = server.openRequests(nowMillis);
-    double cost = (backlog + read * READ_WEIGHT) * server.relativeSlowness() + laneCost;
-    if (figures.pauseMillis(backlog + read) * server.relativeSlowness()
-        > Work.SHORT_PAUSE_MILLIS * PAUSE_MARGIN) {
+    double cost = (backlog + read * READ_WEIGHT) * slowness + laneCost;
+    if (figures.pauseMillis(backlog + read) * slowness
+        > request.shortestTargetMillis() * PAUSE_MARGIN) {
       cost += BROKEN_PAUSE_COST_MILLIS * server.tightStreams(nowMillis);
     }
     cost += RANK_COST_MILLIS * Hashing.unit(affinity(chain), server.idHash());
@@ -133,8 +185,20 @@
     cost += open * figures.stepMillis() / 2;
     cost += open >= server.entry().slots() ? FULL_COST_MILLIS : 0;
     cost += server.entry().failureDomain().equals(failureDomain) ? 0 : OTHER_DOMAIN_COST_MILLIS;
+    double pauseRoom =
+        request.tight()
+            ? work.pauseTargetMillis() * PAUSE_MARGIN - figures.pauseMillis(read)
+            : Placement.NO_PAUSE_LIMIT;
     return new Choice(
-        new Placement(server, read, first, backlog * server.relativeSlowness(), cached), cost);
+        new Placement(
+            server,
+            read,
+            (backlog + read) * slowness,
+            backlog * slowness,
+            cached,
+            request.tight(),
+            pauseRoom),
+        cost);
   }
 
   private static double laneCost(boolean tight, boolean inLane) {
--- a/core/src/main/java/org/shallothold/core/placement/Placement.java
+++ b/core/src/main/java/org/shallothold/core/placement/Placement.java
@@ -8,10 +8,24 @@
  * @param expectedMillis estimated time to the first event or the answer, in milliseconds
  * @param backlogMillis estimated time until the server begins to read the prompt
  * @param cachedTokens tokens of the prompt that are probably cached there
+ * @param tight whether reading at the server can break the stream's pause target
+ * @param pauseRoomMillis backlog up to which the pause target of a tight stream holds; {@link
+ *     #NO_PAUSE_LIMIT} for others
  */
 public record Placement(
     ServerModel server,
     double readMillis,
     double expectedMillis,
     double backlogMillis,
-    int cachedTokens) {}
+    int cachedTokens,
+    boolean tight,
+    double pauseRoomMillis) {
+
+  /** No backlog breaks a pause target. */
+  public static final double NO_PAUSE_LIMIT = Double.POSITIVE_INFINITY;
+
+  /** Returns a choice of a server whose answers have no pauses that reading could break. */
+  public static Placement ofWholeAnswer(ServerModel server, double expectedMillis) {
+    return new Placement(server, 0, expectedMillis, 0, 0, false, NO_PAUSE_LIMIT);
+  }
+}
--- a/core/src/main/java/org/shallothold/core/placement/PlacementPolicy.java
+++ b/core/src/main/java/org/shallothold/core/placement/PlacementPolicy.java
@@ -21,17 +21,24 @@
   /** Returns the servers that take new work, in an order that all gateways share. */
   static List<ServerModel> inService(Collection<ServerModel> servers) {
     return servers.stream()
-        .filter(server -> !server.entry().leaving())
+        .filter(server -> !server.isLeaving())
         .sorted(
             Comparator.comparingLong(ServerModel::idHash)
                 .thenComparing(server -> server.entry().id()))
         .toList();
   }
 
-  /** Returns the servers to choose from: those out of reach only if there are no others. */
+  /**
+   * Returns the servers to choose from: those out of reach only if there are no others, and never
+   * those that asked to be left alone.
+   */
   static List<ServerModel> reachable(
       List<ServerModel> inService, Predicate<ServerModel> excluded, long nowMillis) {
-    List<ServerModel> allowed = inService.stream().filter(excluded.negate()).toList();
+    List<ServerModel> allowed =
+        inService.stream()
+            .filter(excluded.negate())
+            .filter(server -> server.closedMillis(nowMillis) == 0)
+            .toList();
     List<ServerModel> reachable =
         allowed.stream().filter(server -> !server.suspended(nowMillis)).toList();
     return reachable.isEmpty() ? allowed : reachable;
--- a/core/src/main/java/org/shallothold/core/placement/PlainPlacement.java
+++ b/core/src/main/java/org/shallothold/core/placement/PlainPlacement.java
@@ -36,7 +36,7 @@
     PlacementPolicy.compareSlowness(usable);
     return usable.stream()
         .min(Comparator.comparingDouble(server -> cost(server, nowMillis)))
-        .map(server -> new Placement(server, 0, work.latencyTargetMillis() / 2.0, 0, 0));
+        .map(server -> Placement.ofWholeAnswer(server, work.latencyTargetMillis() / 2.0));
   }
 
   private double cost(ServerModel server, long nowMillis) {
--- a/core/src/main/java/org/shallothold/core/placement/ServerModel.java
+++ b/core/src/main/java/org/shallothold/core/placement/ServerModel.java
@@ -31,6 +31,8 @@
   // Paced reading beyond the prompts that are known to wait for their first event, in milliseconds:
   // estimates that were too high must not keep work away from an engine that has read everything.
   private static final double MAX_PACED_DEBT_MILLIS = 100;
+  // Pauses of more streams than one tell the same of their engine.
+  private static final long PAUSE_SAMPLE_SPACING_MILLIS = 40;
   // Of the prompts being read a part has been read already.
   private static final double REST_OF_READ = 0.8;
 
@@ -54,16 +56,23 @@
   private double failureRate;
   private int failuresInRow;
   private long suspendedUntilMillis = Long.MIN_VALUE / 2;
+  private long pauseSampleMillis = Long.MIN_VALUE / 2;
+  private boolean saidLeaving;
+  private long closedUntilMillis = Long.MIN_VALUE / 2;
 
-  private record OpenWork(
-      double readMillis, long pauseTargetMillis, long sentMillis, boolean started) {}
+  private record OpenWork(double readMillis, boolean tight, long sentMillis, boolean started) {
+
+    private OpenWork begun() {
+      return new OpenWork(0, tight, sentMillis, true);
+    }
+  }
 
   /**
    * Open work of one peer at the server.
    *
    * @param requests requests that have no end yet
    * @param readMillis time to read the prompts whose first event has not come, in milliseconds
-   * @param tightStreams streams with a short pause target
+   * @param tightStreams streams whose pause target reading puts at risk
    * @param receivedMillis when the news came
    */
   public record PeerLoad(int requests, double readMillis, int tightStreams, long receivedMillis) {}
@@ -94,13 +103,19 @@
       cache.clear();
       failuresInRow = 0;
       suspendedUntilMillis = Long.MIN_VALUE / 2;
+      saidLeaving = false;
+      closedUntilMillis = Long.MIN_VALUE / 2;
     }
     entry = changed;
   }
 
-  /** Notes that a request is sent to the server. */
-  public void sent(long request, Work work, double readMillis, long nowMillis) {
-    open.put(request, new OpenWork(readMillis, work.pauseTargetMillis(), nowMillis, false));
+  /**
+   * Notes that a request is sent to the server.
+   *
+   * @param tight whether reading puts its pause target at risk
+   */
+  public void sent(long request, Work work, double readMillis, boolean tight, long nowMillis) {
+    open.put(request, new OpenWork(readMillis, tight, nowMillis, false));
     sentReadMillis += readMillis;
     addPaced(readMillis, nowMillis);
     long[] chain = work.chain();
@@ -119,15 +134,16 @@
    * Takes a peer's {@link #sentReadMillis}; what it sent before its first news is not counted.
    *
    * @param peer name of the peer's process; a restarted peer counts from zero again
+   * @param tokenMillis time to read one prompt token, in milliseconds
    */
-  public void peerSentReadMillis(String peer, double total, long nowMillis) {
+  public void peerSentReadMillis(String peer, double total, double tokenMillis, long nowMillis) {
     Double before = peersSentMillis.put(peer, total);
     if (before != null) {
       double read = total >= before ? total - before : total;
       // Shared parts are in here and in the peer's news of its reads: counted twice, they make the
       // estimate forget early rather than late.
       addPaced(read, nowMillis);
-      cache.displaced((int) (read * EngineFigures.DEFAULT.promptTokensPerMilli()));
+      cache.displaced((int) (read / tokenMillis));
     }
   }
 
@@ -137,7 +153,7 @@
     if (work == null || work.started()) {
       return;
     }
-    open.put(request, new OpenWork(0, work.pauseTargetMillis(), work.sentMillis(), true));
+    open.put(request, work.begun());
     double observed = Math.max(1, nowMillis - work.sentMillis());
     double ratio = observed / Math.max(MIN_EXPECTED_MILLIS, expectedMillis);
     slowness += SLOWNESS_WEIGHT * (Math.clamp(ratio, MIN_SLOWNESS, MAX_SLOWNESS) - slowness);
@@ -171,6 +187,26 @@
     suspendedUntilMillis = nowMillis + pause;
   }
 
+  /** Notes that an answer of the server said that it leaves; only a new life takes that back. */
+  public void saysLeaving() {
+    saidLeaving = true;
+  }
+
+  /** Returns whether the server leaves, as its entry or one of its answers says. */
+  public boolean isLeaving() {
+    return saidLeaving || entry.leaving();
+  }
+
+  /** Notes that the server asked this gateway to send it nothing until a time. */
+  public void closedUntil(long millis) {
+    closedUntilMillis = Math.max(closedUntilMillis, millis);
+  }
+
+  /** Returns for how long the server wants nothing from this gateway; 0 if it takes requests. */
+  public long closedMillis(long nowMillis) {
+    return Math.max(0, closedUntilMillis - nowMillis);
+  }
+
   /** Notes that bytes of an answer came from the server. */
   public void heard(long nowMillis) {
     heardMillis = nowMillis;
@@ -207,7 +243,7 @@
   /** Returns this gateway's open work, as told to peers. */
   public PeerLoad ownLoad(long nowMillis) {
     double reading = open.values().stream().mapToDouble(OpenWork::readMillis).sum();
-    int tight = (int) open.values().stream().filter(ServerModel::isTight).count();
+    int tight = (int) open.values().stream().filter(OpenWork::tight).count();
     return new PeerLoad(open.size(), reading, tight, nowMillis);
   }
 
@@ -257,9 +293,23 @@
     return Math.max(0, pacedMillis - READING_PART * (nowMillis - pacedAtMillis) / relativeSlowness);
   }
 
-  /** Returns the running streams with a short pause target. */
+  /** Returns whether the engine has had a prompt to read ever since a time. */
+  public boolean readingSince(long millis) {
+    return open.values().stream().anyMatch(work -> !work.started() && work.sentMillis() <= millis);
+  }
+
+  /** Returns whether a pause of one of the server's streams may be measured from now on. */
+  boolean beginPauseSample(long nowMillis) {
+    if (nowMillis - pauseSampleMillis < PAUSE_SAMPLE_SPACING_MILLIS) {
+      return false;
+    }
+    pauseSampleMillis = nowMillis;
+    return true;
+  }
+
+  /** Returns the open streams whose pause target reading puts at risk. */
   int tightStreams(long nowMillis) {
-    int own = (int) open.values().stream().filter(ServerModel::isTight).count();
+    int own = (int) open.values().stream().filter(OpenWork::tight).count();
     return own
         + peers.values().stream()
             .filter(load -> fresh(load, nowMillis))
@@ -277,7 +327,7 @@
   }
 
   /** Returns how much slower than its peers the server is; 1 if it is no straggler. */
-  double relativeSlowness() {
+  public double relativeSlowness() {
     return relativeSlowness;
   }
 
@@ -303,8 +353,4 @@
   private static boolean fresh(PeerLoad load, long nowMillis) {
     return nowMillis - load.receivedMillis() <= PEER_NEWS_LIFE_MILLIS;
   }
-
-  private static boolean isTight(OpenWork work) {
-    return work.pauseTargetMillis() > 0 && work.pauseTargetMillis() <= Work.SHORT_PAUSE_MILLIS;
-  }
 }
--- a/core/src/main/java/org/shallothold/core/placement/Work.java
+++ b/core/src/main/java/org/shallothold/core/placement/Work.java
@@ -22,19 +22,11 @@
     long latencyTargetMillis,
     long pauseTargetMillis) {
 
-  /** Pause targets up to this can be missed while an engine reads a long prompt. */
-  static final long SHORT_PAUSE_MILLIS = 250;
-
   /** Work of a plain service. */
   public static Work plain(Rank rank, long latencyTargetMillis) {
     return new Work(List.of(), 0, 0, rank, latencyTargetMillis, 0);
   }
 
-  /** Returns whether an engine that reads a long prompt breaks the request's pause target. */
-  public boolean hasShortPauses() {
-    return pauseTargetMillis > 0 && pauseTargetMillis <= SHORT_PAUSE_MILLIS;
-  }
-
   /** Returns the tokens of all parts but the last, which belongs to the request itself. */
   public int sharedTokens() {
     return parts.stream().limit(Math.max(0, parts.size() - 1)).mapToInt(PromptPart::tokens).sum();
--- a/core/src/main/java/org/shallothold/core/route/RoutedService.java
+++ b/core/src/main/java/org/shallothold/core/route/RoutedService.java
@@ -7,9 +7,10 @@
  * @param connectionLimit connections that each of its backend servers accepts from all callers
  * @param modelEngine whether its backend servers are model engines
  * @param cacheTokens tokens that an engine's memory holds; 0 for plain services
+ * @param tokensPerEvent tokens that one event of an engine's stream holds; 1 for plain services
  */
 public record RoutedService(
-    String name, int connectionLimit, boolean modelEngine, long cacheTokens) {
+    String name, int connectionLimit, boolean modelEngine, long cacheTokens, int tokensPerEvent) {
 
   /**
    * Returns how many connections one of several gateways may have to a backend server. A server
--- a/core/src/main/java/org/shallothold/core/route/RoutingConfiguration.java
+++ b/core/src/main/java/org/shallothold/core/route/RoutingConfiguration.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.function.Function;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 /** One version of routes, services, customers and limits. Immutable. */
 public final class RoutingConfiguration {
@@ -16,7 +17,7 @@
   private final boolean keysNeeded;
   private final Map<String, CustomerIdentity> customersByKey;
   private final CallerLimits limits;
-  private final Map<String, Rank> lowestRanks;
+  private final Map<String, List<Rank>> ranksByService;
 
   private RoutingConfiguration(
       long version,
@@ -31,23 +32,24 @@
     this.keysNeeded = keysNeeded;
     this.customersByKey = customersByKey;
     this.limits = limits;
-    List<CustomerIdentity> leastUrgent = keysNeeded ? leastUrgentCustomers() : List.of();
-    this.lowestRanks =
+    List<CustomerIdentity> customers = keysNeeded ? customersOfEachPriority() : List.of();
+    this.ranksByService =
         routes().stream()
             .flatMap(
                 route ->
                     route.services().stream()
-                        .map(
+                        .flatMap(
                             share ->
-                                Map.entry(
-                                    share.service(),
-                                    lowestRank(
-                                        route, route.anonymous() ? List.of() : leastUrgent))))
+                                ranks(route, route.anonymous() ? List.of() : customers)
+                                    .map(rank -> Map.entry(share.service(), rank))))
+            .distinct()
             .collect(
-                Collectors.toMap(
+                Collectors.groupingBy(
                     Map.Entry::getKey,
-                    Map.Entry::getValue,
-                    (first, second) -> first.isAbove(second) ? second : first));
+                    Collectors.mapping(
+                        Map.Entry::getValue,
+                        Collectors.collectingAndThen(
+                            Collectors.toList(), ranks -> ranks.stream().sorted().toList()))));
   }
 
   /**
@@ -122,30 +124,37 @@
 
   /** Returns the rank of the least urgent requests for a service; empty if no route leads there. */
   public Optional<Rank> lowestRank(String service) {
-    return Optional.ofNullable(lowestRanks.get(service));
+    return Optional.ofNullable(ranksByService.get(service)).map(List::getLast);
   }
 
   /**
-   * Returns the customers whose requests are the least urgent: by priority, and those who leave it
-   * to the route. Customers with a priority of their own may leave no request with the route's.
+   * Returns the place of a rank among those that requests for a service can have, as a number from
+   * 0 for the most urgent. Servers know fewer priorities than there are ranks: the order is kept,
+   * and ranks share a number where there are more of them.
+   *
+   * @param levels how many numbers there are
    */
-  private List<CustomerIdentity> leastUrgentCustomers() {
+  public int urgencyLevel(String service, Rank rank, int levels) {
+    List<Rank> ranks = ranksByService.getOrDefault(service, List.of());
+    int place = (int) ranks.stream().filter(other -> other.isAbove(rank)).count();
+    int level = ranks.size() <= levels ? place : place * levels / ranks.size();
+    return Math.min(level, levels - 1);
+  }
+
+  /** Returns one customer for each priority that customers have. */
+  private List<CustomerIdentity> customersOfEachPriority() {
     return customersByKey.values().stream()
         .collect(
-            Collectors.partitioningBy(
-                customer -> customer.priority() == CustomerIdentity.NO_PRIORITY,
-                Collectors.maxBy(Comparator.comparingInt(CustomerIdentity::priority))))
+            Collectors.toMap(CustomerIdentity::priority, Function.identity(), (one, other) -> one))
         .values()
         .stream()
-        .flatMap(Optional::stream)
         .toList();
   }
 
-  private static Rank lowestRank(Route route, List<CustomerIdentity> customers) {
-    return customers.stream()
-        .map(customer -> customer.rankOn(route))
-        .max(Comparator.naturalOrder())
-        .orElse(Rank.of(route.priority()));
+  private static Stream<Rank> ranks(Route route, List<CustomerIdentity> customers) {
+    return customers.isEmpty()
+        ? Stream.of(Rank.of(route.priority()))
+        : customers.stream().map(customer -> customer.rankOn(route));
   }
 
   /** Returns all routes, ordered by name. */
--- a/core/src/test/java/org/shallothold/core/placement/EngineAdmissionTest.java
+++ b/core/src/test/java/org/shallothold/core/placement/EngineAdmissionTest.java
@@ -19,7 +19,25 @@
   private static Placement engineWithBacklog(double backlogMillis) {
     ServerModel server =
         ServerModel.of(new ServerEntry("e", "pool", "10.0.0.1", 80, "north", 64, false, 1));
-    return new Placement(server, 80, backlogMillis + 80, backlogMillis, 0);
+    return new Placement(
+        server, 80, backlogMillis + 80, backlogMillis, 0, false, Placement.NO_PAUSE_LIMIT);
+  }
+
+  /** Returns the choice of an engine whose streams have pause targets that reading can break. */
+  private static Placement inLane(Work query, double backlogMillis) {
+    ServerModel server =
+        ServerModel.of(new ServerEntry("e", "pool", "10.0.0.1", 80, "north", 64, false, 1));
+    EnginePlacement policy = EnginePlacement.of(TestEngines.denseModel(), "north");
+    policy.requestArrived(query, 0);
+    Placement choice = policy.choose(query, List.of(server), other -> false, 0).orElseThrow();
+    return new Placement(
+        server,
+        choice.readMillis(),
+        backlogMillis + choice.readMillis(),
+        backlogMillis,
+        0,
+        choice.tight(),
+        choice.pauseRoomMillis());
   }
 
   private static AdmissionDecision decide(
@@ -104,8 +122,13 @@
     @Test
     void withShortPausesWaitsForABreakInReading() {
       Work query = new Work(List.of(), 1_450, 170, Rank.of(0), 300, 200);
-      assertInstanceOf(AdmissionDecision.Send.class, decide(query, 0, 10_000, 80, 0, true));
-      assertInstanceOf(AdmissionDecision.Wait.class, decide(query, 0, 10_000, 120, 0, true));
+      EngineAdmission.Applicant applicant = new EngineAdmission.Applicant(query, 0, 10_000, false);
+      assertInstanceOf(
+          AdmissionDecision.Send.class,
+          EngineAdmission.decide(applicant, inLane(query, 80), 0, true));
+      assertInstanceOf(
+          AdmissionDecision.Wait.class,
+          EngineAdmission.decide(applicant, inLane(query, 120), 0, true));
     }
 
     /** Guards against urgent prompts waiting as long as others for the same engine. */
--- a/core/src/test/java/org/shallothold/core/placement/EnginePlacementTest.java
+++ b/core/src/test/java/org/shallothold/core/placement/EnginePlacementTest.java
@@ -1,6 +1,7 @@
 package org.shallothold.core.placement;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -18,7 +19,7 @@
   private static final int SLOTS = 64;
   private static final long CACHE_TOKENS = 570_000;
 
-  private final EnginePlacement policy = EnginePlacement.of(EngineFigures.DEFAULT, "north");
+  private final EnginePlacement policy = EnginePlacement.of(TestEngines.denseModel(), "north");
   private final List<ServerModel> engines =
       IntStream.range(0, 6).mapToObj(EnginePlacementTest::engine).toList();
 
@@ -59,7 +60,7 @@
     policy.requestArrived(work, nowMillis);
     Placement placement =
         policy.choose(work, engines, EnginePlacementTest::isExcluded, nowMillis).orElseThrow();
-    placement.server().sent(number, work, placement.readMillis(), nowMillis);
+    placement.server().sent(number, work, placement.readMillis(), placement.tight(), nowMillis);
     return placement;
   }
 
@@ -96,7 +97,7 @@
       assertEquals(13_300, engine.cachedTokens(again.chain(), again));
       long prompts = CACHE_TOKENS / 3_700 + 1;
       LongStream.range(0, prompts)
-          .forEach(number -> engine.sent(100 + number, digest(6, 100 + number), 50, number));
+          .forEach(number -> engine.sent(100 + number, digest(6, 100 + number), 50, false, number));
       assertEquals(0, engine.cachedTokens(again.chain(), again));
     }
 
@@ -105,9 +106,9 @@
     void areDisplacedByWhatPeersSend() {
       ServerModel engine = place(1, digest(5, 1), 0).server();
       Work again = digest(5, 2);
-      engine.peerSentReadMillis("peer", 0, 0);
+      engine.peerSentReadMillis("peer", 0, 1 / 61.8, 0);
       IntStream.rangeClosed(1, 200)
-          .forEach(number -> engine.peerSentReadMillis("peer", number * 50.0, number));
+          .forEach(number -> engine.peerSentReadMillis("peer", number * 50.0, 1 / 61.8, number));
       assertEquals(0, engine.cachedTokens(again.chain(), again));
     }
 
@@ -129,7 +130,7 @@
     /** Guards against gateways choosing different engines for a part that nobody has read. */
     @Test
     void areReadAtTheSameEngineByAllGateways() {
-      EnginePlacement other = EnginePlacement.of(EngineFigures.DEFAULT, "north");
+      EnginePlacement other = EnginePlacement.of(TestEngines.denseModel(), "north");
       Work work = digest(9, 1);
       assertEquals(
           policy.choose(work, engines, EnginePlacementTest::isExcluded, 0).orElseThrow().server(),
@@ -161,6 +162,72 @@
     }
   }
 
+  /**
+   * Engines whose chunks are so long that reading breaks pause targets which are met elsewhere,
+   * with many streams of such a target that hardly read anything.
+   */
+  @Nested
+  class LongChunks {
+
+    private final EnginePlacement policy = EnginePlacement.of(TestEngines.longChunks(), "north");
+
+    private Work member(long request) {
+      return new Work(
+          List.of(new PromptPart(8, 200), new PromptPart(3_000_000 + request, 630)),
+          830,
+          290,
+          Rank.of(0),
+          800,
+          400);
+    }
+
+    private ServerModel placeAt(long number, Work work, long nowMillis) {
+      policy.requestArrived(work, nowMillis);
+      Placement placement =
+          policy.choose(work, engines, EnginePlacementTest::isExcluded, nowMillis).orElseThrow();
+      placement.server().sent(number, work, placement.readMillis(), placement.tight(), nowMillis);
+      return placement.server();
+    }
+
+    /**
+     * Guards against the most urgent streams sharing engines with long prompts: 43 of 100 were late
+     * on a day with bursts, since their pauses of 400 ms counted as safe.
+     */
+    @Test
+    void keepStreamsApartWhosePausesTheyBreak() {
+      ServerModel lane = placeAt(1, member(1), 0);
+      LongStream.range(0, 30)
+          .forEach(
+              number -> assertNotEquals(lane, placeAt(100 + number, digest(number, number), 1)));
+    }
+
+    /** Guards against engines kept for streams whose pauses hold anyway. */
+    @Test
+    void doNotKeepStreamsApartThatBearThem() {
+      Work digest = digest(1, 1);
+      policy.requestArrived(digest, 0);
+      Placement placement =
+          policy.choose(digest, engines, EnginePlacementTest::isExcluded, 0).orElseThrow();
+      assertFalse(placement.tight());
+      assertEquals(0, policy.laneSize(engines.size(), 0));
+    }
+
+    /**
+     * Guards against one engine kept for as many streams as fill its slots: they read little, but
+     * their answers are long.
+     */
+    @Test
+    void keepEnginesForAllOpenStreams() {
+      LongStream.range(0, 2 * SLOTS)
+          .forEach(
+              number -> {
+                ServerModel server = placeAt(number, member(number), number * 20);
+                server.started(number, 20, number * 20 + 20);
+              });
+      assertTrue(policy.laneSize(engines.size(), 2 * SLOTS * 20) >= 4);
+    }
+  }
+
   @Nested
   class Backlog {
 
@@ -172,7 +239,7 @@
     void endsSoonAfterAllPromptsAreRead() {
       ServerModel engine = engines.getFirst();
       LongStream.range(0, 10)
-          .forEach(number -> engine.sent(number, digest(number, number), 300, 0));
+          .forEach(number -> engine.sent(number, digest(number, number), 300, false, 0));
       assertTrue(engine.backlogMillis(0) >= 2_000);
       LongStream.range(0, 10).forEach(number -> engine.started(number, 300, 500));
       assertTrue(engine.backlogMillis(500) <= 100);
@@ -193,7 +260,7 @@
                       number -> {
                         Work work = digest(900 + number, number);
                         long key = 10_000L + number;
-                        engine.sent(key, work, 0, 0);
+                        engine.sent(key, work, 0, false, 0);
                         engine.started(key, 100, 1_000);
                         engine.ended(key);
                       }));
@@ -209,7 +276,7 @@
       IntStream.range(0, 20)
           .forEach(
               number -> {
-                first.server().sent(100 + number, query(number), 0, 0);
+                first.server().sent(100 + number, query(number), 0, true, 0);
                 first.server().started(100 + number, 50, 2_000);
                 first.server().ended(100 + number);
               });
--- a/core/src/test/java/org/shallothold/core/placement/PlainPlacementTest.java
+++ b/core/src/test/java/org/shallothold/core/placement/PlainPlacementTest.java
@@ -35,8 +35,8 @@
   /** Guards against a burst that fills the nearest server while others are free. */
   @Test
   void leavesTheFailureDomainWhenItsServerIsBusier() {
-    near.sent(1, CALL, 0, 0);
-    near.sent(2, CALL, 0, 0);
+    near.sent(1, CALL, 0, false, 0);
+    near.sent(2, CALL, 0, false, 0);
     assertEquals(far, choose(near, far));
   }
 
--- a/core/src/test/java/org/shallothold/core/route/RoutingConfigurationTest.java
+++ b/core/src/test/java/org/shallothold/core/route/RoutingConfigurationTest.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
 /** Which route a request takes. */
@@ -33,7 +34,7 @@
           List.of(
               route("short", "/x/", 2, new ServiceShare("desk", 1)),
               route("long", "/x/y/", 1, new ServiceShare("desk", 9), new ServiceShare("pool", 1))),
-          List.of(new RoutedService("desk", 10, false, 0)),
+          List.of(new RoutedService("desk", 10, false, 0, 1)),
           true,
           Map.of("key", new CustomerIdentity("customer", CustomerIdentity.NO_PRIORITY)),
           CallerLimits.DEFAULT);
@@ -104,4 +105,49 @@
     assertEquals(Rank.of(2), configuration.customer("key").orElseThrow().rankOn(route));
     assertEquals(new Rank(0, 2), new CustomerIdentity("other", 0).rankOn(route));
   }
+
+  @Nested
+  class Urgency {
+
+    private static final int LEVELS = 10;
+
+    private final RoutingConfiguration ranked =
+        RoutingConfiguration.of(
+            1,
+            List.of(
+                route("query", "/q/", 0, new ServiceShare("pool", 1)),
+                route("digest", "/d/", 2, new ServiceShare("pool", 1))),
+            List.of(),
+            true,
+            Map.of(
+                "large", new CustomerIdentity("large", 1),
+                "small", new CustomerIdentity("small", 4)),
+            CallerLimits.DEFAULT);
+
+    /**
+     * Guards against an engine that puts back an urgent request while one of the same customer and
+     * of a less urgent route runs on: sent with the customer's priority alone, they look the same.
+     */
+    @Test
+    void differsBetweenRoutesOfOneCustomer() {
+      assertEquals(0, ranked.urgencyLevel("pool", new Rank(1, 0), LEVELS));
+      assertEquals(1, ranked.urgencyLevel("pool", new Rank(1, 2), LEVELS));
+      assertEquals(2, ranked.urgencyLevel("pool", new Rank(4, 0), LEVELS));
+      assertEquals(3, ranked.urgencyLevel("pool", new Rank(4, 2), LEVELS));
+    }
+
+    /** Guards against a change of order where servers know fewer levels than there are ranks. */
+    @Test
+    void keepsTheOrderWithFewLevels() {
+      assertEquals(0, ranked.urgencyLevel("pool", new Rank(1, 0), 2));
+      assertEquals(0, ranked.urgencyLevel("pool", new Rank(1, 2), 2));
+      assertEquals(1, ranked.urgencyLevel("pool", new Rank(4, 0), 2));
+      assertEquals(1, ranked.urgencyLevel("pool", new Rank(9, 9), 2));
+    }
+
+    @Test
+    void ofAnUnknownServiceIsTheHighest() {
+      assertEquals(0, ranked.urgencyLevel("unknown", Rank.of(3), LEVELS));
+    }
+  }
 }
--- a/gateway/src/main/java/org/shallothold/gateway/forward/ForwardGauges.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/ForwardGauges.java
@@ -119,7 +119,7 @@
   }
 
   private static String belief(ServerModel server, long nowMillis) {
-    if (server.entry().leaving()) {
+    if (server.isLeaving()) {
       return "leaving";
     }
     return server.suspended(nowMillis) ? "unreachable" : "ready";
--- a/gateway/src/main/java/org/shallothold/gateway/forward/ForwardedRequest.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/ForwardedRequest.java
@@ -19,6 +19,8 @@
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.shallothold.core.placement.EngineAdmission;
+import org.shallothold.core.placement.EngineEstimator;
+import org.shallothold.core.placement.PauseSampler;
 import org.shallothold.core.placement.Placement;
 import org.shallothold.core.placement.ServerModel;
 import org.shallothold.core.placement.WaitingRoom;
@@ -50,6 +52,9 @@
   /** Answers of plain services larger than this are not held back until they are whole. */
   private static final int MAX_HELD_ANSWER_BYTES = 8 * 1024 * 1024;
 
+  // Events of a stream hold a few tokens each.
+  private static final int MAX_EVENT_BYTES = 1024 * 1024;
+
   private static final long NOT_CONFIGURED_RETRY_MILLIS = 500;
   private static final long NO_SERVER_RETRY_MILLIS = 400;
   // Another gateway can take it at once.
@@ -284,12 +289,24 @@
       end("broken", cause.code(), false);
       caller.abort();
     } else if (runs == 0) {
-      refuse(HttpResponseStatus.SERVICE_UNAVAILABLE, Verdict.notRun(cause, NO_SERVER_RETRY_MILLIS));
+      Route known = route;
+      long closed = known == null ? 0 : closedMillis(known);
+      refuse(
+          HttpResponseStatus.SERVICE_UNAVAILABLE,
+          Verdict.notRun(cause, Math.max(closed, NO_SERVER_RETRY_MILLIS)));
     } else {
       refuse(HttpResponseStatus.BAD_GATEWAY, Verdict.mayHaveRun(cause));
     }
   }
 
+  /** Returns how long the servers of the route want nothing more. */
+  private long closedMillis(Route known) {
+    return known.services().stream()
+        .mapToLong(share -> forwarder.queue(share.service()).closedMillis())
+        .min()
+        .orElse(0);
+  }
+
   private void timedOut() {
     if (ended) {
       return;
@@ -393,7 +410,8 @@
     private @Nullable HttpResponse head;
     private @Nullable AnswerFacts answerFacts;
     private @Nullable ByteBuf held;
-    private EventFramer framer = EventFramer.create();
+    private final EventFramer framer = EventFramer.create();
+    private final PauseSampler pauses = PauseSampler.create();
     private boolean streaming;
 
     Attempt(String service, Placement placement) {
@@ -414,7 +432,7 @@
           .with("cached_tokens", placement.cachedTokens())
           .with("open_requests", server.openRequests(Clock.millis()))
           .with("run", runs + 1L);
-      server.sent(key, work, placement.readMillis(), Clock.millis());
+      server.sent(key, work, placement.readMillis(), placement.tight(), Clock.millis());
       noteReads(serverId);
       exchange =
           forwarder.state().pool(server.entry()).send(backendRequest(serverId), requestId(), this);
@@ -430,7 +448,7 @@
           new SendFacts(
               serverId,
               Math.max(1, left()),
-              work.rank().priority(),
+              forwarder.urgencyLevel(service, work.rank()),
               customer == null ? null : customer.name(),
               lastEventId);
       HttpHeaders headers = forwarder.translation().forward(request.head(), sendFacts);
@@ -472,6 +490,18 @@
       if (answered.running() >= 0) {
         server.reported(answered.running(), answered.waiting(), Clock.millis());
       }
+      if (answered.leaving()) {
+        forwarder
+            .state()
+            .leaving(server.entry().id(), server.entry().startedMillis(), "own answer");
+      }
+      if (answered.closedMillis() > 0) {
+        server.closedUntil(Clock.millis() + answered.closedMillis());
+        trace
+            .line("server_wants_pause")
+            .with("server", server.entry().id())
+            .with("pause_millis", answered.closedMillis());
+      }
       Route known = route;
       streaming =
           known != null
@@ -493,8 +523,7 @@
         ByteBuf all = held == null ? Unpooled.buffer(content.readableBytes()) : held;
         held = all;
         if (all.readableBytes() + content.readableBytes() > MAX_HELD_ANSWER_BYTES) {
-          exchange.abandon();
-          failed("the answer is too large", false);
+          breakOff("the answer is larger than " + MAX_HELD_ANSWER_BYTES + " bytes");
           return;
         }
         all.writeBytes(content);
@@ -505,44 +534,45 @@
 
     /** Forwards whole events only, so that another run can continue after the last one. */
     private void forwardEvents(ByteBuf content) {
-      ByteBuf partial = held;
-      ByteBuf all =
-          Unpooled.buffer(
-              (partial == null ? 0 : partial.readableBytes()) + content.readableBytes());
-      int scanned = 0;
-      if (partial != null) {
-        scanned = partial.readableBytes();
-        all.writeBytes(partial);
-        partial.release();
-      }
-      all.writeBytes(content);
-      ByteBuf whole = Unpooled.buffer(all.readableBytes());
-      int begin = 0;
-      for (int i = scanned; i < all.writerIndex(); i++) {
-        if (framer.accept(all.getByte(i))) {
-          long id = framer.lastId();
-          if (missesEvents(id)) {
-            all.release();
-            whole.release();
-            held = null;
-            exchange.abandon();
-            failed("event " + id + " came after " + lastEventId, false);
-            return;
-          }
-          if (id > lastEventId || id == EventFramer.NO_EVENT) {
-            whole.writeBytes(all, begin, i + 1 - begin);
-            lastEventId = Math.max(lastEventId, id);
-          }
-          begin = i + 1;
+      ByteBuf pending = held == null ? Unpooled.buffer(content.readableBytes()) : held;
+      held = pending;
+      int scanned = pending.writerIndex();
+      pending.writeBytes(content);
+      ByteBuf whole = Unpooled.buffer(pending.readableBytes());
+      int events = 0;
+      for (int i = scanned; i < pending.writerIndex(); i++) {
+        if (!framer.accept(pending.getByte(i))) {
+          continue;
+        }
+        long id = framer.lastId();
+        if (missesEvents(id)) {
+          whole.release();
+          breakOff("event " + id + " came after " + lastEventId);
+          return;
+        }
+        int length = i + 1 - pending.readerIndex();
+        events++;
+        if (id > lastEventId || id == EventFramer.NO_EVENT) {
+          whole.writeBytes(pending, length);
+          lastEventId = Math.max(lastEventId, id);
+        } else {
+          pending.skipBytes(length);
         }
       }
-      held = all.slice(begin, all.writerIndex() - begin).copy();
-      all.release();
+      pending.discardReadBytes();
+      passOn(whole, events);
+      if (!over && pending.readableBytes() > MAX_EVENT_BYTES) {
+        breakOff("an event is larger than " + MAX_EVENT_BYTES + " bytes");
+      }
+    }
+
+    private void passOn(ByteBuf whole, int events) {
       if (!whole.isReadable()) {
         whole.release();
         return;
       }
       server.started(key, placement.expectedMillis(), Clock.millis());
+      measure(events);
       if (!firstEventSeen) {
         noteFirstEvent();
         forwarder.queue(service).dispatch();
@@ -553,6 +583,30 @@
       }
     }
 
+    /** Closes the server's connection in the middle of an answer that can't be used. */
+    private void breakOff(String reason) {
+      exchange.abandon();
+      failed(reason, false);
+    }
+
+    /** Learns from the time at which events arrived how fast the engine is. */
+    private void measure(int events) {
+      Optional<EngineEstimator> known = forwarder.queue(service).estimator();
+      if (known.isEmpty()) {
+        return;
+      }
+      long now = Clock.millis();
+      EngineEstimator estimator = known.get();
+      if (!firstEventSeen && runs == 1 && server.relativeSlowness() <= 1) {
+        estimator.firstEvent(
+            work.promptTokens(),
+            placement.cachedTokens(),
+            placement.backlogMillis(),
+            (double) (now - sentMillis));
+      }
+      pauses.arrived(events, server, estimator, now);
+    }
+
     /** Returns whether a run that goes on from another one left events out. */
     private boolean missesEvents(long id) {
       return firstEventSeen && id != EventFramer.NO_EVENT && id > lastEventId + 1;
--- a/gateway/src/main/java/org/shallothold/gateway/forward/Forwarder.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/Forwarder.java
@@ -6,12 +6,13 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.IntSupplier;
-import org.shallothold.core.placement.EngineFigures;
+import org.shallothold.core.placement.EngineEstimator;
 import org.shallothold.core.placement.EnginePlacement;
 import org.shallothold.core.placement.PlacementPolicy;
 import org.shallothold.core.placement.PlainPlacement;
 import org.shallothold.core.retry.FleetRetryBudget;
 import org.shallothold.core.route.CallerLimits;
+import org.shallothold.core.route.Rank;
 import org.shallothold.core.route.RoutedService;
 import org.shallothold.core.route.RoutingConfiguration;
 import org.shallothold.core.verdict.ReasonCode;
@@ -144,7 +145,7 @@
             .map(RoutedService::modelEngine)
             .orElse(false);
     return engines
-        ? EnginePlacement.of(EngineFigures.DEFAULT, options.failureDomain())
+        ? EnginePlacement.of(EngineEstimator.create(), options.failureDomain())
         : PlainPlacement.in(options.failureDomain());
   }
 
@@ -164,6 +165,15 @@
     queue(service).requestArrived(request);
   }
 
+  /** Returns the urgency of a request for a service, as backend servers know it. */
+  int urgencyLevel(String service, Rank rank) {
+    int levels = translation.urgencyLevels();
+    return state
+        .configuration()
+        .map(known -> known.urgencyLevel(service, rank, levels))
+        .orElse(levels - 1);
+  }
+
   /** Takes one repeat from the shared budget of a service. */
   boolean tryRepeat(String service) {
     boolean granted = budget(service).tryRepeat(gateways.getAsInt(), Clock.millis());
--- a/gateway/src/main/java/org/shallothold/gateway/forward/ForwardingGateway.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/ForwardingGateway.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
+import org.shallothold.core.placement.EngineEstimate;
 import org.shallothold.core.placement.ServerModel;
 import org.shallothold.core.publish.PublishedItem;
 import org.shallothold.gateway.forward.caller.CallerListener;
@@ -20,6 +21,7 @@
 import org.shallothold.runtime.logging.DecisionLog;
 import org.shallothold.runtime.logging.LogLine;
 import org.shallothold.wire.connection.Transport;
+import org.shallothold.wire.proto.EngineSpeed;
 import org.shallothold.wire.proto.FleetNews;
 import org.shallothold.wire.proto.OpenWork;
 import org.shallothold.wire.proto.PrefixRead;
@@ -219,6 +221,29 @@
 
     private final Map<String, Map<String, Integer>> tightLoads = new HashMap<>();
 
+    private static EngineSpeed wire(EngineEstimate estimate) {
+      return EngineSpeed.newBuilder()
+          .setTokenMillis(estimate.tokenMillis())
+          .setPairMillis(estimate.pairMillis())
+          .setReadSamples(estimate.readSamples())
+          .setStepMillis(estimate.stepMillis())
+          .setStepSamples(estimate.stepSamples())
+          .setReadingPauseMillis(estimate.readingPauseMillis())
+          .setPauseSamples(estimate.pauseSamples())
+          .build();
+    }
+
+    private static EngineEstimate estimate(EngineSpeed speed) {
+      return new EngineEstimate(
+          speed.getTokenMillis(),
+          speed.getPairMillis(),
+          speed.getReadSamples(),
+          speed.getStepMillis(),
+          speed.getStepSamples(),
+          speed.getReadingPauseMillis(),
+          speed.getPauseSamples());
+    }
+
     private void sumTightLoads(String service, ServiceQueue queue) {
       int sum = tightLoads.values().stream().mapToInt(map -> map.getOrDefault(service, 0)).sum();
       queue.peersTightLoad(sum / THOUSANDTHS);
@@ -227,6 +252,10 @@
     @Override
     public void lost(String peer) {
       tightLoads.remove(peer);
+      forwarder
+          .queues()
+          .values()
+          .forEach(queue -> queue.estimator().ifPresent(estimator -> estimator.forgetPeer(peer)));
     }
 
     @Override
@@ -234,21 +263,30 @@
       long now = Clock.millis();
       for (ServerModel server : state.allServers()) {
         ServerModel.PeerLoad load = server.ownLoad(now);
-        if (load.requests() > 0 || server.sentReadMillis() > 0) {
-          news.addOpenWork(
+        Long leavingLife = state.leavingLife(server.entry().id());
+        if (load.requests() > 0 || server.sentReadMillis() > 0 || leavingLife != null) {
+          OpenWork.Builder work =
               OpenWork.newBuilder()
                   .setServerId(server.entry().id())
                   .setRequests(load.requests())
                   .setReadMillis((int) Math.round(load.readMillis()))
                   .setTightStreams(load.tightStreams())
-                  .setSentReadMillis(Math.round(server.sentReadMillis())));
+                  .setSentReadMillis(Math.round(server.sentReadMillis()));
+          if (leavingLife != null) {
+            work.setLeavingLife(leavingLife);
+          }
+          news.addOpenWork(work);
         }
       }
       forwarder
           .queues()
           .forEach(
-              (service, queue) ->
-                  news.putTightLoad(service, (int) Math.round(queue.tightLoad() * THOUSANDTHS)));
+              (service, queue) -> {
+                news.putTightLoad(service, (int) Math.round(queue.tightLoad() * THOUSANDTHS));
+                queue
+                    .estimator()
+                    .ifPresent(estimator -> news.putEngineSpeeds(service, wire(estimator.own())));
+              });
       for (PrefixReads.Read read : prefixReads.takeAll()) {
         news.addPrefixReads(
             PrefixRead.newBuilder()
@@ -270,10 +308,26 @@
               peer,
               new ServerModel.PeerLoad(
                   work.getRequests(), work.getReadMillis(), work.getTightStreams(), now));
-          server.peerSentReadMillis(peer, (double) work.getSentReadMillis(), now);
+          double tokenMillis =
+              forwarder
+                  .queue(server.entry().service())
+                  .estimator()
+                  .map(estimator -> estimator.figures().tokenMillis())
+                  .orElse(1.0);
+          server.peerSentReadMillis(peer, (double) work.getSentReadMillis(), tokenMillis, now);
+          if (work.hasLeavingLife()) {
+            state.leaving(work.getServerId(), work.getLeavingLife(), peer);
+          }
         }
       }
       tightLoads.put(peer, news.getTightLoadMap());
+      news.getEngineSpeedsMap()
+          .forEach(
+              (service, speed) ->
+                  forwarder
+                      .queue(service)
+                      .estimator()
+                      .ifPresent(estimator -> estimator.peer(peer, estimate(speed))));
       forwarder.queues().forEach(this::sumTightLoads);
       for (PrefixRead read : news.getPrefixReadsList()) {
         ServerModel server = state.server(read.getServerId());
--- a/gateway/src/main/java/org/shallothold/gateway/forward/RoutingState.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/RoutingState.java
@@ -6,6 +6,7 @@
 import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -33,6 +34,9 @@
  */
 final class RoutingState implements PublishedSource.Listener {
 
+  // Several times as many servers as leave while a list can be out of date.
+  private static final int MAX_LEAVING_LIVES = 10_000;
+
   private final EventLoop eventLoop;
   private final PublishedDecoder decoder;
   private final HeaderTranslation translation;
@@ -43,6 +47,15 @@
   private final Map<String, ServerModel> servers = new HashMap<>();
   private final Map<String, Set<ServerModel>> serversByService = new HashMap<>();
   private final Map<String, BackendPool> pools = new HashMap<>();
+  // Lives in which a server said that it leaves, by its id. Kept also while the server isn't
+  // listed: an older list, or one that the platform restores after an outage, may name it again.
+  private final Map<String, Long> leavingLives =
+      new LinkedHashMap<>() {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Long> eldest) {
+          return size() > MAX_LEAVING_LIVES;
+        }
+      };
   private @Nullable RoutingConfiguration configuration;
   private long configurationRevision;
 
@@ -166,6 +179,29 @@
     apply(topic, peer);
   }
 
+  /**
+   * Notes that a server said that it leaves.
+   *
+   * @param life start of the server's life that leaves
+   * @param source who heard it
+   */
+  void leaving(String id, long life, String source) {
+    Long before = leavingLives.put(id, life);
+    ServerModel server = servers.get(id);
+    if (server == null || server.entry().startedMillis() != life) {
+      return;
+    }
+    server.saysLeaving();
+    if (before == null || before != life) {
+      log.add(LogLine.of("server_says_leaving").with("server", id).with("source", source));
+    }
+  }
+
+  /** Returns the life of a server in which it said that it leaves, or null if it didn't. */
+  @Nullable Long leavingLife(String id) {
+    return leavingLives.get(id);
+  }
+
   /** Drops servers that did not come back after an outage, and idle connections. */
   void maintain() {
     for (PublishedTopic topic : PublishedTopic.values()) {
@@ -270,7 +306,9 @@
             .with("leaving", entry.leaving())
             .with("source", source));
     if (known == null) {
-      servers.put(entry.id(), ServerModel.of(entry));
+      ServerModel added = ServerModel.of(entry);
+      servers.put(entry.id(), added);
+      applyLeaving(added);
       return;
     }
     boolean moved =
@@ -278,11 +316,19 @@
             || known.entry().port() != entry.port()
             || known.entry().startedMillis() != entry.startedMillis();
     known.entry(entry);
+    applyLeaving(known);
     if (moved) {
       closePool(entry.id());
     }
   }
 
+  private void applyLeaving(ServerModel server) {
+    Long life = leavingLives.get(server.entry().id());
+    if (life != null && life == server.entry().startedMillis()) {
+      server.saysLeaving();
+    }
+  }
+
   private void drop(String id, String source) {
     servers.remove(id);
     closePool(id);
--- a/gateway/src/main/java/org/shallothold/gateway/forward/ServiceQueue.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/ServiceQueue.java
@@ -8,6 +8,7 @@
 import java.util.function.Predicate;
 import org.shallothold.core.placement.AdmissionDecision;
 import org.shallothold.core.placement.EngineAdmission;
+import org.shallothold.core.placement.EngineEstimator;
 import org.shallothold.core.placement.EnginePlacement;
 import org.shallothold.core.placement.Placement;
 import org.shallothold.core.placement.PlacementPolicy;
@@ -50,10 +51,21 @@
   /** Notes a request of a caller. */
   void requestArrived(ForwardedRequest request) {
     if (policy instanceof EnginePlacement engines) {
+      state
+          .configuration()
+          .flatMap(known -> known.service(service))
+          .ifPresent(known -> engines.estimator().tokensPerEvent(known.tokensPerEvent()));
       engines.requestArrived(request.work(), Clock.millis());
     }
   }
 
+  /** Returns what is known of the engines' speed; empty for plain services. */
+  Optional<EngineEstimator> estimator() {
+    return policy instanceof EnginePlacement engines
+        ? Optional.of(engines.estimator())
+        : Optional.empty();
+  }
+
   /** Returns the work of streams with a short pause target, in engines. */
   double tightLoad() {
     return policy instanceof EnginePlacement engines ? engines.tightLoad(Clock.millis()) : 0;
@@ -144,6 +156,15 @@
             () -> request.giveUp(ReasonCode.NO_SERVER));
   }
 
+  /** Returns how long the callers wait at least before a server takes requests again. */
+  long closedMillis() {
+    long now = Clock.millis();
+    return state.servers(service).stream()
+        .mapToLong(server -> server.closedMillis(now))
+        .min()
+        .orElse(0);
+  }
+
   /**
    * Servers to which this gateway has its share of connections are taken only if all are like that:
    * other gateways may leave theirs unused, and a request is not refused while a server is free.
--- a/gateway/src/main/java/org/shallothold/gateway/forward/backend/BackendConnection.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/backend/BackendConnection.java
@@ -22,6 +22,10 @@
  */
 final class BackendConnection extends ChannelInboundHandlerAdapter {
 
+  // Larger than any answer that a gateway holds: the copy of a late one may be skipped whole.
+  private static final long MAX_SKIPPED_BYTES = 8L * 1024 * 1024;
+  private static final int MAX_SKIPPED_HEADS = 100;
+
   private final BackendPool pool;
   private final HeaderTranslation translation;
   private final Channel channel;
@@ -30,6 +34,8 @@
   private @Nullable String requestId;
   private boolean headSeen;
   private boolean skipping;
+  private long skippedBytes;
+  private int skippedHeads;
   private boolean reset;
   private boolean reusable = true;
   private boolean written;
@@ -47,6 +53,8 @@
     requestId = id;
     headSeen = false;
     skipping = false;
+    skippedBytes = 0;
+    skippedHeads = 0;
     written = false;
     answerListener.sending();
     channel.writeAndFlush(request).addListener((ChannelFuture future) -> sent(future));
@@ -122,7 +130,7 @@
       return;
     }
     if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
-      skipping = true;
+      skip();
       return;
     }
     BackendListener current = listener;
@@ -134,8 +142,8 @@
     AnswerFacts facts = translation.answer(head);
     String answered = facts.requestId();
     if (answered != null && !answered.equals(requestId)) {
-      skipping = true;
       reusable = false;
+      skip();
       return;
     }
     headSeen = true;
@@ -144,9 +152,30 @@
     current.head(head, facts);
   }
 
+  private void skip() {
+    skipping = true;
+    skippedHeads++;
+    closeAfterTooMuchSkipped();
+  }
+
+  /** A server that sends other bytes without end would hold the request until its deadline. */
+  private void closeAfterTooMuchSkipped() {
+    if (skippedBytes > MAX_SKIPPED_BYTES || skippedHeads > MAX_SKIPPED_HEADS) {
+      fail(
+          "the server sent "
+              + skippedHeads
+              + " other answers with "
+              + skippedBytes
+              + " bytes before this one");
+      channel.close();
+    }
+  }
+
   private void readContent(HttpContent content) {
     if (skipping) {
       skipping = !(content instanceof LastHttpContent);
+      skippedBytes += content.content().readableBytes();
+      closeAfterTooMuchSkipped();
       return;
     }
     BackendListener current = listener;
--- a/gateway/src/main/java/org/shallothold/gateway/forward/port/AnswerFacts.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/port/AnswerFacts.java
@@ -10,6 +10,9 @@
  * @param notRun whether the server says that it did not run the request
  * @param running requests running at the server; -1 if not told
  * @param waiting requests waiting at the server; -1 if not told
+ * @param leaving whether the server says that it leaves
+ * @param closedMillis for how long the server wants nothing more from this gateway; 0 if it didn't
+ *     say
  * @param idleMillis how long the server keeps the connection idle; -1 if not told
  */
 public record AnswerFacts(
@@ -18,4 +21,6 @@
     boolean notRun,
     int running,
     int waiting,
+    boolean leaving,
+    long closedMillis,
     long idleMillis) {}
--- a/gateway/src/main/java/org/shallothold/gateway/forward/port/HeaderTranslation.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/port/HeaderTranslation.java
@@ -18,6 +18,9 @@
    */
   HttpHeaders forward(HttpRequest head, SendFacts facts);
 
+  /** Returns how many levels of urgency backend servers know. */
+  int urgencyLevels();
+
   /** Returns what the head of a backend server's answer says. */
   AnswerFacts answer(HttpResponse head);
 
--- a/gateway/src/main/java/org/shallothold/gateway/forward/port/SendFacts.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/port/SendFacts.java
@@ -7,13 +7,13 @@
  *
  * @param serverId the server that is meant; any other rejects the request
  * @param deadlineMillis time left, in milliseconds
- * @param priority rank, 0 is the highest
+ * @param urgencyLevel place among the request's ranks, 0 is the most urgent
  * @param customer name of the caller's customer; null if it has none
  * @param resumeAfter last event that the caller has; -1 for a run from the start
  */
 public record SendFacts(
     String serverId,
     long deadlineMillis,
-    int priority,
+    int urgencyLevel,
     @Nullable String customer,
     long resumeAfter) {}
--- a/gateway/src/test/java/org/shallothold/gateway/forward/ForwardContractTest.java
+++ b/gateway/src/test/java/org/shallothold/gateway/forward/ForwardContractTest.java
@@ -10,7 +10,9 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Nested;
@@ -374,6 +376,159 @@
     }
   }
 
+  @Nested
+  class Servers {
+
+    private static final Script LEAVING =
+        exchange ->
+            exchange.send(
+                exchange.head(200, "X-Signed: s\r\nX-Leaving: 1\r\nContent-Length: 5") + "whole");
+    private static final Script CLOSED =
+        exchange ->
+            exchange.send(
+                exchange.head(503, "X-Not-Run: 1\r\nX-Closed-Millis: 60000\r\nContent-Length: 0"));
+
+    /** Guards against new work for a server whose entry still calls it ready while it leaves. */
+    @Test
+    void thatSayTheyLeaveGetNothingLater() throws IOException {
+      try (ForwardFixture fixture = ForwardFixture.before(LEAVING, GOOD)) {
+        assertTrue(fixture.call("/once/x", "").endsWith("whole"));
+        assertTrue(fixture.call("/once/x", "").endsWith("whole"));
+        assertEquals(1, fixture.first().requests().size());
+        assertEquals(1, fixture.second().requests().size());
+      }
+    }
+
+    /** Guards against a server that left being in use again when the platform lists it again. */
+    @Test
+    void thatSaidTheyLeaveStayOutWhenTheyAreListedAgain() throws IOException {
+      try (ForwardFixture fixture = ForwardFixture.before(LEAVING, GOOD)) {
+        fixture.call("/once/x", "");
+        fixture.forgetServersAndListThemAgain();
+        fixture.call("/once/x", "");
+        assertEquals(1, fixture.first().requests().size());
+      }
+    }
+
+    /** Guards against more requests for a server that asked for a pause. */
+    @Test
+    void thatAskForAPauseAreLeftAlone() throws IOException {
+      try (ForwardFixture fixture = ForwardFixture.before(CLOSED, GOOD)) {
+        for (int i = 0; i < 3; i++) {
+          assertTrue(fixture.call("/once/x", "").endsWith("whole"));
+        }
+        assertEquals(1, fixture.first().requests().size());
+      }
+    }
+
+    /** Guards against callers that come back before any server takes requests again. */
+    @Test
+    void thatAllAskForAPauseLetCallersComeBackAfterIt() throws IOException {
+      try (ForwardFixture fixture = ForwardFixture.before(CLOSED, CLOSED)) {
+        fixture.call("/once/x", "");
+        String answer = fixture.call("/once/x", "");
+        assertTrue(answer.startsWith("HTTP/1.1 503 "), answer);
+        assertEquals(2, fixture.arrivals());
+        double seconds =
+            answer
+                .lines()
+                .filter(line -> line.toLowerCase(Locale.ROOT).startsWith("retry-after:"))
+                .mapToDouble(line -> Double.parseDouble(line.substring("retry-after:".length())))
+                .findFirst()
+                .orElseThrow();
+        assertTrue(seconds > 50 && seconds <= 60, answer);
+      }
+    }
+  }
+
+  @Nested
+  class BytesWithoutEnd {
+
+    // The largest answer that is held, and what the sockets' buffers take.
+    private static final long MAX_TAKEN_BYTES = 24L * 1024 * 1024;
+    private static final int PART_BYTES = 64 * 1024;
+    private static final String PART = "x".repeat(PART_BYTES);
+
+    /** Sends parts until the gateway closes the connection, which it must do before the limit. */
+    private static Script endless(String beginning, String part, AtomicLong sentBytes) {
+      return exchange -> {
+        exchange.send(beginning.replace("ID", "r1"));
+        try {
+          while (sentBytes.get() < 64L * 1024 * 1024) {
+            exchange.send(part);
+            sentBytes.addAndGet(part.length());
+          }
+        } catch (IOException e) {
+          // The gateway closed the connection.
+        }
+        exchange.connection().close();
+      };
+    }
+
+    private static void assertBounded(String path, String beginning, String part)
+        throws IOException {
+      AtomicLong sent = new AtomicLong();
+      try (ForwardFixture fixture =
+          ForwardFixture.before(endless(beginning, part, sent), Exchange::reset)) {
+        String answer = fixture.call(path, "");
+        assertFalse(answer.endsWith("0\r\n\r\n"), "called complete");
+        assertFalse(answer.startsWith("HTTP/1.1 200 ") && path.startsWith("/once/"), "success");
+        assertTrue(sent.get() < MAX_TAKEN_BYTES, "took " + sent.get() + " bytes");
+      }
+    }
+
+    /** Guards against a head that fills the memory. */
+    @Test
+    void inAHead() throws IOException {
+      assertBounded("/once/x", "HTTP/1.1 200 X\r\nX-Request: ID\r\nX-Filler: ", PART);
+    }
+
+    /** Guards against an endless run of interim answers. */
+    @Test
+    void asInterimAnswers() throws IOException {
+      assertBounded("/once/x", "", "HTTP/1.1 103 Early\r\nX-A: b\r\n\r\n".repeat(100));
+    }
+
+    /** Guards against an answer to another request that goes on for ever. */
+    @Test
+    void inAnAnswerToAnotherRequest() throws IOException {
+      assertBounded("/once/x", "HTTP/1.1 200 X\r\nX-Request: r0\r\nX-Signed: s\r\n\r\n", PART);
+    }
+
+    /** Guards against a body without length that never ends. */
+    @Test
+    void inABody() throws IOException {
+      assertBounded("/once/x", "HTTP/1.1 200 X\r\nX-Request: ID\r\nX-Signed: s\r\n\r\n", PART);
+    }
+
+    /** Guards against the rest of an event that grows without bound and is copied at each read. */
+    @Test
+    void inAnEvent() throws IOException {
+      assertBounded(
+          "/stream-once/x",
+          "HTTP/1.1 200 X\r\nX-Request: ID\r\nX-Signed: s\r\n\r\n" + event(0) + "data: ",
+          PART);
+    }
+
+    /** Guards against a chunk extension that never ends. */
+    @Test
+    void inAChunkExtension() throws IOException {
+      assertBounded(
+          "/stream-once/x",
+          "HTTP/1.1 200 X\r\nX-Request: ID\r\nX-Signed: s\r\nTransfer-Encoding: chunked\r\n\r\n5;a=",
+          PART);
+    }
+
+    /** Guards against trailers that never end. */
+    @Test
+    void inTrailers() throws IOException {
+      assertBounded(
+          "/stream-once/x",
+          "HTTP/1.1 200 X\r\nX-Request: ID\r\nX-Signed: s\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX-T: ",
+          PART);
+    }
+  }
+
   @Nested
   class Refusals {
 
--- a/gateway/src/test/java/org/shallothold/gateway/forward/ForwardFixture.java
+++ b/gateway/src/test/java/org/shallothold/gateway/forward/ForwardFixture.java
@@ -101,6 +101,16 @@
 
   /** Publishes the configuration and all servers; returns when the gateway has taken them. */
   private void publish() {
+    publish(servers, 1);
+  }
+
+  /** Publishes a list without servers and then the former one again, as after an outage. */
+  void forgetServersAndListThemAgain() {
+    publish(List.of(), 2);
+    publish(servers, 3);
+  }
+
+  private void publish(List<ScriptedServer> listed, long revision) {
     CompletableFuture<Void> done = new CompletableFuture<>();
     eventLoop
         .join()
@@ -110,13 +120,13 @@
               receiver.reading(
                   PublishedTopic.CONFIGURATION,
                   List.of(new PublishedItem("configuration", new byte[0], 1)),
-                  1);
+                  revision);
               receiver.reading(
                   PublishedTopic.SERVERS,
-                  servers.stream()
-                      .map(server -> new PublishedItem(server.id(), new byte[0], 1))
+                  listed.stream()
+                      .map(server -> new PublishedItem(server.id(), new byte[0], revision))
                       .toList(),
-                  1);
+                  revision);
               done.complete(null);
             });
     done.join();
@@ -198,7 +208,7 @@
                   route("/stream-once/", CallKind.STREAM_ONCE),
                   route("/stream/", CallKind.STREAM_RESUMABLE),
                   route("/private/", CallKind.REPEATABLE)),
-              List.of(new RoutedService("desk", 10, false, 0)),
+              List.of(new RoutedService("desk", 10, false, 0, 1)),
               true,
               Map.of("good", new CustomerIdentity("mill", CustomerIdentity.NO_PRIORITY)),
               CallerLimits.DEFAULT));
--- a/gateway/src/test/java/org/shallothold/gateway/forward/TestTranslation.java
+++ b/gateway/src/test/java/org/shallothold/gateway/forward/TestTranslation.java
@@ -53,9 +53,16 @@
         headers.contains("X-Not-Run"),
         -1,
         -1,
+        headers.contains("X-Leaving"),
+        headers.getInt("X-Closed-Millis", 0),
         -1);
   }
 
+  @Override
+  public int urgencyLevels() {
+    return 10;
+  }
+
   @Override
   public HttpHeaders backward(HttpResponse head) {
     HttpHeaders headers = new DefaultHttpHeaders();
--- a/wire/src/main/java/org/shallothold/wire/proto/FleetNews.java
+++ b/wire/src/main/java/org/shallothold/wire/proto/FleetNews.java
@@ -58,6 +58,8 @@
     switch (number) {
       case 9:
         return internalGetTightLoad();
+      case 10:
+        return internalGetEngineSpeeds();
       default:
         throw new RuntimeException(
             "Invalid map field number: " + number);
@@ -442,6 +444,101 @@
     return map.get(key);
   }
 
+  public static final int ENGINE_SPEEDS_FIELD_NUMBER = 10;
+  private static final class EngineSpeedsDefaultEntryHolder {
+    static final com.google.protobuf.MapEntry<
+        java.lang.String, org.shallothold.wire.proto.EngineSpeed> defaultEntry =
+            com.google.protobuf.MapEntry
+            .<java.lang.String, org.shallothold.wire.proto.EngineSpeed>newDefaultInstance(
+                org.shallothold.wire.proto.Shallothold.internal_static_shallothold_FleetNews_EngineSpeedsEntry_descriptor, 
+                com.google.protobuf.WireFormat.FieldType.STRING,
+                "",
+                com.google.protobuf.WireFormat.FieldType.MESSAGE,
+                org.shallothold.wire.proto.EngineSpeed.getDefaultInstance());
+  }
+  @SuppressWarnings("serial")
+  private com.google.protobuf.MapField<
+      java.lang.String, org.shallothold.wire.proto.EngineSpeed> engineSpeeds_;
+  private com.google.protobuf.MapField<java.lang.String, org.shallothold.wire.proto.EngineSpeed>
+  internalGetEngineSpeeds() {
+    if (engineSpeeds_ == null) {
+      return com.google.protobuf.MapField.emptyMapField(
+          EngineSpeedsDefaultEntryHolder.defaultEntry);
+    }
+    return engineSpeeds_;
+  }
+  public int getEngineSpeedsCount() {
+    return internalGetEngineSpeeds().getMap().size();
+  }
+  /**
+   * <pre>
+   * What the sender measured of the model engines, by service.
+   * </pre>
+   *
+   * <code>map&lt;string, .shallothold.EngineSpeed&gt; engine_speeds = 10;</code>
+   */
+  @java.lang.Override
+  public boolean containsEngineSpeeds(
+      java.lang.String key) {
+    if (key == null) { throw new NullPointerException("map key"); }
+    return internalGetEngineSpeeds().getMap().containsKey(key);
+  }
+  /**
+   * Use {@link #getEngineSpeedsMap()} instead.
+   */
+  @java.lang.Override
+  @java.lang.Deprecated
+  public java.util.Map<java.lang.String, org.shallothold.wire.proto.EngineSpeed> getEngineSpeeds() {
+    return getEngineSpeedsMap();
+  }
+  /**
+   * <pre>
+   * What the sender measured of the model engines, by service.
+   * </pre>
+   *
+   * <code>map&lt;string, .shallothold.EngineSpeed&gt; engine_speeds = 10;</code>
+   */
+  @java.lang.Override
+  public java.util.Map<java.lang.String, org.shallothold.wire.proto.EngineSpeed> getEngineSpeedsMap() {
+    return internalGetEngineSpeeds().getMap();
+  }
+  /**
+   * <pre>
+   * What the sender measured of the model engines, by service.
+   * </pre>
+   *
+   * <code>map&lt;string, .shallothold.EngineSpeed&gt; engine_speeds = 10;</code>
+   */
+  @java.lang.Override
+  public /* nullable */
+org.shallothold.wire.proto.EngineSpeed getEngineSpeedsOrDefault(
+      java.lang.String key,
+      /* nullable */
+org.shallothold.wire.proto.EngineSpeed defaultValue) {
+    if (key == null) { throw new NullPointerException("map key"); }
+    java.util.Map<java.lang.String, org.shallothold.wire.proto.EngineSpeed> map =
+        internalGetEngineSpeeds().getMap();
+    return map.containsKey(key) ? map.get(key) : defaultValue;
+  }
+  /**
+   * <pre>
+   * What the sender measured of the model engines, by service.
+   * </pre>
+   *
+   * <code>map&lt;string, .shallothold.EngineSpeed&gt; engine_speeds = 10;</code>
+   */
+  @java.lang.Override
+  public org.shallothold.wire.proto.EngineSpeed getEngineSpeedsOrThrow(
+      java.lang.String key) {
+    if (key == null) { throw new NullPointerException("map key"); }
+    java.util.Map<java.lang.String, org.shallothold.wire.proto.EngineSpeed> map =
+        internalGetEngineSpeeds().getMap();
+    if (!map.containsKey(key)) {
+      throw new java.lang.IllegalArgumentException();
+    }
+    return map.get(key);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -486,6 +583,12 @@
         internalGetTightLoad(),
         TightLoadDefaultEntryHolder.defaultEntry,
         9);
+    com.google.protobuf.GeneratedMessage
+      .serializeStringMapTo(
+        output,
+        internalGetEngineSpeeds(),
+        EngineSpeedsDefaultEntryHolder.defaultEntry,
+        10);
     getUnknownFields().writeTo(output);
   }
 
@@ -549,6 +652,16 @@
       size += com.google.protobuf.CodedOutputStream
           .computeMessageSize(9, tightLoad__);
     }
+    for (java.util.Map.Entry<java.lang.String, org.shallothold.wire.proto.EngineSpeed> entry
+         : internalGetEngineSpeeds().getMap().entrySet()) {
+      com.google.protobuf.MapEntry<java.lang.String, org.shallothold.wire.proto.EngineSpeed>
+      engineSpeeds__ = EngineSpeedsDefaultEntryHolder.defaultEntry.newBuilderForType()
+          .setKey(entry.getKey())
+          .setValue(entry.getValue())
+          .buildPartial();
+      size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(10, engineSpeeds__);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -582,6 +695,8 @@
         != other.getLeaving()) return false;
     if (!internalGetTightLoad().equals(
         other.internalGetTightLoad())) return false;
+    if (!internalGetEngineSpeeds().equals(
+        other.internalGetEngineSpeeds())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -622,6 +737,10 @@
       hash = (37 * hash) + TIGHT_LOAD_FIELD_NUMBER;
       hash = (53 * hash) + internalGetTightLoad().hashCode();
     }
+    if (!internalGetEngineSpeeds().getMap().isEmpty()) {
+      hash = (37 * hash) + ENGINE_SPEEDS_FIELD_NUMBER;
+      hash = (53 * hash) + internalGetEngineSpeeds().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -742,6 +861,8 @@
       switch (number) {
         case 9:
           return internalGetTightLoad();
+        case 10:
+          return internalGetEngineSpeeds();
         default:
           throw new RuntimeException(
               "Invalid map field number: " + number);
@@ -753,6 +874,8 @@
       switch (number) {
         case 9:
           return internalGetMutableTightLoad();
+        case 10:
+          return internalGetMutableEngineSpeeds();
         default:
           throw new RuntimeException(
               "Invalid map field number: " + number);
@@ -802,6 +925,7 @@
       bitField0_ = (bitField0_ & ~0x00000040);
       leaving_ = false;
       internalGetMutableTightLoad().clear();
+      internalGetMutableEngineSpeeds().clear();
       return this;
     }
 
@@ -880,6 +1004,9 @@
         result.tightLoad_ = internalGetTightLoad();
         result.tightLoad_.makeImmutable();
       }
+      if (((from_bitField0_ & 0x00000200) != 0)) {
+        result.engineSpeeds_ = internalGetEngineSpeeds().build(EngineSpeedsDefaultEntryHolder.defaultEntry);
+      }
     }
 
     @java.lang.Override
@@ -978,6 +1105,9 @@
       internalGetMutableTightLoad().mergeFrom(
           other.internalGetTightLoad());
       bitField0_ |= 0x00000100;
+      internalGetMutableEngineSpeeds().mergeFrom(
+          other.internalGetEngineSpeeds());
+      bitField0_ |= 0x00000200;
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1069,6 +1199,15 @@
               bitField0_ |= 0x00000100;
               break;
             } // case 74
+            case 82: {
+              com.google.protobuf.MapEntry<java.lang.String, org.shallothold.wire.proto.EngineSpeed>
+              engineSpeeds__ = input.readMessage(
+                  EngineSpeedsDefaultEntryHolder.defaultEntry.getParserForType(), extensionRegistry);
+              internalGetMutableEngineSpeeds().ensureBuilderMap().put(
+                  engineSpeeds__.getKey(), engineSpeeds__.getValue());
+              bitField0_ |= 0x00000200;
+              break;
+            } // case 82
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2210,6 +2349,193 @@
       return this;
     }
 
+    private static final class EngineSpeedsConverter implements com.google.protobuf.MapFieldBuilder.Converter<java.lang.String, org.shallothold.wire.proto.EngineSpeedOrBuilder, org.shallothold.wire.proto.EngineSpeed> {
+      @java.lang.Override
+      public org.shallothold.wire.proto.EngineSpeed build(org.shallothold.wire.proto.EngineSpeedOrBuilder val) {
+        if (val instanceof org.shallothold.wire.proto.EngineSpeed) { return (org.shallothold.wire.proto.EngineSpeed) val; }
+        return ((org.shallothold.wire.proto.EngineSpeed.Builder) val).build();
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.MapEntry<java.lang.String, org.shallothold.wire.proto.EngineSpeed> defaultEntry() {
+        return EngineSpeedsDefaultEntryHolder.defaultEntry;
+      }
+    };
+    private static final EngineSpeedsConverter engineSpeedsConverter = new EngineSpeedsConverter();
+
+    private com.google.protobuf.MapFieldBuilder<
+        java.lang.String, org.shallothold.wire.proto.EngineSpeedOrBuilder, org.shallothold.wire.proto.EngineSpeed, org.shallothold.wire.proto.EngineSpeed.Builder> engineSpeeds_;
+    private com.google.protobuf.MapFieldBuilder<java.lang.String, org.shallothold.wire.proto.EngineSpeedOrBuilder, org.shallothold.wire.proto.EngineSpeed, org.shallothold.wire.proto.EngineSpeed.Builder>
+        internalGetEngineSpeeds() {
+      if (engineSpeeds_ == null) {
+        return new com.google.protobuf.MapFieldBuilder<>(engineSpeedsConverter);
+      }
+      return engineSpeeds_;
+    }
+    private com.google.protobuf.MapFieldBuilder<java.lang.String, org.shallothold.wire.proto.EngineSpeedOrBuilder, org.shallothold.wire.proto.EngineSpeed, org.shallothold.wire.proto.EngineSpeed.Builder>
+        internalGetMutableEngineSpeeds() {
+      if (engineSpeeds_ == null) {
+        engineSpeeds_ = new com.google.protobuf.MapFieldBuilder<>(engineSpeedsConverter);
+      }
+      bitField0_ |= 0x00000200;
+      onChanged();
+      return engineSpeeds_;
+    }
+    public int getEngineSpeedsCount() {
+      return internalGetEngineSpeeds().ensureBuilderMap().size();
+    }
+    /**
+     * <pre>
+     * What the sender measured of the model engines, by service.
+     * </pre>
+     *
+     * <code>map&lt;string, .shallothold.EngineSpeed&gt; engine_speeds = 10;</code>
+     */
+    @java.lang.Override
+    public boolean containsEngineSpeeds(
+        java.lang.String key) {
+      if (key == null) { throw new NullPointerException("map key"); }
+      return internalGetEngineSpeeds().ensureBuilderMap().containsKey(key);
+    }
+    /**
+     * Use {@link #getEngineSpeedsMap()} instead.
+     */
+    @java.lang.Override
+    @java.lang.Deprecated
+    public java.util.Map<java.lang.String, org.shallothold.wire.proto.EngineSpeed> getEngineSpeeds() {
+      return getEngineSpeedsMap();
+    }
+    /**
+     * <pre>
+     * What the sender measured of the model engines, by service.
+     * </pre>
+     *
+     * <code>map&lt;string, .shallothold.EngineSpeed&gt; engine_speeds = 10;</code>
+     */
+    @java.lang.Override
+    public java.util.Map<java.lang.String, org.shallothold.wire.proto.EngineSpeed> getEngineSpeedsMap() {
+      return internalGetEngineSpeeds().getImmutableMap();
+    }
+    /**
+     * <pre>
+     * What the sender measured of the model engines, by service.
+     * </pre>
+     *
+     * <code>map&lt;string, .shallothold.EngineSpeed&gt; engine_speeds = 10;</code>
+     */
+    @java.lang.Override
+    public /* nullable */
+org.shallothold.wire.proto.EngineSpeed getEngineSpeedsOrDefault(
+        java.lang.String key,
+        /* nullable */
+org.shallothold.wire.proto.EngineSpeed defaultValue) {
+      if (key == null) { throw new NullPointerException("map key"); }
+      java.util.Map<java.lang.String, org.shallothold.wire.proto.EngineSpeedOrBuilder> map = internalGetMutableEngineSpeeds().ensureBuilderMap();
+      return map.containsKey(key) ? engineSpeedsConverter.build(map.get(key)) : defaultValue;
+    }
+    /**
+     * <pre>
+     * What the sender measured of the model engines, by service.
+     * </pre>
+     *
+     * <code>map&lt;string, .shallothold.EngineSpeed&gt; engine_speeds = 10;</code>
+     */
+    @java.lang.Override
+    public org.shallothold.wire.proto.EngineSpeed getEngineSpeedsOrThrow(
+        java.lang.String key) {
+      if (key == null) { throw new NullPointerException("map key"); }
+      java.util.Map<java.lang.String, org.shallothold.wire.proto.EngineSpeedOrBuilder> map = internalGetMutableEngineSpeeds().ensureBuilderMap();
+      if (!map.containsKey(key)) {
+        throw new java.lang.IllegalArgumentException();
+      }
+      return engineSpeedsConverter.build(map.get(key));
+    }
+    public Builder clearEngineSpeeds() {
+      bitField0_ = (bitField0_ & ~0x00000200);
+      internalGetMutableEngineSpeeds().clear();
+      return this;
+    }
+    /**
+     * <pre>
+     * What the sender measured of the model engines, by service.
+     * </pre>
+     *
+     * <code>map&lt;string, .shallothold.EngineSpeed&gt; engine_speeds = 10;</code>
+     */
+    public Builder removeEngineSpeeds(
+        java.lang.String key) {
+      if (key == null) { throw new NullPointerException("map key"); }
+      internalGetMutableEngineSpeeds().ensureBuilderMap()
+          .remove(key);
+      return this;
+    }
+    /**
+     * Use alternate mutation accessors instead.
+     */
+    @java.lang.Deprecated
+    public java.util.Map<java.lang.String, org.shallothold.wire.proto.EngineSpeed>
+        getMutableEngineSpeeds() {
+      bitField0_ |= 0x00000200;
+      return internalGetMutableEngineSpeeds().ensureMessageMap();
+    }
+    /**
+     * <pre>
+     * What the sender measured of the model engines, by service.
+     * </pre>
+     *
+     * <code>map&lt;string, .shallothold.EngineSpeed&gt; engine_speeds = 10;</code>
+     */
+    public Builder putEngineSpeeds(
+        java.lang.String key,
+        org.shallothold.wire.proto.EngineSpeed value) {
+      if (key == null) { throw new NullPointerException("map key"); }
+      if (value == null) { throw new NullPointerException("map value"); }
+      internalGetMutableEngineSpeeds().ensureBuilderMap()
+          .put(key, value);
+      bitField0_ |= 0x00000200;
+      return this;
+    }
+    /**
+     * <pre>
+     * What the sender measured of the model engines, by service.
+     * </pre>
+     *
+     * <code>map&lt;string, .shallothold.EngineSpeed&gt; engine_speeds = 10;</code>
+     */
+    public Builder putAllEngineSpeeds(
+        java.util.Map<java.lang.String, org.shallothold.wire.proto.EngineSpeed> values) {
+      for (java.util.Map.Entry<java.lang.String, org.shallothold.wire.proto.EngineSpeed> e : values.entrySet()) {
+        if (e.getKey() == null || e.getValue() == null) {
+          throw new NullPointerException();
+        }
+      }
+      internalGetMutableEngineSpeeds().ensureBuilderMap()
+          .putAll(values);
+      bitField0_ |= 0x00000200;
+      return this;
+    }
+    /**
+     * <pre>
+     * What the sender measured of the model engines, by service.
+     * </pre>
+     *
+     * <code>map&lt;string, .shallothold.EngineSpeed&gt; engine_speeds = 10;</code>
+     */
+    public org.shallothold.wire.proto.EngineSpeed.Builder putEngineSpeedsBuilderIfAbsent(
+        java.lang.String key) {
+      java.util.Map<java.lang.String, org.shallothold.wire.proto.EngineSpeedOrBuilder> builderMap = internalGetMutableEngineSpeeds().ensureBuilderMap();
+      org.shallothold.wire.proto.EngineSpeedOrBuilder entry = builderMap.get(key);
+      if (entry == null) {
+        entry = org.shallothold.wire.proto.EngineSpeed.newBuilder();
+        builderMap.put(key, entry);
+      }
+      if (entry instanceof org.shallothold.wire.proto.EngineSpeed) {
+        entry = ((org.shallothold.wire.proto.EngineSpeed) entry).toBuilder();
+        builderMap.put(key, entry);
+      }
+      return (org.shallothold.wire.proto.EngineSpeed.Builder) entry;
+    }
+
     // @@protoc_insertion_point(builder_scope:shallothold.FleetNews)
   }
 
--- a/wire/src/main/java/org/shallothold/wire/proto/FleetNewsOrBuilder.java
+++ b/wire/src/main/java/org/shallothold/wire/proto/FleetNewsOrBuilder.java
@@ -224,4 +224,58 @@
    */
   int getTightLoadOrThrow(
       java.lang.String key);
+
+  /**
+   * <pre>
+   * What the sender measured of the model engines, by service.
+   * </pre>
+   *
+   * <code>map&lt;string, .shallothold.EngineSpeed&gt; engine_speeds = 10;</code>
+   */
+  int getEngineSpeedsCount();
+  /**
+   * <pre>
+   * What the sender measured of the model engines, by service.
+   * </pre>
+   *
+   * <code>map&lt;string, .shallothold.EngineSpeed&gt; engine_speeds = 10;</code>
+   */
+  boolean containsEngineSpeeds(
+      java.lang.String key);
+  /**
+   * Use {@link #getEngineSpeedsMap()} instead.
+   */
+  @java.lang.Deprecated
+  java.util.Map<java.lang.String, org.shallothold.wire.proto.EngineSpeed>
+  getEngineSpeeds();
+  /**
+   * <pre>
+   * What the sender measured of the model engines, by service.
+   * </pre>
+   *
+   * <code>map&lt;string, .shallothold.EngineSpeed&gt; engine_speeds = 10;</code>
+   */
+  java.util.Map<java.lang.String, org.shallothold.wire.proto.EngineSpeed>
+  getEngineSpeedsMap();
+  /**
+   * <pre>
+   * What the sender measured of the model engines, by service.
+   * </pre>
+   *
+   * <code>map&lt;string, .shallothold.EngineSpeed&gt; engine_speeds = 10;</code>
+   */
+  /* nullable */
+org.shallothold.wire.proto.EngineSpeed getEngineSpeedsOrDefault(
+      java.lang.String key,
+      /* nullable */
+org.shallothold.wire.proto.EngineSpeed defaultValue);
+  /**
+   * <pre>
+   * What the sender measured of the model engines, by service.
+   * </pre>
+   *
+   * <code>map&lt;string, .shallothold.EngineSpeed&gt; engine_speeds = 10;</code>
+   */
+  org.shallothold.wire.proto.EngineSpeed getEngineSpeedsOrThrow(
+      java.lang.String key);
 }
--- a/wire/src/main/java/org/shallothold/wire/proto/OpenWork.java
+++ b/wire/src/main/java/org/shallothold/wire/proto/OpenWork.java
@@ -53,6 +53,7 @@
             org.shallothold.wire.proto.OpenWork.class, org.shallothold.wire.proto.OpenWork.Builder.class);
   }
 
+  private int bitField0_;
   public static final int SERVER_ID_FIELD_NUMBER = 1;
   @SuppressWarnings("serial")
   private volatile java.lang.Object serverId_ = "";
@@ -144,6 +145,33 @@
     return sentReadMillis_;
   }
 
+  public static final int LEAVING_LIFE_FIELD_NUMBER = 7;
+  private long leavingLife_ = 0L;
+  /**
+   * <pre>
+   * Start of the life in which the server told the sender that it leaves; absent if it did not.
+   * </pre>
+   *
+   * <code>optional int64 leaving_life = 7;</code>
+   * @return Whether the leavingLife field is set.
+   */
+  @java.lang.Override
+  public boolean hasLeavingLife() {
+    return ((bitField0_ & 0x00000001) != 0);
+  }
+  /**
+   * <pre>
+   * Start of the life in which the server told the sender that it leaves; absent if it did not.
+   * </pre>
+   *
+   * <code>optional int64 leaving_life = 7;</code>
+   * @return The leavingLife.
+   */
+  @java.lang.Override
+  public long getLeavingLife() {
+    return leavingLife_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -173,6 +201,9 @@
     if (sentReadMillis_ != 0L) {
       output.writeInt64(6, sentReadMillis_);
     }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      output.writeInt64(7, leavingLife_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -201,6 +232,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt64Size(6, sentReadMillis_);
     }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(7, leavingLife_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -226,6 +261,11 @@
         != other.getTightStreams()) return false;
     if (getSentReadMillis()
         != other.getSentReadMillis()) return false;
+    if (hasLeavingLife() != other.hasLeavingLife()) return false;
+    if (hasLeavingLife()) {
+      if (getLeavingLife()
+          != other.getLeavingLife()) return false;
+    }
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -248,6 +288,11 @@
     hash = (37 * hash) + SENT_READ_MILLIS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getSentReadMillis());
+    if (hasLeavingLife()) {
+      hash = (37 * hash) + LEAVING_LIFE_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getLeavingLife());
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -388,6 +433,7 @@
       readMillis_ = 0;
       tightStreams_ = 0;
       sentReadMillis_ = 0L;
+      leavingLife_ = 0L;
       return this;
     }
 
@@ -436,6 +482,12 @@
       if (((from_bitField0_ & 0x00000010) != 0)) {
         result.sentReadMillis_ = sentReadMillis_;
       }
+      int to_bitField0_ = 0;
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.leavingLife_ = leavingLife_;
+        to_bitField0_ |= 0x00000001;
+      }
+      result.bitField0_ |= to_bitField0_;
     }
 
     @java.lang.Override
@@ -467,6 +519,9 @@
       if (other.getSentReadMillis() != 0L) {
         setSentReadMillis(other.getSentReadMillis());
       }
+      if (other.hasLeavingLife()) {
+        setLeavingLife(other.getLeavingLife());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -518,6 +573,11 @@
               bitField0_ |= 0x00000010;
               break;
             } // case 48
+            case 56: {
+              leavingLife_ = input.readInt64();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 56
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -759,6 +819,62 @@
       return this;
     }
 
+    private long leavingLife_ ;
+    /**
+     * <pre>
+     * Start of the life in which the server told the sender that it leaves; absent if it did not.
+     * </pre>
+     *
+     * <code>optional int64 leaving_life = 7;</code>
+     * @return Whether the leavingLife field is set.
+     */
+    @java.lang.Override
+    public boolean hasLeavingLife() {
+      return ((bitField0_ & 0x00000020) != 0);
+    }
+    /**
+     * <pre>
+     * Start of the life in which the server told the sender that it leaves; absent if it did not.
+     * </pre>
+     *
+     * <code>optional int64 leaving_life = 7;</code>
+     * @return The leavingLife.
+     */
+    @java.lang.Override
+    public long getLeavingLife() {
+      return leavingLife_;
+    }
+    /**
+     * <pre>
+     * Start of the life in which the server told the sender that it leaves; absent if it did not.
+     * </pre>
+     *
+     * <code>optional int64 leaving_life = 7;</code>
+     * @param value The leavingLife to set.
+     * @return This builder for chaining.
+     */
+    public Builder setLeavingLife(long value) {
+
+      leavingLife_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Start of the life in which the server told the sender that it leaves; absent if it did not.
+     * </pre>
+     *
+     * <code>optional int64 leaving_life = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearLeavingLife() {
+      bitField0_ = (bitField0_ & ~0x00000020);
+      leavingLife_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:shallothold.OpenWork)
   }
 
--- a/wire/src/main/java/org/shallothold/wire/proto/OpenWorkOrBuilder.java
+++ b/wire/src/main/java/org/shallothold/wire/proto/OpenWorkOrBuilder.java
@@ -53,4 +53,23 @@
    * @return The sentReadMillis.
    */
   long getSentReadMillis();
+
+  /**
+   * <pre>
+   * Start of the life in which the server told the sender that it leaves; absent if it did not.
+   * </pre>
+   *
+   * <code>optional int64 leaving_life = 7;</code>
+   * @return Whether the leavingLife field is set.
+   */
+  boolean hasLeavingLife();
+  /**
+   * <pre>
+   * Start of the life in which the server told the sender that it leaves; absent if it did not.
+   * </pre>
+   *
+   * <code>optional int64 leaving_life = 7;</code>
+   * @return The leavingLife.
+   */
+  long getLeavingLife();
 }
--- a/wire/src/main/java/org/shallothold/wire/proto/Shallothold.java
+++ b/wire/src/main/java/org/shallothold/wire/proto/Shallothold.java
@@ -206,11 +206,21 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_shallothold_FleetNews_TightLoadEntry_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_shallothold_FleetNews_EngineSpeedsEntry_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_shallothold_FleetNews_EngineSpeedsEntry_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_shallothold_OpenWork_descriptor;
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_shallothold_OpenWork_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_shallothold_EngineSpeed_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_shallothold_EngineSpeed_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_shallothold_PrefixRead_descriptor;
   static final 
@@ -344,39 +354,48 @@
       "\022\n\nrequest_id\030\002 \001(\t\"2\n\rExplainReport\022\023\n\013" +
       "call_number\030\001 \001(\003\022\014\n\004json\030\002 \001(\014\"#\n\014Audit" +
       "Request\022\023\n\013call_number\030\001 \001(\003\"0\n\013AuditRep" +
-      "ort\022\023\n\013call_number\030\001 \001(\003\022\014\n\004json\030\002 \001(\014\"\336" +
-      "\002\n\tFleetNews\022\022\n\nprocess_id\030\001 \001(\t\022\017\n\007addr" +
+      "ort\022\023\n\013call_number\030\001 \001(\003\022\014\n\004json\030\002 \001(\014\"\356" +
+      "\003\n\tFleetNews\022\022\n\nprocess_id\030\001 \001(\t\022\017\n\007addr" +
       "ess\030\002 \001(\t\022\027\n\017known_addresses\030\003 \003(\t\022 \n\030co" +
       "nfiguration_changed_at\030\004 \001(\003\022\032\n\022servers_" +
       "changed_at\030\005 \001(\003\022(\n\topen_work\030\006 \003(\0132\025.sh" +
       "allothold.OpenWork\022-\n\014prefix_reads\030\007 \003(\013" +
       "2\027.shallothold.PrefixRead\022\017\n\007leaving\030\010 \001" +
       "(\010\0229\n\ntight_load\030\t \003(\0132%.shallothold.Fle" +
-      "etNews.TightLoadEntry\0320\n\016TightLoadEntry\022" +
-      "\013\n\003key\030\001 \001(\t\022\r\n\005value\030\002 \001(\005:\0028\001\"{\n\010OpenW" +
-      "ork\022\021\n\tserver_id\030\001 \001(\t\022\020\n\010requests\030\002 \001(\005" +
-      "\022\023\n\013read_millis\030\003 \001(\005\022\025\n\rtight_streams\030\004" +
-      " \001(\005\022\030\n\020sent_read_millis\030\006 \001(\003J\004\010\005\020\006\"C\n\n" +
-      "PrefixRead\022\021\n\tserver_id\030\001 \001(\t\022\022\n\nchain_h" +
-      "ash\030\002 \001(\006\022\016\n\006tokens\030\003 \001(\005\"M\n\020PublishedRe" +
-      "quest\022*\n\005topic\030\001 \001(\0162\033.shallothold.Publi" +
-      "shedTopic\022\r\n\005as_of\030\002 \001(\003\"=\n\rPublishedIte" +
-      "m\022\013\n\003key\030\001 \001(\t\022\r\n\005value\030\002 \001(\014\022\020\n\010revisio" +
-      "n\030\003 \001(\003\"v\n\016PublishedItems\022*\n\005topic\030\001 \001(\016" +
-      "2\033.shallothold.PublishedTopic\022\r\n\005as_of\030\002" +
-      " \001(\003\022)\n\005items\030\003 \003(\0132\032.shallothold.Publis" +
-      "hedItem*S\n\004Role\022\024\n\020ROLE_UNSPECIFIED\020\000\022\020\n" +
-      "\014ROLE_GATEWAY\020\001\022\020\n\014ROLE_SIDECAR\020\002\022\021\n\rROL" +
-      "E_OPERATOR\020\003*v\n\nFinishKind\022\033\n\027FINISH_KIN" +
-      "D_UNSPECIFIED\020\000\022\030\n\024FINISH_KIND_COMPLETE\020" +
-      "\001\022\026\n\022FINISH_KIND_BROKEN\020\002\022\031\n\025FINISH_KIND" +
-      "_CANCELLED\020\003*d\n\013VerdictKind\022\034\n\030VERDICT_K" +
-      "IND_UNSPECIFIED\020\000\022\030\n\024VERDICT_KIND_NOT_RU" +
-      "N\020\001\022\035\n\031VERDICT_KIND_MAY_HAVE_RUN\020\002*q\n\016Pu" +
-      "blishedTopic\022\037\n\033PUBLISHED_TOPIC_UNSPECIF" +
-      "IED\020\000\022!\n\035PUBLISHED_TOPIC_CONFIGURATION\020\001" +
-      "\022\033\n\027PUBLISHED_TOPIC_SERVERS\020\002B\036\n\032org.sha" +
-      "llothold.wire.protoP\001b\006proto3"
+      "etNews.TightLoadEntry\022?\n\rengine_speeds\030\n" +
+      " \003(\0132(.shallothold.FleetNews.EngineSpeed" +
+      "sEntry\0320\n\016TightLoadEntry\022\013\n\003key\030\001 \001(\t\022\r\n" +
+      "\005value\030\002 \001(\005:\0028\001\032M\n\021EngineSpeedsEntry\022\013\n" +
+      "\003key\030\001 \001(\t\022\'\n\005value\030\002 \001(\0132\030.shallothold." +
+      "EngineSpeed:\0028\001\"\247\001\n\010OpenWork\022\021\n\tserver_i" +
+      "d\030\001 \001(\t\022\020\n\010requests\030\002 \001(\005\022\023\n\013read_millis" +
+      "\030\003 \001(\005\022\025\n\rtight_streams\030\004 \001(\005\022\030\n\020sent_re" +
+      "ad_millis\030\006 \001(\003\022\031\n\014leaving_life\030\007 \001(\003H\000\210" +
+      "\001\001B\017\n\r_leaving_lifeJ\004\010\005\020\006\"\256\001\n\013EngineSpee" +
+      "d\022\024\n\014token_millis\030\001 \001(\001\022\023\n\013pair_millis\030\002" +
+      " \001(\001\022\024\n\014read_samples\030\003 \001(\005\022\023\n\013step_milli" +
+      "s\030\004 \001(\001\022\024\n\014step_samples\030\005 \001(\005\022\034\n\024reading" +
+      "_pause_millis\030\006 \001(\001\022\025\n\rpause_samples\030\007 \001" +
+      "(\005\"C\n\nPrefixRead\022\021\n\tserver_id\030\001 \001(\t\022\022\n\nc" +
+      "hain_hash\030\002 \001(\006\022\016\n\006tokens\030\003 \001(\005\"M\n\020Publi" +
+      "shedRequest\022*\n\005topic\030\001 \001(\0162\033.shallothold" +
+      ".PublishedTopic\022\r\n\005as_of\030\002 \001(\003\"=\n\rPublis" +
+      "hedItem\022\013\n\003key\030\001 \001(\t\022\r\n\005value\030\002 \001(\014\022\020\n\010r" +
+      "evision\030\003 \001(\003\"v\n\016PublishedItems\022*\n\005topic" +
+      "\030\001 \001(\0162\033.shallothold.PublishedTopic\022\r\n\005a" +
+      "s_of\030\002 \001(\003\022)\n\005items\030\003 \003(\0132\032.shallothold." +
+      "PublishedItem*S\n\004Role\022\024\n\020ROLE_UNSPECIFIE" +
+      "D\020\000\022\020\n\014ROLE_GATEWAY\020\001\022\020\n\014ROLE_SIDECAR\020\002\022" +
+      "\021\n\rROLE_OPERATOR\020\003*v\n\nFinishKind\022\033\n\027FINI" +
+      "SH_KIND_UNSPECIFIED\020\000\022\030\n\024FINISH_KIND_COM" +
+      "PLETE\020\001\022\026\n\022FINISH_KIND_BROKEN\020\002\022\031\n\025FINIS" +
+      "H_KIND_CANCELLED\020\003*d\n\013VerdictKind\022\034\n\030VER" +
+      "DICT_KIND_UNSPECIFIED\020\000\022\030\n\024VERDICT_KIND_" +
+      "NOT_RUN\020\001\022\035\n\031VERDICT_KIND_MAY_HAVE_RUN\020\002" +
+      "*q\n\016PublishedTopic\022\037\n\033PUBLISHED_TOPIC_UN" +
+      "SPECIFIED\020\000\022!\n\035PUBLISHED_TOPIC_CONFIGURA" +
+      "TION\020\001\022\033\n\027PUBLISHED_TOPIC_SERVERS\020\002B\036\n\032o" +
+      "rg.shallothold.wire.protoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -591,39 +610,51 @@
     internal_static_shallothold_FleetNews_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_shallothold_FleetNews_descriptor,
-        new java.lang.String[] { "ProcessId", "Address", "KnownAddresses", "ConfigurationChangedAt", "ServersChangedAt", "OpenWork", "PrefixReads", "Leaving", "TightLoad", });
+        new java.lang.String[] { "ProcessId", "Address", "KnownAddresses", "ConfigurationChangedAt", "ServersChangedAt", "OpenWork", "PrefixReads", "Leaving", "TightLoad", "EngineSpeeds", });
     internal_static_shallothold_FleetNews_TightLoadEntry_descriptor =
       internal_static_shallothold_FleetNews_descriptor.getNestedType(0);
     internal_static_shallothold_FleetNews_TightLoadEntry_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_shallothold_FleetNews_TightLoadEntry_descriptor,
         new java.lang.String[] { "Key", "Value", });
+    internal_static_shallothold_FleetNews_EngineSpeedsEntry_descriptor =
+      internal_static_shallothold_FleetNews_descriptor.getNestedType(1);
+    internal_static_shallothold_FleetNews_EngineSpeedsEntry_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_shallothold_FleetNews_EngineSpeedsEntry_descriptor,
+        new java.lang.String[] { "Key", "Value", });
     internal_static_shallothold_OpenWork_descriptor =
       getDescriptor().getMessageType(35);
     internal_static_shallothold_OpenWork_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_shallothold_OpenWork_descriptor,
-        new java.lang.String[] { "ServerId", "Requests", "ReadMillis", "TightStreams", "SentReadMillis", });
-    internal_static_shallothold_PrefixRead_descriptor =
+        new java.lang.String[] { "ServerId", "Requests", "ReadMillis", "TightStreams", "SentReadMillis", "LeavingLife", });
+    internal_static_shallothold_EngineSpeed_descriptor =
       getDescriptor().getMessageType(36);
+    internal_static_shallothold_EngineSpeed_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_shallothold_EngineSpeed_descriptor,
+        new java.lang.String[] { "TokenMillis", "PairMillis", "ReadSamples", "StepMillis", "StepSamples", "ReadingPauseMillis", "PauseSamples", });
+    internal_static_shallothold_PrefixRead_descriptor =
+      getDescriptor().getMessageType(37);
     internal_static_shallothold_PrefixRead_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_shallothold_PrefixRead_descriptor,
         new java.lang.String[] { "ServerId", "ChainHash", "Tokens", });
     internal_static_shallothold_PublishedRequest_descriptor =
-      getDescriptor().getMessageType(37);
+      getDescriptor().getMessageType(38);
     internal_static_shallothold_PublishedRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_shallothold_PublishedRequest_descriptor,
         new java.lang.String[] { "Topic", "AsOf", });
     internal_static_shallothold_PublishedItem_descriptor =
-      getDescriptor().getMessageType(38);
+      getDescriptor().getMessageType(39);
     internal_static_shallothold_PublishedItem_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_shallothold_PublishedItem_descriptor,
         new java.lang.String[] { "Key", "Value", "Revision", });
     internal_static_shallothold_PublishedItems_descriptor =
-      getDescriptor().getMessageType(39);
+      getDescriptor().getMessageType(40);
     internal_static_shallothold_PublishedItems_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_shallothold_PublishedItems_descriptor,
