--- a/core/src/main/java/org/shallothold/core/placement/EngineEstimator.java
+++ b/core/src/main/java/org/shallothold/core/placement/EngineEstimator.java
@@ -6,6 +6,7 @@
 import java.util.function.ToDoubleFunction;
 import java.util.function.ToIntFunction;
 import java.util.stream.Stream;
+import org.shallothold.core.route.RoutedService;
 
 /**
  * Estimates the speed of a service's engines from the answers that pass through a gateway, joined
@@ -33,6 +34,7 @@
   private final QuantileEstimate readingPause = QuantileEstimate.of(PAUSE_QUANTILE);
   private final Map<String, EngineEstimate> peers = new HashMap<>();
   private int tokensPerEvent = 1;
+  private double transferMillisPerToken = RoutedService.NO_TRANSFER;
   private EngineFigures figures;
 
   private EngineEstimator() {
@@ -44,14 +46,20 @@
     return new EngineEstimator();
   }
 
-  /** Sets how many tokens an event of a stream holds, which the configuration tells. */
-  public void tokensPerEvent(int tokens) {
-    if (tokens != tokensPerEvent) {
-      tokensPerEvent = Math.max(1, tokens);
+  /** Takes what the configuration tells of the engines. */
+  public void configured(RoutedService service) {
+    transferMillisPerToken = service.transferMillisPerToken();
+    if (service.tokensPerEvent() != tokensPerEvent) {
+      tokensPerEvent = Math.max(1, service.tokensPerEvent());
       figures = merged();
     }
   }
 
+  /** Returns the time in which an engine gets one cached token from another one. */
+  public double transferMillisPerToken() {
+    return transferMillisPerToken;
+  }
+
   /** Returns the present estimate. */
   public EngineFigures figures() {
     return figures;
--- a/core/src/main/java/org/shallothold/core/placement/EnginePlacement.java
+++ b/core/src/main/java/org/shallothold/core/placement/EnginePlacement.java
@@ -45,6 +45,11 @@
   // Counting all open streams takes longer than a choice; their number changes slowly.
   private static final long COUNT_LIFE_MILLIS = 100;
 
+  // Time until a transfer begins; transfers of one engine follow each other.
+  private static final double TRANSFER_SETUP_MILLIS = 10;
+  // A transfer is used where it takes less than this part of the time to read.
+  private static final double WORTHWHILE_TRANSFER = 0.7;
+
   private final EngineEstimator estimator;
   private final String failureDomain;
   private final PauseRisk pauseRisk = new PauseRisk();
@@ -124,7 +129,30 @@
             server ->
                 assess(server, request, chain, laneCost(tight, lane.contains(server)), nowMillis))
         .min(Comparator.comparingDouble(Choice::cost))
-        .map(Choice::placement);
+        .map(Choice::placement)
+        .map(choice -> withCacheSource(choice, work, chain, usable));
+  }
+
+  /** Adds an engine that caches more of the prompt, if getting that is much faster than reading. */
+  private Placement withCacheSource(
+      Placement choice, Work work, long[] chain, List<ServerModel> reachable) {
+    EngineFigures figures = estimator.figures();
+    return reachable.stream()
+        .filter(server -> server != choice.server())
+        .max(Comparator.comparingInt(server -> server.cachedTokens(chain, work)))
+        .flatMap(
+            source -> {
+              int cached = Math.min(source.cachedTokens(chain, work), work.promptTokens());
+              int missing = cached - choice.cachedTokens();
+              double total =
+                  TRANSFER_SETUP_MILLIS
+                      + missing * estimator.transferMillisPerToken()
+                      + figures.readMillis(work.promptTokens(), cached);
+              return missing > 0 && total < choice.readMillis() * WORTHWHILE_TRANSFER
+                  ? Optional.of(choice.withCacheSource(source, cached, total))
+                  : Optional.empty();
+            })
+        .orElse(choice);
   }
 
   /** Returns how many of the engines are kept for streams with a short pause target. */
@@ -196,6 +224,7 @@
             (backlog + read) * slowness,
             backlog * slowness,
             cached,
+            null,
             request.tight(),
             pauseRoom),
         cost);
--- a/core/src/main/java/org/shallothold/core/placement/Placement.java
+++ b/core/src/main/java/org/shallothold/core/placement/Placement.java
@@ -1,5 +1,7 @@
 package org.shallothold.core.placement;
 
+import org.jspecify.annotations.Nullable;
+
 /**
  * Choice of a server.
  *
@@ -8,6 +10,8 @@
  * @param expectedMillis estimated time to the first event or the answer, in milliseconds
  * @param backlogMillis estimated time until the server begins to read the prompt
  * @param cachedTokens tokens of the prompt that are probably cached there
+ * @param cacheSource engine from which the server is to get cached parts that it lacks; null to
+ *     read them
  * @param tight whether reading at the server can break the stream's pause target
  * @param pauseRoomMillis backlog up to which the pause target of a tight stream holds; {@link
  *     #NO_PAUSE_LIMIT} for others
@@ -18,6 +22,7 @@
     double expectedMillis,
     double backlogMillis,
     int cachedTokens,
+    @Nullable ServerModel cacheSource,
     boolean tight,
     double pauseRoomMillis) {
 
@@ -26,6 +31,23 @@
 
   /** Returns a choice of a server whose answers have no pauses that reading could break. */
   public static Placement ofWholeAnswer(ServerModel server, double expectedMillis) {
-    return new Placement(server, 0, expectedMillis, 0, 0, false, NO_PAUSE_LIMIT);
+    return new Placement(server, 0, expectedMillis, 0, 0, null, false, NO_PAUSE_LIMIT);
+  }
+
+  /**
+   * Returns the same choice, with cached parts that come from another engine.
+   *
+   * @param totalReadMillis time to get them and to read the rest of the prompt
+   */
+  Placement withCacheSource(ServerModel source, int tokens, double totalReadMillis) {
+    return new Placement(
+        server,
+        totalReadMillis,
+        expectedMillis - readMillis + totalReadMillis,
+        backlogMillis,
+        tokens,
+        source,
+        tight,
+        pauseRoomMillis);
   }
 }
--- a/core/src/main/java/org/shallothold/core/route/RoutedService.java
+++ b/core/src/main/java/org/shallothold/core/route/RoutedService.java
@@ -8,9 +8,19 @@
  * @param modelEngine whether its backend servers are model engines
  * @param cacheTokens tokens that an engine's memory holds; 0 for plain services
  * @param tokensPerEvent tokens that one event of an engine's stream holds; 1 for plain services
+ * @param transferMillisPerToken time in which an engine gets one cached token from another engine,
+ *     in milliseconds; {@link #NO_TRANSFER} if it can't
  */
 public record RoutedService(
-    String name, int connectionLimit, boolean modelEngine, long cacheTokens, int tokensPerEvent) {
+    String name,
+    int connectionLimit,
+    boolean modelEngine,
+    long cacheTokens,
+    int tokensPerEvent,
+    double transferMillisPerToken) {
+
+  /** Engines of the service can't get cached tokens from each other. */
+  public static final double NO_TRANSFER = Double.POSITIVE_INFINITY;
 
   /**
    * Returns how many connections one of several gateways may have to a backend server. A server
--- a/core/src/test/java/org/shallothold/core/placement/EngineAdmissionTest.java
+++ b/core/src/test/java/org/shallothold/core/placement/EngineAdmissionTest.java
@@ -20,7 +20,7 @@
     ServerModel server =
         ServerModel.of(new ServerEntry("e", "pool", "10.0.0.1", 80, "north", 64, false, 1));
     return new Placement(
-        server, 80, backlogMillis + 80, backlogMillis, 0, false, Placement.NO_PAUSE_LIMIT);
+        server, 80, backlogMillis + 80, backlogMillis, 0, null, false, Placement.NO_PAUSE_LIMIT);
   }
 
   /** Returns the choice of an engine whose streams have pause targets that reading can break. */
@@ -36,6 +36,7 @@
         backlogMillis + choice.readMillis(),
         backlogMillis,
         0,
+        null,
         choice.tight(),
         choice.pauseRoomMillis());
   }
--- a/core/src/test/java/org/shallothold/core/placement/EngineEstimatorTest.java
+++ b/core/src/test/java/org/shallothold/core/placement/EngineEstimatorTest.java
@@ -7,6 +7,7 @@
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.shallothold.core.route.RoutedService;
 
 /** What a gateway learns of engines that it has no figures of. */
 class EngineEstimatorTest {
@@ -86,7 +87,8 @@
 
     @Test
     void whileReadingAreBoundedOnceTheyAreSeen() {
-      estimator.tokensPerEvent(5);
+      estimator.configured(
+          new RoutedService("pool", 100, true, 570_000, 5, RoutedService.NO_TRANSFER));
       IntStream.range(0, 100).forEach(number -> estimator.quietPause(18 + random.nextInt(5)));
       IntStream.range(0, 100).forEach(number -> estimator.readingPause(180 + random.nextInt(40)));
       double longest = estimator.figures().pauseMillis(5_000);
@@ -101,7 +103,8 @@
     /** Guards against a restarted gateway that learns everything anew under load. */
     @Test
     void areBelievedAtOnce() {
-      estimator.tokensPerEvent(5);
+      estimator.configured(
+          new RoutedService("pool", 100, true, 570_000, 5, RoutedService.NO_TRANSFER));
       estimator.peer("peer", new EngineEstimate(0.01, 0.1, 100, 7, 100, 400, 100));
       assertEquals(0.01, estimator.figures().tokenMillis());
       assertEquals(400, estimator.figures().pauseMillis(5_000), 1);
--- a/core/src/test/java/org/shallothold/core/placement/EnginePlacementTest.java
+++ b/core/src/test/java/org/shallothold/core/placement/EnginePlacementTest.java
@@ -3,6 +3,8 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
@@ -12,6 +14,7 @@
 import org.junit.jupiter.api.Test;
 import org.shallothold.core.membership.ServerEntry;
 import org.shallothold.core.route.Rank;
+import org.shallothold.core.route.RoutedService;
 
 /** Which engine a request goes to, by the pattern of load. */
 class EnginePlacementTest {
@@ -162,6 +165,66 @@
     }
   }
 
+  /** Engines that get cached parts from each other much faster than they read them. */
+  @Nested
+  class Transfers {
+
+    private static final double MILLIS_PER_TOKEN = 0.005;
+
+    private EnginePlacement policyWith(double transferMillisPerToken) {
+      EngineEstimator known = TestEngines.denseModel();
+      known.configured(
+          new RoutedService("pool", 100, true, CACHE_TOKENS, 5, transferMillisPerToken));
+      return EnginePlacement.of(known, "north");
+    }
+
+    /** Makes the engine that caches the part so busy that another one is chosen. */
+    private Placement placeBesideABusyEngine(EnginePlacement chooser) {
+      Work first = digest(5, 1);
+      ServerModel cached =
+          chooser.choose(first, engines, EnginePlacementTest::isExcluded, 0).orElseThrow().server();
+      cached.sent(1, first, 300, false, 0);
+      LongStream.range(10, 20)
+          .forEach(number -> cached.sent(number, digest(number, number), 300, false, 0));
+      Placement second =
+          chooser.choose(digest(5, 2), engines, EnginePlacementTest::isExcluded, 1).orElseThrow();
+      assertNotEquals(cached, second.server());
+      return second;
+    }
+
+    /** Guards against a burst in which shared parts are read again at each engine. */
+    @Test
+    void replaceReadingAPartAgain() {
+      Placement placement = placeBesideABusyEngine(policyWith(MILLIS_PER_TOKEN));
+      assertNotNull(placement.cacheSource());
+      assertEquals(13_300, placement.cachedTokens());
+      assertTrue(placement.readMillis() < 180, "reads for " + placement.readMillis());
+    }
+
+    /** Guards against transfers that take as long as reading. */
+    @Test
+    void areNotUsedWhenTheyAreSlow() {
+      assertNull(placeBesideABusyEngine(policyWith(0.03)).cacheSource());
+      assertNull(placeBesideABusyEngine(policyWith(RoutedService.NO_TRANSFER)).cacheSource());
+    }
+
+    /** Guards against a transfer from an engine that can't be reached. */
+    @Test
+    void areNotAskedOfEnginesOutOfReach() {
+      EnginePlacement chooser = policyWith(MILLIS_PER_TOKEN);
+      Work first = digest(5, 1);
+      ServerModel cached =
+          chooser.choose(first, engines, EnginePlacementTest::isExcluded, 0).orElseThrow().server();
+      cached.sent(1, first, 300, false, 0);
+      cached.unreachable(1);
+      assertNull(
+          chooser
+              .choose(digest(5, 2), engines, EnginePlacementTest::isExcluded, 2)
+              .orElseThrow()
+              .cacheSource());
+    }
+  }
+
   /**
    * Engines whose chunks are so long that reading breaks pause targets which are met elsewhere,
    * with many streams of such a target that hardly read anything.
--- a/core/src/test/java/org/shallothold/core/placement/TestEngines.java
+++ b/core/src/test/java/org/shallothold/core/placement/TestEngines.java
@@ -1,5 +1,7 @@
 package org.shallothold.core.placement;
 
+import org.shallothold.core.route.RoutedService;
+
 /** Engines whose speed is known, as a gateway's peers would tell it. */
 final class TestEngines {
 
@@ -25,7 +27,8 @@
       double readingPauseMillis,
       int tokensPerEvent) {
     EngineEstimator estimator = EngineEstimator.create();
-    estimator.tokensPerEvent(tokensPerEvent);
+    estimator.configured(
+        new RoutedService("pool", 100, true, 570_000, tokensPerEvent, RoutedService.NO_TRANSFER));
     estimator.peer(
         "peer",
         new EngineEstimate(
--- a/core/src/test/java/org/shallothold/core/route/RoutingConfigurationTest.java
+++ b/core/src/test/java/org/shallothold/core/route/RoutingConfigurationTest.java
@@ -34,7 +34,7 @@
           List.of(
               route("short", "/x/", 2, new ServiceShare("desk", 1)),
               route("long", "/x/y/", 1, new ServiceShare("desk", 9), new ServiceShare("pool", 1))),
-          List.of(new RoutedService("desk", 10, false, 0, 1)),
+          List.of(new RoutedService("desk", 10, false, 0, 1, RoutedService.NO_TRANSFER)),
           true,
           Map.of("key", new CustomerIdentity("customer", CustomerIdentity.NO_PRIORITY)),
           CallerLimits.DEFAULT);
--- a/gateway/src/main/java/org/shallothold/gateway/forward/ForwardedRequest.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/ForwardedRequest.java
@@ -430,6 +430,7 @@
           .with("expected_millis", Math.round(placement.expectedMillis()))
           .with("backlog_millis", Math.round(placement.backlogMillis()))
           .with("cached_tokens", placement.cachedTokens())
+          .with("cache_source", cacheSourceAddress() == null ? "" : cacheSourceAddress())
           .with("open_requests", server.openRequests(Clock.millis()))
           .with("run", runs + 1L);
       server.sent(key, work, placement.readMillis(), placement.tight(), Clock.millis());
@@ -443,6 +444,11 @@
       return id == null ? "" : id;
     }
 
+    private @Nullable String cacheSourceAddress() {
+      ServerModel source = placement.cacheSource();
+      return source == null ? null : source.entry().host() + ":" + source.entry().port();
+    }
+
     private FullHttpRequest backendRequest(String serverId) {
       SendFacts sendFacts =
           new SendFacts(
@@ -450,7 +456,8 @@
               Math.max(1, left()),
               forwarder.urgencyLevel(service, work.rank()),
               customer == null ? null : customer.name(),
-              lastEventId);
+              lastEventId,
+              cacheSourceAddress());
       HttpHeaders headers = forwarder.translation().forward(request.head(), sendFacts);
       ByteBuf body = request.body().retainedDuplicate();
       if (body.isReadable() || headers.contains(HttpHeaderNames.CONTENT_LENGTH)) {
@@ -597,7 +604,8 @@
       }
       long now = Clock.millis();
       EngineEstimator estimator = known.get();
-      if (!firstEventSeen && runs == 1 && server.relativeSlowness() <= 1) {
+      boolean readAsUsual = placement.cacheSource() == null && server.relativeSlowness() <= 1;
+      if (!firstEventSeen && runs == 1 && readAsUsual) {
         estimator.firstEvent(
             work.promptTokens(),
             placement.cachedTokens(),
--- a/gateway/src/main/java/org/shallothold/gateway/forward/ServiceQueue.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/ServiceQueue.java
@@ -54,7 +54,7 @@
       state
           .configuration()
           .flatMap(known -> known.service(service))
-          .ifPresent(known -> engines.estimator().tokensPerEvent(known.tokensPerEvent()));
+          .ifPresent(known -> engines.estimator().configured(known));
       engines.requestArrived(request.work(), Clock.millis());
     }
   }
--- a/gateway/src/main/java/org/shallothold/gateway/forward/port/SendFacts.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/port/SendFacts.java
@@ -10,10 +10,12 @@
  * @param urgencyLevel place among the request's ranks, 0 is the most urgent
  * @param customer name of the caller's customer; null if it has none
  * @param resumeAfter last event that the caller has; -1 for a run from the start
+ * @param cacheSource address of an engine that caches more of the prompt; null to read it
  */
 public record SendFacts(
     String serverId,
     long deadlineMillis,
     int urgencyLevel,
     @Nullable String customer,
-    long resumeAfter) {}
+    long resumeAfter,
+    @Nullable String cacheSource) {}
--- a/gateway/src/test/java/org/shallothold/gateway/forward/ForwardFixture.java
+++ b/gateway/src/test/java/org/shallothold/gateway/forward/ForwardFixture.java
@@ -208,7 +208,7 @@
                   route("/stream-once/", CallKind.STREAM_ONCE),
                   route("/stream/", CallKind.STREAM_RESUMABLE),
                   route("/private/", CallKind.REPEATABLE)),
-              List.of(new RoutedService("desk", 10, false, 0, 1)),
+              List.of(new RoutedService("desk", 10, false, 0, 1, RoutedService.NO_TRANSFER)),
               true,
               Map.of("good", new CustomerIdentity("mill", CustomerIdentity.NO_PRIORITY)),
               CallerLimits.DEFAULT));
