--- a/core/src/main/java/org/shallothold/core/placement/EnginePlacement.java
+++ b/core/src/main/java/org/shallothold/core/placement/EnginePlacement.java
@@ -123,36 +123,19 @@
         inService.stream().limit(laneSize(inService.size(), nowMillis)).collect(Collectors.toSet());
     long[] chain = work.chain();
     boolean tight = pauseRisk.isAtRisk(work, figures);
-    Request request = new Request(work, tight, figures, pauseRisk.shortestTargetMillis(nowMillis));
+    Request request =
+        new Request(
+            work,
+            tight,
+            figures,
+            pauseRisk.shortestTargetMillis(nowMillis),
+            bestCacheSource(usable, work, chain));
     return usable.stream()
         .map(
             server ->
                 assess(server, request, chain, laneCost(tight, lane.contains(server)), nowMillis))
         .min(Comparator.comparingDouble(Choice::cost))
-        .map(Choice::placement)
-        .map(choice -> withCacheSource(choice, work, chain, usable));
-  }
-
-  /** Adds an engine that caches more of the prompt, if getting that is much faster than reading. */
-  private Placement withCacheSource(
-      Placement choice, Work work, long[] chain, List<ServerModel> reachable) {
-    EngineFigures figures = estimator.figures();
-    return reachable.stream()
-        .filter(server -> server != choice.server())
-        .max(Comparator.comparingInt(server -> server.cachedTokens(chain, work)))
-        .flatMap(
-            source -> {
-              int cached = Math.min(source.cachedTokens(chain, work), work.promptTokens());
-              int missing = cached - choice.cachedTokens();
-              double total =
-                  TRANSFER_SETUP_MILLIS
-                      + missing * estimator.transferMillisPerToken()
-                      + figures.readMillis(work.promptTokens(), cached);
-              return missing > 0 && total < choice.readMillis() * WORTHWHILE_TRANSFER
-                  ? Optional.of(choice.withCacheSource(source, cached, total))
-                  : Optional.empty();
-            })
-        .orElse(choice);
+        .map(Choice::placement);
   }
 
   /** Returns how many of the engines are kept for streams with a short pause target. */
@@ -192,14 +175,49 @@
    * @param shortestTargetMillis shortest pause target that reading puts at risk
    */
   private record Request(
-      Work work, boolean tight, EngineFigures figures, double shortestTargetMillis) {}
+      Work work,
+      boolean tight,
+      EngineFigures figures,
+      double shortestTargetMillis,
+      CacheSource source) {}
+
+  /**
+   * The engine in reach that caches most of a prompt.
+   *
+   * @param tokens tokens of the prompt that it caches
+   */
+  private record CacheSource(ServerModel server, int tokens) {}
+
+  private static CacheSource bestCacheSource(List<ServerModel> reachable, Work work, long[] chain) {
+    return reachable.stream()
+        .map(
+            server ->
+                new CacheSource(
+                    server, Math.min(server.cachedTokens(chain, work), work.promptTokens())))
+        .max(Comparator.comparingInt(CacheSource::tokens))
+        .orElseThrow();
+  }
+
+  /** Returns the time to get from a source what an engine lacks of it, and to read the rest. */
+  private double transferMillis(Request request, ServerModel server, int cached) {
+    CacheSource source = request.source();
+    if (source.server() == server || source.tokens() <= cached) {
+      return Double.POSITIVE_INFINITY;
+    }
+    return TRANSFER_SETUP_MILLIS
+        + (source.tokens() - cached) * estimator.transferMillisPerToken()
+        + request.figures().readMillis(request.work().promptTokens(), source.tokens());
+  }
 
   private Choice assess(
       ServerModel server, Request request, long[] chain, double laneCost, long nowMillis) {
     Work work = request.work();
     EngineFigures figures = request.figures();
     int cached = Math.min(server.cachedTokens(chain, work), work.promptTokens());
-    double read = figures.readMillis(work.promptTokens(), cached);
+    double alone = figures.readMillis(work.promptTokens(), cached);
+    double transfer = transferMillis(request, server, cached);
+    boolean transfers = transfer < alone * WORTHWHILE_TRANSFER;
+    double read = transfers ? transfer : alone;
     double slowness = server.relativeSlowness();
     double backlog = server.backlogMillis(nowMillis);
     int open = server.openRequests(nowMillis);
@@ -223,8 +241,8 @@
             read,
             (backlog + read) * slowness,
             backlog * slowness,
-            cached,
-            null,
+            transfers ? request.source().tokens() : cached,
+            transfers ? request.source().server() : null,
             request.tight(),
             pauseRoom),
         cost);
--- a/core/src/main/java/org/shallothold/core/placement/Placement.java
+++ b/core/src/main/java/org/shallothold/core/placement/Placement.java
@@ -33,21 +33,4 @@
   public static Placement ofWholeAnswer(ServerModel server, double expectedMillis) {
     return new Placement(server, 0, expectedMillis, 0, 0, null, false, NO_PAUSE_LIMIT);
   }
-
-  /**
-   * Returns the same choice, with cached parts that come from another engine.
-   *
-   * @param totalReadMillis time to get them and to read the rest of the prompt
-   */
-  Placement withCacheSource(ServerModel source, int tokens, double totalReadMillis) {
-    return new Placement(
-        server,
-        totalReadMillis,
-        expectedMillis - readMillis + totalReadMillis,
-        backlogMillis,
-        tokens,
-        source,
-        tight,
-        pauseRoomMillis);
-  }
 }
