--- a/core/src/main/java/org/shallothold/core/placement/EnginePlacement.java
+++ b/core/src/main/java/org/shallothold/core/placement/EnginePlacement.java
@@ -7,6 +7,8 @@
 import java.util.Set;
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import org.jspecify.annotations.Nullable;
 import org.shallothold.core.hash.Hashing;
 
 /**
@@ -57,6 +59,7 @@
   private double otherDemand;
   private long demandMillis;
   private double peersTightLoad;
+  private @Nullable Fleet fleet;
   private OpenStreams openStreams = new OpenStreams(0, 0, 0, Long.MIN_VALUE / 2);
 
   /**
@@ -68,6 +71,19 @@
    */
   private record OpenStreams(int tight, int all, int slotsOfOne, long countedMillis) {}
 
+  /**
+   * The engines at one moment.
+   *
+   * @param servers all engines of the service
+   * @param inService those that take new work, in an order that all gateways share
+   * @param lane those that are kept for streams whose pause target is at risk
+   */
+  private record Fleet(
+      Collection<ServerModel> servers,
+      List<ServerModel> inService,
+      Set<ServerModel> lane,
+      long madeMillis) {}
+
   private EnginePlacement(EngineEstimator estimator, String failureDomain) {
     this.estimator = estimator;
     this.failureDomain = failureDomain;
@@ -110,34 +126,49 @@
   @Override
   public Optional<Placement> choose(
       Work work, Collection<ServerModel> servers, Predicate<ServerModel> excluded, long nowMillis) {
-    List<ServerModel> inService = PlacementPolicy.inService(servers);
-    List<ServerModel> usable = PlacementPolicy.reachable(inService, excluded, nowMillis);
+    Fleet current = fleet(servers, nowMillis);
+    List<ServerModel> usable = PlacementPolicy.reachable(current.inService(), excluded, nowMillis);
     if (usable.isEmpty()) {
       return Optional.empty();
     }
-    PlacementPolicy.compareSlowness(usable);
-    countStreams(inService, nowMillis);
     EngineFigures figures = estimator.figures();
-    // Engines out of reach keep their places, so that gateways that reach them agree with others.
-    Set<ServerModel> lane =
-        inService.stream().limit(laneSize(inService.size(), nowMillis)).collect(Collectors.toSet());
     long[] chain = work.chain();
-    boolean tight = pauseRisk.isAtRisk(work, figures);
+    int[] cached =
+        usable.stream()
+            .mapToInt(server -> Math.min(server.cachedTokens(chain, work), work.promptTokens()))
+            .toArray();
     Request request =
         new Request(
             work,
-            tight,
+            pauseRisk.isAtRisk(work, figures),
             figures,
             pauseRisk.shortestTargetMillis(nowMillis),
-            bestCacheSource(usable, work, chain));
-    return usable.stream()
-        .map(
-            server ->
-                assess(server, request, chain, laneCost(tight, lane.contains(server)), nowMillis))
+            affinity(chain),
+            CacheSource.best(usable, cached));
+    return IntStream.range(0, usable.size())
+        .mapToObj(
+            index -> assess(usable.get(index), cached[index], request, current.lane(), nowMillis))
         .min(Comparator.comparingDouble(Choice::cost))
         .map(Choice::placement);
   }
 
+  /** Returns the engines as they are now; requests that are looked at together share the result. */
+  private Fleet fleet(Collection<ServerModel> servers, long nowMillis) {
+    Fleet known = fleet;
+    if (known != null && known.servers() == servers && known.madeMillis() == nowMillis) {
+      return known;
+    }
+    List<ServerModel> inService = PlacementPolicy.inService(servers);
+    PlacementPolicy.compareSlowness(inService);
+    countStreams(inService, nowMillis);
+    // Engines out of reach keep their places, so that gateways that reach them agree with others.
+    Set<ServerModel> lane =
+        inService.stream().limit(laneSize(inService.size(), nowMillis)).collect(Collectors.toSet());
+    Fleet made = new Fleet(servers, inService, lane, nowMillis);
+    fleet = made;
+    return made;
+  }
+
   /** Returns how many of the engines are kept for streams with a short pause target. */
   int laneSize(int engines, long nowMillis) {
     double load = tightLoad(nowMillis) + peersTightLoad;
@@ -173,12 +204,15 @@
    *
    * @param tight whether its pause target is at risk
    * @param shortestTargetMillis shortest pause target that reading puts at risk
+   * @param affinity hash of the last part that other requests share
+   * @param source engine from which others can get the parts that it caches
    */
   private record Request(
       Work work,
       boolean tight,
       EngineFigures figures,
       double shortestTargetMillis,
+      long affinity,
       CacheSource source) {}
 
   /**
@@ -186,16 +220,14 @@
    *
    * @param tokens tokens of the prompt that it caches
    */
-  private record CacheSource(ServerModel server, int tokens) {}
+  private record CacheSource(ServerModel server, int tokens) {
 
-  private static CacheSource bestCacheSource(List<ServerModel> reachable, Work work, long[] chain) {
-    return reachable.stream()
-        .map(
-            server ->
-                new CacheSource(
-                    server, Math.min(server.cachedTokens(chain, work), work.promptTokens())))
-        .max(Comparator.comparingInt(CacheSource::tokens))
-        .orElseThrow();
+    private static CacheSource best(List<ServerModel> reachable, int[] cached) {
+      return IntStream.range(0, cached.length)
+          .mapToObj(index -> new CacheSource(reachable.get(index), cached[index]))
+          .max(Comparator.comparingInt(CacheSource::tokens))
+          .orElseThrow();
+    }
   }
 
   /** Returns the time to get from a source what an engine lacks of it, and to read the rest. */
@@ -210,10 +242,9 @@
   }
 
   private Choice assess(
-      ServerModel server, Request request, long[] chain, double laneCost, long nowMillis) {
+      ServerModel server, int cached, Request request, Set<ServerModel> lane, long nowMillis) {
     Work work = request.work();
     EngineFigures figures = request.figures();
-    int cached = Math.min(server.cachedTokens(chain, work), work.promptTokens());
     double alone = figures.readMillis(work.promptTokens(), cached);
     double transfer = transferMillis(request, server, cached);
     boolean transfers = transfer < alone * WORTHWHILE_TRANSFER;
@@ -221,12 +252,13 @@
     double slowness = server.relativeSlowness();
     double backlog = server.backlogMillis(nowMillis);
     int open = server.openRequests(nowMillis);
-    double cost = (backlog + read * READ_WEIGHT) * slowness + laneCost;
+    double cost = (backlog + read * READ_WEIGHT) * slowness;
+    cost += laneCost(request.tight(), lane.contains(server));
     if (figures.pauseMillis(backlog + read) * slowness
         > request.shortestTargetMillis() * PAUSE_MARGIN) {
       cost += BROKEN_PAUSE_COST_MILLIS * server.tightStreams(nowMillis);
     }
-    cost += RANK_COST_MILLIS * Hashing.unit(affinity(chain), server.idHash());
+    cost += RANK_COST_MILLIS * Hashing.unit(request.affinity(), server.idHash());
     cost += FAILURE_COST_MILLIS * server.failureRate();
     cost += open * figures.stepMillis() / 2;
     cost += open >= server.entry().slots() ? FULL_COST_MILLIS : 0;
--- a/core/src/main/java/org/shallothold/core/placement/ServerModel.java
+++ b/core/src/main/java/org/shallothold/core/placement/ServerModel.java
@@ -1,6 +1,7 @@
 package org.shallothold.core.placement;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import org.shallothold.core.hash.Hashing;
 import org.shallothold.core.membership.ServerEntry;
@@ -31,6 +32,8 @@
   // Paced reading beyond the prompts that are known to wait for their first event, in milliseconds:
   // estimates that were too high must not keep work away from an engine that has read everything.
   private static final double MAX_PACED_DEBT_MILLIS = 100;
+  // Sums over the peers are used for as long as a round of choices takes.
+  private static final long PEER_SUM_LIFE_MILLIS = 20;
   // Pauses of more streams than one tell the same of their engine.
   private static final long PAUSE_SAMPLE_SPACING_MILLIS = 40;
   // Of the prompts being read a part has been read already.
@@ -41,8 +44,12 @@
   private final PrefixCacheEstimate cache = new PrefixCacheEstimate();
 
   private final Map<Long, OpenWork> open = new HashMap<>();
+  // Sums over the open work, which every choice of a server asks for.
+  private double unreadMillis;
+  private int tightStreams;
   private final Map<String, PeerLoad> peers = new HashMap<>();
   private final Map<String, Double> peersSentMillis = new HashMap<>();
+  private PeerSum peerSum = PeerSum.NONE;
   private double sentReadMillis;
   private double pacedMillis;
   private long pacedAtMillis;
@@ -77,6 +84,10 @@
    */
   public record PeerLoad(int requests, double readMillis, int tightStreams, long receivedMillis) {}
 
+  private record PeerSum(int requests, double readMillis, int tightStreams, long madeMillis) {
+    private static final PeerSum NONE = new PeerSum(0, 0, 0, Long.MIN_VALUE / 2);
+  }
+
   private ServerModel(ServerEntry entry) {
     this.entry = entry;
     this.idHash = Hashing.of(entry.id());
@@ -115,7 +126,10 @@
    * @param tight whether reading puts its pause target at risk
    */
   public void sent(long request, Work work, double readMillis, boolean tight, long nowMillis) {
+    ended(request);
     open.put(request, new OpenWork(readMillis, tight, nowMillis, false));
+    unreadMillis += readMillis;
+    tightStreams += tight ? 1 : 0;
     sentReadMillis += readMillis;
     addPaced(readMillis, nowMillis);
     long[] chain = work.chain();
@@ -154,6 +168,7 @@
       return;
     }
     open.put(request, work.begun());
+    unreadMillis -= work.readMillis();
     double observed = Math.max(1, nowMillis - work.sentMillis());
     double ratio = observed / Math.max(MIN_EXPECTED_MILLIS, expectedMillis);
     slowness += SLOWNESS_WEIGHT * (Math.clamp(ratio, MIN_SLOWNESS, MAX_SLOWNESS) - slowness);
@@ -161,7 +176,16 @@
 
   /** Notes that a request has ended at the server, or that it was never sent. */
   public void ended(long request) {
-    open.remove(request);
+    OpenWork work = open.remove(request);
+    if (work == null) {
+      return;
+    }
+    unreadMillis -= work.readMillis();
+    tightStreams -= work.tight() ? 1 : 0;
+    if (open.isEmpty()) {
+      // Drops the rounding errors of many additions.
+      unreadMillis = 0;
+    }
   }
 
   /** Notes a whole answer. */
@@ -228,11 +252,13 @@
   /** Takes a peer's news of its open work. */
   public void peerLoad(String peer, PeerLoad load) {
     peers.put(peer, load);
+    peerSum = PeerSum.NONE;
   }
 
   /** Forgets what a peer told of its open work. */
   public void forgetPeer(String peer) {
     peers.remove(peer);
+    peerSum = PeerSum.NONE;
   }
 
   /** Takes a peer's news that the server reads or uses a part at the end of a chain. */
@@ -242,9 +268,7 @@
 
   /** Returns this gateway's open work, as told to peers. */
   public PeerLoad ownLoad(long nowMillis) {
-    double reading = open.values().stream().mapToDouble(OpenWork::readMillis).sum();
-    int tight = (int) open.values().stream().filter(OpenWork::tight).count();
-    return new PeerLoad(open.size(), reading, tight, nowMillis);
+    return new PeerLoad(open.size(), Math.max(0, unreadMillis), tightStreams, nowMillis);
   }
 
   /** Returns the open requests of this gateway; each has a connection of its own. */
@@ -254,9 +278,7 @@
 
   /** Returns the open requests of this gateway and its peers. */
   public int openRequests(long nowMillis) {
-    int others =
-        peers.values().stream().filter(l -> fresh(l, nowMillis)).mapToInt(PeerLoad::requests).sum();
-    int known = open.size() + others;
+    int known = open.size() + peerSum(nowMillis).requests();
     if (nowMillis - reportMillis > REPORT_LIFE_MILLIS) {
       return known;
     }
@@ -266,17 +288,7 @@
 
   /** Returns the time to read all prompts that wait or are read now, in milliseconds. */
   public double backlogMillis(long nowMillis) {
-    double own =
-        open.values().stream()
-            .mapToDouble(work -> Math.max(0, work.readMillis() * REST_OF_READ))
-            .sum();
-    double others =
-        peers.values().stream()
-            .filter(load -> fresh(load, nowMillis))
-            .mapToDouble(
-                load -> Math.max(0, load.readMillis() - (nowMillis - load.receivedMillis())))
-            .sum();
-    double unread = own + others;
+    double unread = Math.max(0, unreadMillis) * REST_OF_READ + peerSum(nowMillis).readMillis();
     return Math.max(unread, Math.min(paced(nowMillis), unread + MAX_PACED_DEBT_MILLIS));
   }
 
@@ -309,12 +321,25 @@
 
   /** Returns the open streams whose pause target reading puts at risk. */
   int tightStreams(long nowMillis) {
-    int own = (int) open.values().stream().filter(OpenWork::tight).count();
-    return own
-        + peers.values().stream()
-            .filter(load -> fresh(load, nowMillis))
-            .mapToInt(PeerLoad::tightStreams)
-            .sum();
+    return tightStreams + peerSum(nowMillis).tightStreams();
+  }
+
+  /** Returns the sum of the peers' news, of which the reading done since then is taken off. */
+  private PeerSum peerSum(long nowMillis) {
+    if (nowMillis - peerSum.madeMillis() >= PEER_SUM_LIFE_MILLIS) {
+      List<PeerLoad> fresh =
+          peers.values().stream().filter(load -> fresh(load, nowMillis)).toList();
+      peerSum =
+          new PeerSum(
+              fresh.stream().mapToInt(PeerLoad::requests).sum(),
+              fresh.stream()
+                  .mapToDouble(
+                      load -> Math.max(0, load.readMillis() - (nowMillis - load.receivedMillis())))
+                  .sum(),
+              fresh.stream().mapToInt(PeerLoad::tightStreams).sum(),
+              nowMillis);
+    }
+    return peerSum;
   }
 
   int cachedTokens(long[] chain, Work work) {
