--- a/core/src/main/java/org/shallothold/core/placement/EnginePlacement.java
+++ b/core/src/main/java/org/shallothold/core/placement/EnginePlacement.java
@@ -99,6 +99,17 @@
     return estimator;
   }
 
+  /** Returns the pause targets that reading puts at risk, in milliseconds, in ascending order. */
+  public List<Long> pauseTargetsAtRisk() {
+    return pauseRisk.targetsAtRisk();
+  }
+
+  /** Returns how many engines were kept for streams with such targets at the last choice. */
+  public int enginesKept() {
+    Fleet last = fleet;
+    return last == null ? 0 : last.lane().size();
+  }
+
   /** Notes a request for an engine, whether it is sent or not. */
   public void requestArrived(Work work, long nowMillis) {
     fade(nowMillis);
--- a/core/src/main/java/org/shallothold/core/placement/PauseRisk.java
+++ b/core/src/main/java/org/shallothold/core/placement/PauseRisk.java
@@ -1,6 +1,7 @@
 package org.shallothold.core.placement;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 
 /**
@@ -46,6 +47,15 @@
     return now;
   }
 
+  /** Returns the pause targets that reading puts at risk, in milliseconds, in ascending order. */
+  List<Long> targetsAtRisk() {
+    return atRiskByTarget.entrySet().stream()
+        .filter(Map.Entry::getValue)
+        .map(Map.Entry::getKey)
+        .sorted()
+        .toList();
+  }
+
   /** Returns the longest reading between two events; prompts bound it while engines' is unknown. */
   private double longestReadMillis(EngineFigures figures) {
     boolean boundKnown = figures.readingPauseMillis() < EngineFigures.UNKNOWN_PAUSE;
--- a/gateway/src/main/java/org/shallothold/gateway/forward/ForwardingGateway.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/ForwardingGateway.java
@@ -33,6 +33,7 @@
 public final class ForwardingGateway {
 
   private static final long MAINTENANCE_MILLIS = 500;
+  private static final long ENGINE_REPORT_MILLIS = 5_000;
   // The platform needs two missed questions, a second apart, to stop sending new connections.
   private static final long ROTATION_MILLIS = 2_600;
   private static final long DRAIN_POLL_MILLIS = 50;
@@ -141,6 +142,12 @@
     source.start(eventLoop, state);
     eventLoop.scheduleAtFixedRate(
         state::maintain, MAINTENANCE_MILLIS, MAINTENANCE_MILLIS, TimeUnit.MILLISECONDS);
+    eventLoop.scheduleAtFixedRate(
+        this::reportEngines, ENGINE_REPORT_MILLIS, ENGINE_REPORT_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
+  private void reportEngines() {
+    forwarder.queues().values().forEach(queue -> queue.describeEngines().ifPresent(log::add));
   }
 
   private StatusListener.Answer readiness(String path) {
--- a/gateway/src/main/java/org/shallothold/gateway/forward/ServiceQueue.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/ServiceQueue.java
@@ -8,7 +8,9 @@
 import java.util.function.Predicate;
 import org.shallothold.core.placement.AdmissionDecision;
 import org.shallothold.core.placement.EngineAdmission;
+import org.shallothold.core.placement.EngineEstimate;
 import org.shallothold.core.placement.EngineEstimator;
+import org.shallothold.core.placement.EngineFigures;
 import org.shallothold.core.placement.EnginePlacement;
 import org.shallothold.core.placement.Placement;
 import org.shallothold.core.placement.PlacementPolicy;
@@ -16,6 +18,7 @@
 import org.shallothold.core.placement.ServerModel;
 import org.shallothold.core.placement.WaitingRoom;
 import org.shallothold.core.verdict.ReasonCode;
+import org.shallothold.runtime.logging.LogLine;
 
 /**
  * The requests for one service that are not at a server yet. Requests for model engines may wait
@@ -24,6 +27,8 @@
 final class ServiceQueue {
 
   private static final long DISPATCH_MILLIS = 20;
+  // Longer than any prompt takes; a pause of this length means that no bound is known.
+  private static final double LONGEST_READ_MILLIS = 60_000;
   // Requests further back are not looked at in one round, so that a round stays short.
   private static final int DISPATCH_LIMIT = 48;
 
@@ -66,6 +71,29 @@
         : Optional.empty();
   }
 
+  /** Returns a line with what is known of the engines' speed; empty for plain services. */
+  Optional<LogLine> describeEngines() {
+    return switch (policy) {
+      case PlainPlacement plain -> Optional.empty();
+      case EnginePlacement engines -> {
+        EngineFigures figures = engines.estimator().figures();
+        EngineEstimate own = engines.estimator().own();
+        yield Optional.of(
+            LogLine.of("engine_speed")
+                .with("service", service)
+                .with("token_micros", Math.round(figures.tokenMillis() * 1_000))
+                .with("million_pairs_micros", Math.round(figures.pairMillis() * 1_000))
+                .with("step_micros", Math.round(figures.stepMillis() * 1_000))
+                .with("longest_pause_millis", Math.round(figures.pauseMillis(LONGEST_READ_MILLIS)))
+                .with("read_samples", own.readSamples())
+                .with("pause_samples", own.pauseSamples())
+                .with("pause_targets_at_risk", engines.pauseTargetsAtRisk().toString())
+                .with("engines_kept", engines.enginesKept())
+                .with("waiting", room.size()));
+      }
+    };
+  }
+
   /** Returns the work of streams with a short pause target, in engines. */
   double tightLoad() {
     return policy instanceof EnginePlacement engines ? engines.tightLoad(Clock.millis()) : 0;
