--- a/core/src/main/java/org/shallothold/core/placement/EngineEstimator.java
+++ b/core/src/main/java/org/shallothold/core/placement/EngineEstimator.java
@@ -19,6 +19,8 @@
   private static final double PRIOR_STEP_MILLIS = 5;
   // With fewer samples a value is not used.
   private static final int LEAST_SAMPLES = 8;
+  // The longest pause needs more: taken for too short, streams would be sent to engines that read.
+  private static final int LEAST_PAUSE_SAMPLES = 40;
   // A gateway's weight among its peers grows up to this number of samples.
   private static final int MAX_WEIGHT = 200;
   // Shorter reads are hidden by the delays of the network and of steps.
@@ -27,7 +29,7 @@
   private static final double IDLE_BACKLOG_MILLIS = 1;
   private static final double MEDIAN = 0.5;
   // Chunks differ by the attention of their prompts; the longer ones decide whether pauses hold.
-  private static final double PAUSE_QUANTILE = 0.75;
+  private static final double PAUSE_QUANTILE = 0.85;
 
   private final ReadingCostFilter reading = ReadingCostFilter.create();
   private final QuantileEstimate quietPause = QuantileEstimate.of(MEDIAN);
@@ -124,16 +126,32 @@
   private EngineFigures merged() {
     List<EngineEstimate> all = Stream.concat(Stream.of(own()), peers.values().stream()).toList();
     double step =
-        mean(all, EngineEstimate::stepMillis, EngineEstimate::stepSamples, PRIOR_STEP_MILLIS);
+        mean(
+            all,
+            EngineEstimate::stepMillis,
+            EngineEstimate::stepSamples,
+            LEAST_SAMPLES,
+            PRIOR_STEP_MILLIS);
     double pause =
         mean(
             all,
             EngineEstimate::readingPauseMillis,
             EngineEstimate::pauseSamples,
+            LEAST_PAUSE_SAMPLES,
             EngineFigures.UNKNOWN_PAUSE);
     return new EngineFigures(
-        mean(all, EngineEstimate::tokenMillis, EngineEstimate::readSamples, reading.tokenMillis()),
-        mean(all, EngineEstimate::pairMillis, EngineEstimate::readSamples, reading.pairMillis()),
+        mean(
+            all,
+            EngineEstimate::tokenMillis,
+            EngineEstimate::readSamples,
+            LEAST_SAMPLES,
+            reading.tokenMillis()),
+        mean(
+            all,
+            EngineEstimate::pairMillis,
+            EngineEstimate::readSamples,
+            LEAST_SAMPLES,
+            reading.pairMillis()),
         step,
         Math.max(0, pause - tokensPerEvent * step),
         tokensPerEvent);
@@ -143,9 +161,10 @@
       List<EngineEstimate> all,
       ToDoubleFunction<EngineEstimate> value,
       ToIntFunction<EngineEstimate> samples,
+      int leastSamples,
       double otherwise) {
     int weight = all.stream().mapToInt(estimate -> weight(samples.applyAsInt(estimate))).sum();
-    if (weight < LEAST_SAMPLES) {
+    if (weight < leastSamples) {
       return otherwise;
     }
     return all.stream()
--- a/core/src/main/java/org/shallothold/core/placement/PauseSampler.java
+++ b/core/src/main/java/org/shallothold/core/placement/PauseSampler.java
@@ -7,7 +7,7 @@
 public final class PauseSampler {
 
   // A prompt counts as being read from this time after it was sent until its first event.
-  private static final long DELIVERY_MILLIS = 20;
+  private static final long DELIVERY_MILLIS = 40;
   private static final long NOT_SAMPLING = Long.MIN_VALUE;
 
   private long sinceMillis = NOT_SAMPLING;
--- a/core/src/test/java/org/shallothold/core/placement/EngineEstimatorTest.java
+++ b/core/src/test/java/org/shallothold/core/placement/EngineEstimatorTest.java
@@ -95,6 +95,16 @@
       assertTrue(longest > 180 && longest < 240, "longest pause " + longest);
       assertEquals(4, estimator.figures().stepMillis(), 0.5);
     }
+
+    /**
+     * Guards against the first, short pauses being taken for the longest: streams that long reads
+     * hurt were sent to engines that read, until more was known.
+     */
+    @Test
+    void ofAFewSamplesAreNotBelieved() {
+      IntStream.range(0, 30).forEach(number -> estimator.readingPause(60));
+      assertEquals(5_000, estimator.figures().pauseMillis(5_000), 30);
+    }
   }
 
   @Nested
