--- a/core/src/main/java/org/shallothold/core/placement/PauseRisk.java
+++ b/core/src/main/java/org/shallothold/core/placement/PauseRisk.java
@@ -18,7 +18,7 @@
   private static final double LONG_READ_QUANTILE = 0.9;
   // Two long prompts follow each other often, three hardly.
   private static final double LONG_READS_TOGETHER = 2;
-  private static final int LEAST_PROMPTS = 50;
+  private static final int LEAST_PROMPTS = 12;
   // A target that nobody asked for lately does not limit others.
   private static final long TARGET_LIFE_MILLIS = 3_000;
 
