--- a/core/src/main/java/org/shallothold/core/placement/EnginePlacement.java
+++ b/core/src/main/java/org/shallothold/core/placement/EnginePlacement.java
@@ -42,6 +42,8 @@
   private static final double LANE_FAVOUR = 1.5;
   // Part of a pause target that reading may take; the rest is for delays on the way.
   private static final double PAUSE_MARGIN = 0.7;
+  // Part of a pause target from which on a pause counts as broken.
+  private static final double BROKEN_PAUSE_PART = 0.9;
   // Streams that are kept apart take at most this part of their engines' slots.
   private static final double LANE_FILL = 0.5;
   // Counting all open streams takes longer than a choice; their number changes slowly.
@@ -116,7 +118,7 @@
     EngineFigures figures = estimator.figures();
     double read = figures.readMillis(work.promptTokens(), work.sharedTokens());
     pauseRisk.arrived(work, read, figures, nowMillis);
-    if (pauseRisk.isAtRisk(work, figures)) {
+    if (pauseRisk.isSensitive(work, figures, nowMillis)) {
       tightDemand += read;
     } else {
       otherDemand += read;
@@ -151,7 +153,7 @@
     Request request =
         new Request(
             work,
-            pauseRisk.isAtRisk(work, figures),
+            pauseRisk.isSensitive(work, figures, nowMillis),
             figures,
             pauseRisk.shortestTargetMillis(nowMillis),
             affinity(chain),
@@ -266,7 +268,7 @@
     double cost = (backlog + read * READ_WEIGHT) * slowness;
     cost += laneCost(request.tight(), lane.contains(server));
     if (figures.pauseMillis(backlog + read) * slowness
-        > request.shortestTargetMillis() * PAUSE_MARGIN) {
+        > request.shortestTargetMillis() * BROKEN_PAUSE_PART) {
       cost += BROKEN_PAUSE_COST_MILLIS * server.tightStreams(nowMillis);
     }
     cost += RANK_COST_MILLIS * Hashing.unit(request.affinity(), server.idHash());
--- a/core/src/main/java/org/shallothold/core/placement/PauseRisk.java
+++ b/core/src/main/java/org/shallothold/core/placement/PauseRisk.java
@@ -16,6 +16,9 @@
   private static final double AT_RISK_RATIO = 0.95;
   private static final double SAFE_RATIO = 0.85;
   private static final double LONG_READ_QUANTILE = 0.9;
+  // Streams whose target is further above the shortest one at risk share the engines that read:
+  // kept apart with the most sensitive streams, their own prompts would break those pauses.
+  private static final double SENSITIVE_RATIO = 1.4;
   // Two long prompts follow each other often, three hardly.
   private static final double LONG_READS_TOGETHER = 2;
   private static final int LEAST_PROMPTS = 12;
@@ -34,8 +37,14 @@
     }
   }
 
+  /** Returns whether the request is among the streams that are kept apart from long prompts. */
+  boolean isSensitive(Work work, EngineFigures figures, long nowMillis) {
+    return isAtRisk(work, figures)
+        && work.pauseTargetMillis() <= shortestTargetMillis(nowMillis) * SENSITIVE_RATIO;
+  }
+
   /** Returns whether an engine that reads prompts breaks the request's pause target. */
-  boolean isAtRisk(Work work, EngineFigures figures) {
+  private boolean isAtRisk(Work work, EngineFigures figures) {
     long target = work.pauseTargetMillis();
     if (target <= 0) {
       return false;
--- a/core/src/test/java/org/shallothold/core/placement/EnginePlacementTest.java
+++ b/core/src/test/java/org/shallothold/core/placement/EnginePlacementTest.java
@@ -165,6 +165,36 @@
     }
   }
 
+  /** Nothing is known of the engines yet, and a burst of long prompts begins. */
+  @Nested
+  class UnknownEngines {
+
+    /**
+     * Guards against long prompts sharing engines with the most sensitive streams until the engines
+     * are known: every pause target is at risk then, and all went to the same engines.
+     */
+    @Test
+    void keepTheMostSensitiveStreamsApart() {
+      EnginePlacement fresh = EnginePlacement.of(EngineEstimator.create(), "north");
+      fresh.requestArrived(query(1), 0);
+      ServerModel kept =
+          fresh
+              .choose(query(1), engines, EnginePlacementTest::isExcluded, 0)
+              .orElseThrow()
+              .server();
+      LongStream.range(0, 20)
+          .forEach(
+              number -> {
+                Work digest = digest(number, number);
+                fresh.requestArrived(digest, 1);
+                Placement placement =
+                    fresh.choose(digest, engines, EnginePlacementTest::isExcluded, 1).orElseThrow();
+                assertNotEquals(kept, placement.server());
+                assertFalse(placement.tight());
+              });
+    }
+  }
+
   /** Engines that get cached parts from each other much faster than they read them. */
   @Nested
   class Transfers {
