--- a/core/src/main/java/org/shallothold/core/placement/EngineEstimator.java
+++ b/core/src/main/java/org/shallothold/core/placement/EngineEstimator.java
@@ -25,7 +25,7 @@
   private static final int MAX_WEIGHT = 200;
   // Shorter reads are hidden by the delays of the network and of steps.
   private static final double LEAST_READ_MILLIS = 25;
-  // News that an engine reads is this old; backlogs below it are taken for an idle engine.
+  // With any known prompt before it, a first event tells of waiting and not of reading.
   private static final double IDLE_BACKLOG_MILLIS = 1;
   private static final double MEDIAN = 0.5;
   // Chunks differ by the attention of their prompts; the longer ones decide whether pauses hold.
--- a/core/src/main/java/org/shallothold/core/placement/PauseRisk.java
+++ b/core/src/main/java/org/shallothold/core/placement/PauseRisk.java
@@ -12,7 +12,8 @@
 final class PauseRisk {
 
   // A target is at risk when the longest pause comes this close to it, and safe again only when the
-  // pause is well below it: streams that change sides keep no engine.
+  // pause is well below it. Without the distance, streams would move between the groups of engines
+  // with each change of the estimate.
   private static final double AT_RISK_RATIO = 0.95;
   private static final double SAFE_RATIO = 0.85;
   private static final double LONG_READ_QUANTILE = 0.9;
--- a/core/src/main/java/org/shallothold/core/placement/ReadingCostFilter.java
+++ b/core/src/main/java/org/shallothold/core/placement/ReadingCostFilter.java
@@ -11,9 +11,8 @@
   private static final int COSTS = 3;
   private static final double TOKENS_UNIT = 1_000;
 
-  // Assumed before any answer came: fixed milliseconds, milliseconds for a thousand tokens and for
-  // a
-  // million pairs. The variances let the first few answers replace them.
+  // Assumed before any answer came: fixed milliseconds, milliseconds for a thousand tokens, and for
+  // a million pairs. The variances are wide enough that the first answers replace them.
   private static final double[] PRIOR = {10, 20, 0.2};
   private static final double[] PRIOR_VARIANCE = {100, 225, 0.04};
   private static final double[] LEAST = {0, 0.2, 0};
