Test the count of lost log lines without a race between writer and test

A writing thread that starts after the ring is full counts the lines lost so far in a line of its own, with its first batch, and the rest later; the test expected one line. The log loses no count. Now the test fills the ring only after the writer is blocked, with the same check; a second test holds that all counts together equal the lost lines, whenever the writer starts.

--- a/runtime/src/test/java/org/shallothold/runtime/logging/DecisionLogTest.java
+++ b/runtime/src/test/java/org/shallothold/runtime/logging/DecisionLogTest.java
@@ -42,34 +42,72 @@
     assertTrue(line.path("last").asBoolean());
   }
 
+  /** An output that takes nothing until it is unblocked. */
+  private final class BlockedOutput extends OutputStream {
+
+    private final CountDownLatch entered = new CountDownLatch(1);
+    private final CountDownLatch unblocked = new CountDownLatch(1);
+
+    @Override
+    public void write(int value) throws IOException {
+      entered.countDown();
+      try {
+        unblocked.await();
+      } catch (InterruptedException e) {
+        throw new IOException(e);
+      }
+      written.write(value);
+    }
+  }
+
+  private static DecisionLog start(OutputStream output) {
+    return DecisionLog.start(new PrintStream(output, true, StandardCharsets.UTF_8), "p");
+  }
+
   /** Guards against a reader of the output that stops and thereby stops the process. */
   @Test
-  void blockedOutputBlocksNobodyAndLostLinesAreCounted() {
-    CountDownLatch unblocked = new CountDownLatch(1);
-    OutputStream blocked =
-        new OutputStream() {
-          @Override
-          public void write(int value) throws IOException {
-            try {
-              unblocked.await();
-            } catch (InterruptedException e) {
-              throw new IOException(e);
-            }
-            written.write(value);
-          }
-        };
-    DecisionLog log =
-        DecisionLog.start(new PrintStream(blocked, true, StandardCharsets.UTF_8), "p");
-    for (int i = 0; i < MORE_THAN_THE_RING; i++) {
+  void blockedOutputBlocksNobodyAndLostLinesAreCounted() throws InterruptedException {
+    BlockedOutput blocked = new BlockedOutput();
+    DecisionLog log = start(blocked);
+    // A writer that starts late would count the lines lost before its first batch in a line of
+    // their own.
+    log.add(LogLine.of("line"));
+    blocked.entered.await();
+    for (int i = 1; i < MORE_THAN_THE_RING; i++) {
       log.add(LogLine.of("line"));
     }
     long dropped = log.droppedLines();
     assertTrue(dropped > 0);
-    unblocked.countDown();
+    blocked.unblocked.countDown();
     await(log, MORE_THAN_THE_RING - dropped + 1);
     assertTrue(
         written
             .toString(StandardCharsets.UTF_8)
             .contains("\"event\":\"log_lines_dropped\",\"count\":" + dropped));
   }
+
+  /** Guards against lost lines that are counted twice or not at all when the writer lags. */
+  @Test
+  void lostLinesAreCountedOnceInAllLinesTogether() throws IOException {
+    BlockedOutput blocked = new BlockedOutput();
+    DecisionLog log = start(blocked);
+    for (int i = 0; i < MORE_THAN_THE_RING; i++) {
+      log.add(LogLine.of("line"));
+    }
+    long dropped = log.droppedLines();
+    blocked.unblocked.countDown();
+    ObjectMapper mapper = new ObjectMapper();
+    long counted = 0;
+    while (counted < dropped) {
+      counted = 0;
+      String whole = written.toString(StandardCharsets.UTF_8);
+      for (String line : whole.substring(0, whole.lastIndexOf('\n') + 1).lines().toList()) {
+        JsonNode node = mapper.readTree(line);
+        if (node.path("event").asText().equals("log_lines_dropped")) {
+          counted += node.path("count").asLong();
+        }
+      }
+    }
+    assertEquals(dropped, counted);
+  }
 }
