Tell peers within milliseconds where requests went

Cause: gateways knew of each other's requests up to 150 ms late, as long as an engine reads a long prompt, so two of them could fill the same engine. Change: changed open work goes to peers within 4 ms, the whole of it each 600 ms for 150 ms; the work of prompts that break short pause targets is told like that of the streams.

--- a/gateway/src/main/java/org/shallothold/gateway/forward/ForwardedRequest.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/ForwardedRequest.java
@@ -435,6 +435,9 @@
           .with("run", runs + 1L);
       server.sent(key, work, placement.readMillis(), placement.tight(), Clock.millis());
       noteReads(serverId);
+      if (placement.readMillis() > 0) {
+        forwarder.workSent(serverId);
+      }
       exchange =
           forwarder.state().pool(server.entry()).send(backendRequest(serverId), requestId(), this);
     }
@@ -581,6 +584,7 @@
       server.started(key, placement.expectedMillis(), Clock.millis());
       measure(events);
       if (!firstEventSeen) {
+        forwarder.workDone(server.entry().id());
         noteFirstEvent();
         forwarder.queue(service).dispatch();
       }
@@ -633,6 +637,7 @@
       }
       server.started(key, placement.expectedMillis(), Clock.millis());
       server.ended(key);
+      forwarder.workDone(server.entry().id());
       if (streaming) {
         endStream();
       } else {
--- a/gateway/src/main/java/org/shallothold/gateway/forward/Forwarder.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/Forwarder.java
@@ -39,6 +39,8 @@
   private final Map<String, ServiceQueue> queues = new HashMap<>();
   private final Map<String, FleetRetryBudget> budgets = new HashMap<>();
   private final Set<ForwardedRequest> open = new HashSet<>();
+  private final Set<String> changedServers = new HashSet<>();
+  private Runnable workChanged = () -> {};
   private long requestNumber;
   private boolean leaving;
   private boolean refusing;
@@ -131,6 +133,29 @@
     return new RequestTrace(log, requestId, arrivedMillis);
   }
 
+  /** Sets what is called when peers should hear of changed work. */
+  void onWorkChanged(Runnable listener) {
+    workChanged = listener;
+  }
+
+  /** Notes that a request went to a model engine, which the peers must know at once. */
+  void workSent(String serverId) {
+    changedServers.add(serverId);
+    workChanged.run();
+  }
+
+  /** Notes less work at a server, which peers learn with the next change. */
+  void workDone(String serverId) {
+    changedServers.add(serverId);
+  }
+
+  /** Returns the servers whose work changed since the last call. */
+  Set<String> takeChangedServers() {
+    Set<String> changed = Set.copyOf(changedServers);
+    changedServers.clear();
+    return changed;
+  }
+
   /** Returns the queue of a service. */
   ServiceQueue queue(String service) {
     return queues.computeIfAbsent(
--- a/gateway/src/main/java/org/shallothold/gateway/forward/ForwardingGateway.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/ForwardingGateway.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
@@ -25,6 +26,7 @@
 import org.shallothold.wire.proto.FleetNews;
 import org.shallothold.wire.proto.OpenWork;
 import org.shallothold.wire.proto.PrefixRead;
+import org.shallothold.wire.proto.WorkChanges;
 
 /**
  * A gateway that forwards requests to backend servers directly. One event loop owns all of its
@@ -66,6 +68,7 @@
     this.forwarder =
         new Forwarder(
             options, eventLoop, state, translation, log, metrics, this::gateways, prefixReads);
+    forwarder.onWorkChanged(this::announceChanges);
   }
 
   /**
@@ -179,6 +182,12 @@
     return peers == null ? 1 : peers.gateways();
   }
 
+  private void announceChanges() {
+    if (peers != null) {
+      peers.announceChanges();
+    }
+  }
+
   private int openWork() {
     long busy = callers == null ? 0 : callers.busyConnections();
     return forwarder.openRequests() + (int) busy;
@@ -227,6 +236,7 @@
   private final class PeerSource implements PeerExchange.Source {
 
     private final Map<String, Map<String, Integer>> tightLoads = new HashMap<>();
+    private final Map<String, Map<String, Integer>> heavyLoads = new HashMap<>();
 
     private static EngineSpeed wire(EngineEstimate estimate) {
       return EngineSpeed.newBuilder()
@@ -251,14 +261,19 @@
           speed.getPauseSamples());
     }
 
-    private void sumTightLoads(String service, ServiceQueue queue) {
-      int sum = tightLoads.values().stream().mapToInt(map -> map.getOrDefault(service, 0)).sum();
-      queue.peersTightLoad(sum / THOUSANDTHS);
+    private void sumLoads(String service, ServiceQueue queue) {
+      queue.peersLoad(sum(tightLoads, service), sum(heavyLoads, service));
+    }
+
+    private static double sum(Map<String, Map<String, Integer>> loads, String service) {
+      return loads.values().stream().mapToInt(map -> map.getOrDefault(service, 0)).sum()
+          / THOUSANDTHS;
     }
 
     @Override
     public void lost(String peer) {
       tightLoads.remove(peer);
+      heavyLoads.remove(peer);
       forwarder
           .queues()
           .values()
@@ -267,40 +282,59 @@
 
     @Override
     public void describe(FleetNews.Builder news) {
-      long now = Clock.millis();
-      for (ServerModel server : state.allServers()) {
-        ServerModel.PeerLoad load = server.ownLoad(now);
-        Long leavingLife = state.leavingLife(server.entry().id());
-        if (load.requests() > 0 || server.sentReadMillis() > 0 || leavingLife != null) {
-          OpenWork.Builder work =
-              OpenWork.newBuilder()
-                  .setServerId(server.entry().id())
-                  .setRequests(load.requests())
-                  .setReadMillis((int) Math.round(load.readMillis()))
-                  .setTightStreams(load.tightStreams())
-                  .setSentReadMillis(Math.round(server.sentReadMillis()));
-          if (leavingLife != null) {
-            work.setLeavingLife(leavingLife);
-          }
-          news.addOpenWork(work);
-        }
-      }
+      forwarder.takeChangedServers();
+      state.allServers().stream()
+          .map(this::wire)
+          .filter(PeerSource::isWorthTelling)
+          .forEach(news::addOpenWork);
       forwarder
           .queues()
           .forEach(
               (service, queue) -> {
                 news.putTightLoad(service, (int) Math.round(queue.tightLoad() * THOUSANDTHS));
+                news.putHeavyLoad(service, (int) Math.round(queue.heavyLoad() * THOUSANDTHS));
                 queue
                     .estimator()
                     .ifPresent(estimator -> news.putEngineSpeeds(service, wire(estimator.own())));
               });
-      for (PrefixReads.Read read : prefixReads.takeAll()) {
-        news.addPrefixReads(
-            PrefixRead.newBuilder()
-                .setServerId(read.serverId())
-                .setChainHash(read.chainHash())
-                .setTokens(read.tokens()));
+      prefixReads.takeAll().stream().map(PeerSource::wire).forEach(news::addPrefixReads);
+    }
+
+    @Override
+    public void describeChanges(WorkChanges.Builder changes) {
+      forwarder.takeChangedServers().stream()
+          .flatMap(id -> Optional.ofNullable(state.server(id)).stream())
+          .map(this::wire)
+          .forEach(changes::addOpenWork);
+      prefixReads.takeAll().stream().map(PeerSource::wire).forEach(changes::addPrefixReads);
+    }
+
+    private OpenWork wire(ServerModel server) {
+      ServerModel.PeerLoad load = server.ownLoad(Clock.millis());
+      Long leavingLife = state.leavingLife(server.entry().id());
+      OpenWork.Builder work =
+          OpenWork.newBuilder()
+              .setServerId(server.entry().id())
+              .setRequests(load.requests())
+              .setReadMillis((int) Math.round(load.readMillis()))
+              .setTightStreams(load.tightStreams())
+              .setSentReadMillis(Math.round(server.sentReadMillis()));
+      if (leavingLife != null) {
+        work.setLeavingLife(leavingLife);
       }
+      return work.build();
+    }
+
+    private static boolean isWorthTelling(OpenWork work) {
+      return work.getRequests() > 0 || work.getSentReadMillis() > 0 || work.hasLeavingLife();
+    }
+
+    private static PrefixRead wire(PrefixReads.Read read) {
+      return PrefixRead.newBuilder()
+          .setServerId(read.serverId())
+          .setChainHash(read.chainHash())
+          .setTokens(read.tokens())
+          .build();
     }
 
     @Override
@@ -308,26 +342,9 @@
       long now = Clock.millis();
       String peer = news.getProcessId();
       state.allServers().forEach(server -> server.forgetPeer(peer));
-      for (OpenWork work : news.getOpenWorkList()) {
-        ServerModel server = state.server(work.getServerId());
-        if (server != null) {
-          server.peerLoad(
-              peer,
-              new ServerModel.PeerLoad(
-                  work.getRequests(), work.getReadMillis(), work.getTightStreams(), now));
-          double tokenMillis =
-              forwarder
-                  .queue(server.entry().service())
-                  .estimator()
-                  .map(estimator -> estimator.figures().tokenMillis())
-                  .orElse(1.0);
-          server.peerSentReadMillis(peer, (double) work.getSentReadMillis(), tokenMillis, now);
-          if (work.hasLeavingLife()) {
-            state.leaving(work.getServerId(), work.getLeavingLife(), peer);
-          }
-        }
-      }
+      news.getOpenWorkList().forEach(work -> takeWork(peer, work, now));
       tightLoads.put(peer, news.getTightLoadMap());
+      heavyLoads.put(peer, news.getHeavyLoadMap());
       news.getEngineSpeedsMap()
           .forEach(
               (service, speed) ->
@@ -335,12 +352,42 @@
                       .queue(service)
                       .estimator()
                       .ifPresent(estimator -> estimator.peer(peer, estimate(speed))));
-      forwarder.queues().forEach(this::sumTightLoads);
-      for (PrefixRead read : news.getPrefixReadsList()) {
-        ServerModel server = state.server(read.getServerId());
-        if (server != null) {
-          server.peerRead(read.getChainHash(), read.getTokens());
-        }
+      forwarder.queues().forEach(this::sumLoads);
+      news.getPrefixReadsList().forEach(this::takeRead);
+    }
+
+    @Override
+    public void received(String peer, WorkChanges changes) {
+      long now = Clock.millis();
+      changes.getOpenWorkList().forEach(work -> takeWork(peer, work, now));
+      changes.getPrefixReadsList().forEach(this::takeRead);
+    }
+
+    private void takeWork(String peer, OpenWork work, long now) {
+      ServerModel server = state.server(work.getServerId());
+      if (server == null) {
+        return;
+      }
+      server.peerLoad(
+          peer,
+          new ServerModel.PeerLoad(
+              work.getRequests(), work.getReadMillis(), work.getTightStreams(), now));
+      double tokenMillis =
+          forwarder
+              .queue(server.entry().service())
+              .estimator()
+              .map(estimator -> estimator.figures().tokenMillis())
+              .orElse(1.0);
+      server.peerSentReadMillis(peer, (double) work.getSentReadMillis(), tokenMillis, now);
+      if (work.hasLeavingLife()) {
+        state.leaving(work.getServerId(), work.getLeavingLife(), peer);
+      }
+    }
+
+    private void takeRead(PrefixRead read) {
+      ServerModel server = state.server(read.getServerId());
+      if (server != null) {
+        server.peerRead(read.getChainHash(), read.getTokens());
       }
     }
 
--- a/gateway/src/main/java/org/shallothold/gateway/forward/ServiceQueue.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/ServiceQueue.java
@@ -99,10 +99,16 @@
     return policy instanceof EnginePlacement engines ? engines.tightLoad(Clock.millis()) : 0;
   }
 
-  /** Sets the sum of the peers' {@link #tightLoad}. */
-  void peersTightLoad(double load) {
+  /** Returns the work of prompts that break short pause targets, in engines. */
+  double heavyLoad() {
+    return policy instanceof EnginePlacement engines ? engines.heavyLoad(Clock.millis()) : 0;
+  }
+
+  /** Sets the sums of the peers' {@link #tightLoad} and {@link #heavyLoad}. */
+  void peersLoad(double tightLoad, double heavyLoad) {
     if (policy instanceof EnginePlacement engines) {
-      engines.peersTightLoad(load);
+      engines.peersTightLoad(tightLoad);
+      engines.peersHeavyLoad(heavyLoad);
     }
   }
 
--- a/gateway/src/main/java/org/shallothold/gateway/forward/peer/PeerExchange.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/peer/PeerExchange.java
@@ -29,15 +29,20 @@
 import org.shallothold.wire.proto.PublishedItems;
 import org.shallothold.wire.proto.PublishedRequest;
 import org.shallothold.wire.proto.Role;
+import org.shallothold.wire.proto.WorkChanges;
 
 /**
- * Exchange of news between gateways: each dials every other that it hears of, sends its open work a
- * few times a second, and asks a peer that knows more of what the platform publishes. All of it is
- * soft state. Owned by the event loop.
+ * Exchange of news between gateways: each dials every other that it hears of, tells at once where
+ * it sends work, repeats all of it now and then, and asks a peer that knows more of what the
+ * platform publishes. All of it is soft state. Owned by the event loop.
  */
 public final class PeerExchange {
 
-  private static final long NEWS_MILLIS = 150;
+  private static final long NEWS_MILLIS = 600;
+  // Changes that come together share a message. Short beside the time that an engine reads a
+  // prompt,
+  // in which another gateway must not send it the next one unknowingly.
+  private static final long CHANGES_MILLIS = 4;
   // A peer that is silent for this long is not counted any more.
   private static final long SILENCE_MILLIS = 4_000;
   // Addresses of gateways that are gone are tried for this long.
@@ -60,6 +65,12 @@
     /** Takes a peer's news. */
     void received(FleetNews news);
 
+    /** Adds the servers whose open work changed since the last news or changes. */
+    void describeChanges(WorkChanges.Builder changes);
+
+    /** Takes what changed at a peer's servers since its last news or changes. */
+    void received(String peer, WorkChanges changes);
+
     /** Takes that a peer is silent. */
     void lost(String peer);
 
@@ -92,6 +103,7 @@
   private final Map<String, Heard> heard = new TreeMap<>();
   private final Map<PublishedTopic, Long> behindSinceMillis = new HashMap<>();
   private long lastRequestMillis;
+  private boolean changesScheduled;
 
   private static final class Dialed {
     private @Nullable PeerClient client;
@@ -150,6 +162,23 @@
     return 1 + heard.size();
   }
 
+  /** Tells the peers shortly what changed at servers; several changes share a message. */
+  public void announceChanges() {
+    if (!changesScheduled) {
+      changesScheduled = true;
+      eventLoop.schedule(this::sendChanges, CHANGES_MILLIS, TimeUnit.MILLISECONDS);
+    }
+  }
+
+  private void sendChanges() {
+    changesScheduled = false;
+    WorkChanges.Builder changes = WorkChanges.newBuilder();
+    source.describeChanges(changes);
+    if (changes.getOpenWorkCount() > 0) {
+      sendToAll(Envelope.newBuilder().setWorkChanges(changes).build());
+    }
+  }
+
   private void tick() {
     long now = Clock.millis();
     heard.entrySet().removeIf(entry -> silent(entry, now));
@@ -164,7 +193,10 @@
             .setServersChangedAt(source.changedAt(PublishedTopic.SERVERS))
             .setLeaving(source.isLeaving());
     source.describe(news);
-    Envelope envelope = Envelope.newBuilder().setFleetNews(news).build();
+    sendToAll(Envelope.newBuilder().setFleetNews(news).build());
+  }
+
+  private void sendToAll(Envelope envelope) {
     dialed.values().stream()
         .map(peer -> peer.connection)
         .filter(connection -> connection != null && connection.isWritable())
@@ -264,6 +296,7 @@
   private void take(PeerConnection connection, Envelope envelope) {
     switch (envelope.getMessageCase()) {
       case FLEET_NEWS -> takeNews(connection, envelope.getFleetNews());
+      case WORK_CHANGES -> takeChanges(connection, envelope.getWorkChanges());
       case PUBLISHED_REQUEST -> answer(connection, envelope.getPublishedRequest());
       case PUBLISHED_ITEMS -> learn(connection, envelope.getPublishedItems());
       default ->
@@ -294,6 +327,13 @@
     compare(connection, PublishedTopic.SERVERS, news.getServersChangedAt(), now);
   }
 
+  private void takeChanges(PeerConnection connection, WorkChanges changes) {
+    Hello hello = connection.remoteHello();
+    if (hello != null && heard.containsKey(hello.getProcessId())) {
+      source.received(hello.getProcessId(), changes);
+    }
+  }
+
   private void compare(PeerConnection connection, PublishedTopic topic, long theirs, long now) {
     long ours = source.asOf(topic);
     if (theirs <= ours) {
--- a/gateway/src/test/java/org/shallothold/gateway/forward/peer/PeerExchangeTest.java
+++ b/gateway/src/test/java/org/shallothold/gateway/forward/peer/PeerExchangeTest.java
@@ -22,6 +22,7 @@
 import org.shallothold.wire.connection.Transport;
 import org.shallothold.wire.proto.FleetNews;
 import org.shallothold.wire.proto.OpenWork;
+import org.shallothold.wire.proto.WorkChanges;
 
 /** News between gateways on loopback. */
 class PeerExchangeTest {
@@ -41,6 +42,7 @@
     private final long revision;
     private final BlockingQueue<String> learned = new LinkedBlockingQueue<>();
     private final BlockingQueue<FleetNews> news = new LinkedBlockingQueue<>();
+    private final BlockingQueue<String> changes = new LinkedBlockingQueue<>();
 
     Gateway(long revision) {
       this.revision = revision;
@@ -56,6 +58,16 @@
       news.add(received);
     }
 
+    @Override
+    public void describeChanges(WorkChanges.Builder builder) {
+      builder.addOpenWork(OpenWork.newBuilder().setServerId("engine-2").setRequests(1));
+    }
+
+    @Override
+    public void received(String peer, WorkChanges received) {
+      changes.add(peer + " at " + received.getOpenWork(0).getServerId());
+    }
+
     @Override
     public void lost(String peer) {}
 
@@ -149,4 +161,18 @@
     assertEquals("second", news.getProcessId());
     assertEquals(3, news.getOpenWork(0).getRequests());
   }
+
+  /** Guards against two gateways that fill the same engine between two rounds of news. */
+  @Test
+  void changesReachPeersBeforeTheNextNews() throws IOException, InterruptedException {
+    InetSocketAddress first = freeAddress();
+    Gateway told = new Gateway(1);
+    start("first", first, told);
+    PeerExchange second = start("second", freeAddress(), new Gateway(1), first);
+    told.news.take();
+    eventLoop.execute(second::announceChanges);
+    eventLoop.execute(second::announceChanges);
+    assertEquals("second at engine-2", told.changes.take());
+    assertTrue(told.changes.isEmpty());
+  }
 }
--- a/wire/src/main/java/org/shallothold/wire/proto/Envelope.java
+++ b/wire/src/main/java/org/shallothold/wire/proto/Envelope.java
@@ -88,6 +88,7 @@
     FLEET_NEWS(28),
     PUBLISHED_REQUEST(29),
     PUBLISHED_ITEMS(30),
+    WORK_CHANGES(31),
     MESSAGE_NOT_SET(0);
     private final int value;
     private MessageCase(int value) {
@@ -135,6 +136,7 @@
         case 28: return FLEET_NEWS;
         case 29: return PUBLISHED_REQUEST;
         case 30: return PUBLISHED_ITEMS;
+        case 31: return WORK_CHANGES;
         case 0: return MESSAGE_NOT_SET;
         default: return null;
       }
@@ -1080,6 +1082,37 @@
     return org.shallothold.wire.proto.PublishedItems.getDefaultInstance();
   }
 
+  public static final int WORK_CHANGES_FIELD_NUMBER = 31;
+  /**
+   * <code>.shallothold.WorkChanges work_changes = 31;</code>
+   * @return Whether the workChanges field is set.
+   */
+  @java.lang.Override
+  public boolean hasWorkChanges() {
+    return messageCase_ == 31;
+  }
+  /**
+   * <code>.shallothold.WorkChanges work_changes = 31;</code>
+   * @return The workChanges.
+   */
+  @java.lang.Override
+  public org.shallothold.wire.proto.WorkChanges getWorkChanges() {
+    if (messageCase_ == 31) {
+       return (org.shallothold.wire.proto.WorkChanges) message_;
+    }
+    return org.shallothold.wire.proto.WorkChanges.getDefaultInstance();
+  }
+  /**
+   * <code>.shallothold.WorkChanges work_changes = 31;</code>
+   */
+  @java.lang.Override
+  public org.shallothold.wire.proto.WorkChangesOrBuilder getWorkChangesOrBuilder() {
+    if (messageCase_ == 31) {
+       return (org.shallothold.wire.proto.WorkChanges) message_;
+    }
+    return org.shallothold.wire.proto.WorkChanges.getDefaultInstance();
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -1184,6 +1217,9 @@
     if (messageCase_ == 30) {
       output.writeMessage(30, (org.shallothold.wire.proto.PublishedItems) message_);
     }
+    if (messageCase_ == 31) {
+      output.writeMessage(31, (org.shallothold.wire.proto.WorkChanges) message_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -1313,6 +1349,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(30, (org.shallothold.wire.proto.PublishedItems) message_);
     }
+    if (messageCase_ == 31) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(31, (org.shallothold.wire.proto.WorkChanges) message_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -1450,6 +1490,10 @@
         if (!getPublishedItems()
             .equals(other.getPublishedItems())) return false;
         break;
+      case 31:
+        if (!getWorkChanges()
+            .equals(other.getWorkChanges())) return false;
+        break;
       case 0:
       default:
     }
@@ -1585,6 +1629,10 @@
         hash = (37 * hash) + PUBLISHED_ITEMS_FIELD_NUMBER;
         hash = (53 * hash) + getPublishedItems().hashCode();
         break;
+      case 31:
+        hash = (37 * hash) + WORK_CHANGES_FIELD_NUMBER;
+        hash = (53 * hash) + getWorkChanges().hashCode();
+        break;
       case 0:
       default:
     }
@@ -1813,6 +1861,9 @@
       if (publishedItemsBuilder_ != null) {
         publishedItemsBuilder_.clear();
       }
+      if (workChangesBuilder_ != null) {
+        workChangesBuilder_.clear();
+      }
       messageCase_ = 0;
       message_ = null;
       return this;
@@ -1974,6 +2025,10 @@
           publishedItemsBuilder_ != null) {
         result.message_ = publishedItemsBuilder_.build();
       }
+      if (messageCase_ == 31 &&
+          workChangesBuilder_ != null) {
+        result.message_ = workChangesBuilder_.build();
+      }
     }
 
     @java.lang.Override
@@ -2109,6 +2164,10 @@
           mergePublishedItems(other.getPublishedItems());
           break;
         }
+        case WORK_CHANGES: {
+          mergeWorkChanges(other.getWorkChanges());
+          break;
+        }
         case MESSAGE_NOT_SET: {
           break;
         }
@@ -2349,6 +2408,13 @@
               messageCase_ = 30;
               break;
             } // case 242
+            case 250: {
+              input.readMessage(
+                  internalGetWorkChangesFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              messageCase_ = 31;
+              break;
+            } // case 250
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -6641,6 +6707,148 @@
       return publishedItemsBuilder_;
     }
 
+    private com.google.protobuf.SingleFieldBuilder<
+        org.shallothold.wire.proto.WorkChanges, org.shallothold.wire.proto.WorkChanges.Builder, org.shallothold.wire.proto.WorkChangesOrBuilder> workChangesBuilder_;
+    /**
+     * <code>.shallothold.WorkChanges work_changes = 31;</code>
+     * @return Whether the workChanges field is set.
+     */
+    @java.lang.Override
+    public boolean hasWorkChanges() {
+      return messageCase_ == 31;
+    }
+    /**
+     * <code>.shallothold.WorkChanges work_changes = 31;</code>
+     * @return The workChanges.
+     */
+    @java.lang.Override
+    public org.shallothold.wire.proto.WorkChanges getWorkChanges() {
+      if (workChangesBuilder_ == null) {
+        if (messageCase_ == 31) {
+          return (org.shallothold.wire.proto.WorkChanges) message_;
+        }
+        return org.shallothold.wire.proto.WorkChanges.getDefaultInstance();
+      } else {
+        if (messageCase_ == 31) {
+          return workChangesBuilder_.getMessage();
+        }
+        return org.shallothold.wire.proto.WorkChanges.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.shallothold.WorkChanges work_changes = 31;</code>
+     */
+    public Builder setWorkChanges(org.shallothold.wire.proto.WorkChanges value) {
+      if (workChangesBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        message_ = value;
+        onChanged();
+      } else {
+        workChangesBuilder_.setMessage(value);
+      }
+      messageCase_ = 31;
+      return this;
+    }
+    /**
+     * <code>.shallothold.WorkChanges work_changes = 31;</code>
+     */
+    public Builder setWorkChanges(
+        org.shallothold.wire.proto.WorkChanges.Builder builderForValue) {
+      if (workChangesBuilder_ == null) {
+        message_ = builderForValue.build();
+        onChanged();
+      } else {
+        workChangesBuilder_.setMessage(builderForValue.build());
+      }
+      messageCase_ = 31;
+      return this;
+    }
+    /**
+     * <code>.shallothold.WorkChanges work_changes = 31;</code>
+     */
+    public Builder mergeWorkChanges(org.shallothold.wire.proto.WorkChanges value) {
+      if (workChangesBuilder_ == null) {
+        if (messageCase_ == 31 &&
+            message_ != org.shallothold.wire.proto.WorkChanges.getDefaultInstance()) {
+          message_ = org.shallothold.wire.proto.WorkChanges.newBuilder((org.shallothold.wire.proto.WorkChanges) message_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          message_ = value;
+        }
+        onChanged();
+      } else {
+        if (messageCase_ == 31) {
+          workChangesBuilder_.mergeFrom(value);
+        } else {
+          workChangesBuilder_.setMessage(value);
+        }
+      }
+      messageCase_ = 31;
+      return this;
+    }
+    /**
+     * <code>.shallothold.WorkChanges work_changes = 31;</code>
+     */
+    public Builder clearWorkChanges() {
+      if (workChangesBuilder_ == null) {
+        if (messageCase_ == 31) {
+          messageCase_ = 0;
+          message_ = null;
+          onChanged();
+        }
+      } else {
+        if (messageCase_ == 31) {
+          messageCase_ = 0;
+          message_ = null;
+        }
+        workChangesBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.shallothold.WorkChanges work_changes = 31;</code>
+     */
+    public org.shallothold.wire.proto.WorkChanges.Builder getWorkChangesBuilder() {
+      return internalGetWorkChangesFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.shallothold.WorkChanges work_changes = 31;</code>
+     */
+    @java.lang.Override
+    public org.shallothold.wire.proto.WorkChangesOrBuilder getWorkChangesOrBuilder() {
+      if ((messageCase_ == 31) && (workChangesBuilder_ != null)) {
+        return workChangesBuilder_.getMessageOrBuilder();
+      } else {
+        if (messageCase_ == 31) {
+          return (org.shallothold.wire.proto.WorkChanges) message_;
+        }
+        return org.shallothold.wire.proto.WorkChanges.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.shallothold.WorkChanges work_changes = 31;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.shallothold.wire.proto.WorkChanges, org.shallothold.wire.proto.WorkChanges.Builder, org.shallothold.wire.proto.WorkChangesOrBuilder> 
+        internalGetWorkChangesFieldBuilder() {
+      if (workChangesBuilder_ == null) {
+        if (!(messageCase_ == 31)) {
+          message_ = org.shallothold.wire.proto.WorkChanges.getDefaultInstance();
+        }
+        workChangesBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.shallothold.wire.proto.WorkChanges, org.shallothold.wire.proto.WorkChanges.Builder, org.shallothold.wire.proto.WorkChangesOrBuilder>(
+                (org.shallothold.wire.proto.WorkChanges) message_,
+                getParentForChildren(),
+                isClean());
+        message_ = null;
+      }
+      messageCase_ = 31;
+      onChanged();
+      return workChangesBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:shallothold.Envelope)
   }
 
--- a/wire/src/main/java/org/shallothold/wire/proto/EnvelopeOrBuilder.java
+++ b/wire/src/main/java/org/shallothold/wire/proto/EnvelopeOrBuilder.java
@@ -460,5 +460,20 @@
    */
   org.shallothold.wire.proto.PublishedItemsOrBuilder getPublishedItemsOrBuilder();
 
+  /**
+   * <code>.shallothold.WorkChanges work_changes = 31;</code>
+   * @return Whether the workChanges field is set.
+   */
+  boolean hasWorkChanges();
+  /**
+   * <code>.shallothold.WorkChanges work_changes = 31;</code>
+   * @return The workChanges.
+   */
+  org.shallothold.wire.proto.WorkChanges getWorkChanges();
+  /**
+   * <code>.shallothold.WorkChanges work_changes = 31;</code>
+   */
+  org.shallothold.wire.proto.WorkChangesOrBuilder getWorkChangesOrBuilder();
+
   org.shallothold.wire.proto.Envelope.MessageCase getMessageCase();
 }
--- a/wire/src/main/java/org/shallothold/wire/proto/FleetNews.java
+++ b/wire/src/main/java/org/shallothold/wire/proto/FleetNews.java
@@ -60,6 +60,8 @@
         return internalGetTightLoad();
       case 10:
         return internalGetEngineSpeeds();
+      case 11:
+        return internalGetHeavyLoad();
       default:
         throw new RuntimeException(
             "Invalid map field number: " + number);
@@ -539,6 +541,99 @@
     return map.get(key);
   }
 
+  public static final int HEAVY_LOAD_FIELD_NUMBER = 11;
+  private static final class HeavyLoadDefaultEntryHolder {
+    static final com.google.protobuf.MapEntry<
+        java.lang.String, java.lang.Integer> defaultEntry =
+            com.google.protobuf.MapEntry
+            .<java.lang.String, java.lang.Integer>newDefaultInstance(
+                org.shallothold.wire.proto.Shallothold.internal_static_shallothold_FleetNews_HeavyLoadEntry_descriptor, 
+                com.google.protobuf.WireFormat.FieldType.STRING,
+                "",
+                com.google.protobuf.WireFormat.FieldType.INT32,
+                0);
+  }
+  @SuppressWarnings("serial")
+  private com.google.protobuf.MapField<
+      java.lang.String, java.lang.Integer> heavyLoad_;
+  private com.google.protobuf.MapField<java.lang.String, java.lang.Integer>
+  internalGetHeavyLoad() {
+    if (heavyLoad_ == null) {
+      return com.google.protobuf.MapField.emptyMapField(
+          HeavyLoadDefaultEntryHolder.defaultEntry);
+    }
+    return heavyLoad_;
+  }
+  public int getHeavyLoadCount() {
+    return internalGetHeavyLoad().getMap().size();
+  }
+  /**
+   * <pre>
+   * Work of prompts that break short pause targets, in thousandths of an engine, by service.
+   * </pre>
+   *
+   * <code>map&lt;string, int32&gt; heavy_load = 11;</code>
+   */
+  @java.lang.Override
+  public boolean containsHeavyLoad(
+      java.lang.String key) {
+    if (key == null) { throw new NullPointerException("map key"); }
+    return internalGetHeavyLoad().getMap().containsKey(key);
+  }
+  /**
+   * Use {@link #getHeavyLoadMap()} instead.
+   */
+  @java.lang.Override
+  @java.lang.Deprecated
+  public java.util.Map<java.lang.String, java.lang.Integer> getHeavyLoad() {
+    return getHeavyLoadMap();
+  }
+  /**
+   * <pre>
+   * Work of prompts that break short pause targets, in thousandths of an engine, by service.
+   * </pre>
+   *
+   * <code>map&lt;string, int32&gt; heavy_load = 11;</code>
+   */
+  @java.lang.Override
+  public java.util.Map<java.lang.String, java.lang.Integer> getHeavyLoadMap() {
+    return internalGetHeavyLoad().getMap();
+  }
+  /**
+   * <pre>
+   * Work of prompts that break short pause targets, in thousandths of an engine, by service.
+   * </pre>
+   *
+   * <code>map&lt;string, int32&gt; heavy_load = 11;</code>
+   */
+  @java.lang.Override
+  public int getHeavyLoadOrDefault(
+      java.lang.String key,
+      int defaultValue) {
+    if (key == null) { throw new NullPointerException("map key"); }
+    java.util.Map<java.lang.String, java.lang.Integer> map =
+        internalGetHeavyLoad().getMap();
+    return map.containsKey(key) ? map.get(key) : defaultValue;
+  }
+  /**
+   * <pre>
+   * Work of prompts that break short pause targets, in thousandths of an engine, by service.
+   * </pre>
+   *
+   * <code>map&lt;string, int32&gt; heavy_load = 11;</code>
+   */
+  @java.lang.Override
+  public int getHeavyLoadOrThrow(
+      java.lang.String key) {
+    if (key == null) { throw new NullPointerException("map key"); }
+    java.util.Map<java.lang.String, java.lang.Integer> map =
+        internalGetHeavyLoad().getMap();
+    if (!map.containsKey(key)) {
+      throw new java.lang.IllegalArgumentException();
+    }
+    return map.get(key);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -589,6 +684,12 @@
         internalGetEngineSpeeds(),
         EngineSpeedsDefaultEntryHolder.defaultEntry,
         10);
+    com.google.protobuf.GeneratedMessage
+      .serializeStringMapTo(
+        output,
+        internalGetHeavyLoad(),
+        HeavyLoadDefaultEntryHolder.defaultEntry,
+        11);
     getUnknownFields().writeTo(output);
   }
 
@@ -662,6 +763,16 @@
       size += com.google.protobuf.CodedOutputStream
           .computeMessageSize(10, engineSpeeds__);
     }
+    for (java.util.Map.Entry<java.lang.String, java.lang.Integer> entry
+         : internalGetHeavyLoad().getMap().entrySet()) {
+      com.google.protobuf.MapEntry<java.lang.String, java.lang.Integer>
+      heavyLoad__ = HeavyLoadDefaultEntryHolder.defaultEntry.newBuilderForType()
+          .setKey(entry.getKey())
+          .setValue(entry.getValue())
+          .buildPartial();
+      size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(11, heavyLoad__);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -697,6 +808,8 @@
         other.internalGetTightLoad())) return false;
     if (!internalGetEngineSpeeds().equals(
         other.internalGetEngineSpeeds())) return false;
+    if (!internalGetHeavyLoad().equals(
+        other.internalGetHeavyLoad())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -741,6 +854,10 @@
       hash = (37 * hash) + ENGINE_SPEEDS_FIELD_NUMBER;
       hash = (53 * hash) + internalGetEngineSpeeds().hashCode();
     }
+    if (!internalGetHeavyLoad().getMap().isEmpty()) {
+      hash = (37 * hash) + HEAVY_LOAD_FIELD_NUMBER;
+      hash = (53 * hash) + internalGetHeavyLoad().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -863,6 +980,8 @@
           return internalGetTightLoad();
         case 10:
           return internalGetEngineSpeeds();
+        case 11:
+          return internalGetHeavyLoad();
         default:
           throw new RuntimeException(
               "Invalid map field number: " + number);
@@ -876,6 +995,8 @@
           return internalGetMutableTightLoad();
         case 10:
           return internalGetMutableEngineSpeeds();
+        case 11:
+          return internalGetMutableHeavyLoad();
         default:
           throw new RuntimeException(
               "Invalid map field number: " + number);
@@ -926,6 +1047,7 @@
       leaving_ = false;
       internalGetMutableTightLoad().clear();
       internalGetMutableEngineSpeeds().clear();
+      internalGetMutableHeavyLoad().clear();
       return this;
     }
 
@@ -1007,6 +1129,10 @@
       if (((from_bitField0_ & 0x00000200) != 0)) {
         result.engineSpeeds_ = internalGetEngineSpeeds().build(EngineSpeedsDefaultEntryHolder.defaultEntry);
       }
+      if (((from_bitField0_ & 0x00000400) != 0)) {
+        result.heavyLoad_ = internalGetHeavyLoad();
+        result.heavyLoad_.makeImmutable();
+      }
     }
 
     @java.lang.Override
@@ -1108,6 +1234,9 @@
       internalGetMutableEngineSpeeds().mergeFrom(
           other.internalGetEngineSpeeds());
       bitField0_ |= 0x00000200;
+      internalGetMutableHeavyLoad().mergeFrom(
+          other.internalGetHeavyLoad());
+      bitField0_ |= 0x00000400;
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1208,6 +1337,15 @@
               bitField0_ |= 0x00000200;
               break;
             } // case 82
+            case 90: {
+              com.google.protobuf.MapEntry<java.lang.String, java.lang.Integer>
+              heavyLoad__ = input.readMessage(
+                  HeavyLoadDefaultEntryHolder.defaultEntry.getParserForType(), extensionRegistry);
+              internalGetMutableHeavyLoad().getMutableMap().put(
+                  heavyLoad__.getKey(), heavyLoad__.getValue());
+              bitField0_ |= 0x00000400;
+              break;
+            } // case 90
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2536,6 +2674,159 @@
       return (org.shallothold.wire.proto.EngineSpeed.Builder) entry;
     }
 
+    private com.google.protobuf.MapField<
+        java.lang.String, java.lang.Integer> heavyLoad_;
+    private com.google.protobuf.MapField<java.lang.String, java.lang.Integer>
+        internalGetHeavyLoad() {
+      if (heavyLoad_ == null) {
+        return com.google.protobuf.MapField.emptyMapField(
+            HeavyLoadDefaultEntryHolder.defaultEntry);
+      }
+      return heavyLoad_;
+    }
+    private com.google.protobuf.MapField<java.lang.String, java.lang.Integer>
+        internalGetMutableHeavyLoad() {
+      if (heavyLoad_ == null) {
+        heavyLoad_ = com.google.protobuf.MapField.newMapField(
+            HeavyLoadDefaultEntryHolder.defaultEntry);
+      }
+      if (!heavyLoad_.isMutable()) {
+        heavyLoad_ = heavyLoad_.copy();
+      }
+      bitField0_ |= 0x00000400;
+      onChanged();
+      return heavyLoad_;
+    }
+    public int getHeavyLoadCount() {
+      return internalGetHeavyLoad().getMap().size();
+    }
+    /**
+     * <pre>
+     * Work of prompts that break short pause targets, in thousandths of an engine, by service.
+     * </pre>
+     *
+     * <code>map&lt;string, int32&gt; heavy_load = 11;</code>
+     */
+    @java.lang.Override
+    public boolean containsHeavyLoad(
+        java.lang.String key) {
+      if (key == null) { throw new NullPointerException("map key"); }
+      return internalGetHeavyLoad().getMap().containsKey(key);
+    }
+    /**
+     * Use {@link #getHeavyLoadMap()} instead.
+     */
+    @java.lang.Override
+    @java.lang.Deprecated
+    public java.util.Map<java.lang.String, java.lang.Integer> getHeavyLoad() {
+      return getHeavyLoadMap();
+    }
+    /**
+     * <pre>
+     * Work of prompts that break short pause targets, in thousandths of an engine, by service.
+     * </pre>
+     *
+     * <code>map&lt;string, int32&gt; heavy_load = 11;</code>
+     */
+    @java.lang.Override
+    public java.util.Map<java.lang.String, java.lang.Integer> getHeavyLoadMap() {
+      return internalGetHeavyLoad().getMap();
+    }
+    /**
+     * <pre>
+     * Work of prompts that break short pause targets, in thousandths of an engine, by service.
+     * </pre>
+     *
+     * <code>map&lt;string, int32&gt; heavy_load = 11;</code>
+     */
+    @java.lang.Override
+    public int getHeavyLoadOrDefault(
+        java.lang.String key,
+        int defaultValue) {
+      if (key == null) { throw new NullPointerException("map key"); }
+      java.util.Map<java.lang.String, java.lang.Integer> map =
+          internalGetHeavyLoad().getMap();
+      return map.containsKey(key) ? map.get(key) : defaultValue;
+    }
+    /**
+     * <pre>
+     * Work of prompts that break short pause targets, in thousandths of an engine, by service.
+     * </pre>
+     *
+     * <code>map&lt;string, int32&gt; heavy_load = 11;</code>
+     */
+    @java.lang.Override
+    public int getHeavyLoadOrThrow(
+        java.lang.String key) {
+      if (key == null) { throw new NullPointerException("map key"); }
+      java.util.Map<java.lang.String, java.lang.Integer> map =
+          internalGetHeavyLoad().getMap();
+      if (!map.containsKey(key)) {
+        throw new java.lang.IllegalArgumentException();
+      }
+      return map.get(key);
+    }
+    public Builder clearHeavyLoad() {
+      bitField0_ = (bitField0_ & ~0x00000400);
+      internalGetMutableHeavyLoad().getMutableMap()
+          .clear();
+      return this;
+    }
+    /**
+     * <pre>
+     * Work of prompts that break short pause targets, in thousandths of an engine, by service.
+     * </pre>
+     *
+     * <code>map&lt;string, int32&gt; heavy_load = 11;</code>
+     */
+    public Builder removeHeavyLoad(
+        java.lang.String key) {
+      if (key == null) { throw new NullPointerException("map key"); }
+      internalGetMutableHeavyLoad().getMutableMap()
+          .remove(key);
+      return this;
+    }
+    /**
+     * Use alternate mutation accessors instead.
+     */
+    @java.lang.Deprecated
+    public java.util.Map<java.lang.String, java.lang.Integer>
+        getMutableHeavyLoad() {
+      bitField0_ |= 0x00000400;
+      return internalGetMutableHeavyLoad().getMutableMap();
+    }
+    /**
+     * <pre>
+     * Work of prompts that break short pause targets, in thousandths of an engine, by service.
+     * </pre>
+     *
+     * <code>map&lt;string, int32&gt; heavy_load = 11;</code>
+     */
+    public Builder putHeavyLoad(
+        java.lang.String key,
+        int value) {
+      if (key == null) { throw new NullPointerException("map key"); }
+
+      internalGetMutableHeavyLoad().getMutableMap()
+          .put(key, value);
+      bitField0_ |= 0x00000400;
+      return this;
+    }
+    /**
+     * <pre>
+     * Work of prompts that break short pause targets, in thousandths of an engine, by service.
+     * </pre>
+     *
+     * <code>map&lt;string, int32&gt; heavy_load = 11;</code>
+     */
+    public Builder putAllHeavyLoad(
+        java.util.Map<java.lang.String, java.lang.Integer> values) {
+      internalGetMutableHeavyLoad().getMutableMap()
+          .putAll(values);
+      bitField0_ |= 0x00000400;
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:shallothold.FleetNews)
   }
 
--- a/wire/src/main/java/org/shallothold/wire/proto/FleetNewsOrBuilder.java
+++ b/wire/src/main/java/org/shallothold/wire/proto/FleetNewsOrBuilder.java
@@ -278,4 +278,56 @@
    */
   org.shallothold.wire.proto.EngineSpeed getEngineSpeedsOrThrow(
       java.lang.String key);
+
+  /**
+   * <pre>
+   * Work of prompts that break short pause targets, in thousandths of an engine, by service.
+   * </pre>
+   *
+   * <code>map&lt;string, int32&gt; heavy_load = 11;</code>
+   */
+  int getHeavyLoadCount();
+  /**
+   * <pre>
+   * Work of prompts that break short pause targets, in thousandths of an engine, by service.
+   * </pre>
+   *
+   * <code>map&lt;string, int32&gt; heavy_load = 11;</code>
+   */
+  boolean containsHeavyLoad(
+      java.lang.String key);
+  /**
+   * Use {@link #getHeavyLoadMap()} instead.
+   */
+  @java.lang.Deprecated
+  java.util.Map<java.lang.String, java.lang.Integer>
+  getHeavyLoad();
+  /**
+   * <pre>
+   * Work of prompts that break short pause targets, in thousandths of an engine, by service.
+   * </pre>
+   *
+   * <code>map&lt;string, int32&gt; heavy_load = 11;</code>
+   */
+  java.util.Map<java.lang.String, java.lang.Integer>
+  getHeavyLoadMap();
+  /**
+   * <pre>
+   * Work of prompts that break short pause targets, in thousandths of an engine, by service.
+   * </pre>
+   *
+   * <code>map&lt;string, int32&gt; heavy_load = 11;</code>
+   */
+  int getHeavyLoadOrDefault(
+      java.lang.String key,
+      int defaultValue);
+  /**
+   * <pre>
+   * Work of prompts that break short pause targets, in thousandths of an engine, by service.
+   * </pre>
+   *
+   * <code>map&lt;string, int32&gt; heavy_load = 11;</code>
+   */
+  int getHeavyLoadOrThrow(
+      java.lang.String key);
 }
