--- a/core/src/main/java/org/shallothold/core/placement/PauseRisk.java
+++ b/core/src/main/java/org/shallothold/core/placement/PauseRisk.java
@@ -16,23 +16,19 @@
   // with each change of the estimate.
   private static final double AT_RISK_RATIO = 0.95;
   private static final double SAFE_RATIO = 0.85;
-  private static final double LONG_READ_QUANTILE = 0.9;
   // Streams whose target is further above the shortest one at risk share the engines that read:
   // kept apart with the most sensitive streams, their own prompts would break those pauses.
   private static final double SENSITIVE_RATIO = 1.4;
-  // Two long prompts follow each other often, three hardly.
-  private static final double LONG_READS_TOGETHER = 2;
-  private static final int LEAST_PROMPTS = 12;
+  // Prompts that follow each other are read without a break, however short each of them is.
+  private static final double UNBROKEN_READ_MILLIS = Double.POSITIVE_INFINITY;
   // A target that nobody asked for lately does not limit others.
   private static final long TARGET_LIFE_MILLIS = 3_000;
 
-  private final QuantileEstimate longRead = QuantileEstimate.of(LONG_READ_QUANTILE);
   private final Map<Long, Boolean> atRiskByTarget = new HashMap<>();
   private final Map<Long, Long> askedMillisByTarget = new HashMap<>();
 
-  /** Notes a request; only the part of its prompt that is its own is read for certain. */
-  void arrived(Work work, double ownReadMillis, EngineFigures figures, long nowMillis) {
-    longRead.add(ownReadMillis);
+  /** Notes a request. */
+  void arrived(Work work, EngineFigures figures, long nowMillis) {
     if (isAtRisk(work, figures)) {
       askedMillisByTarget.put(work.pauseTargetMillis(), nowMillis);
     }
@@ -50,7 +46,7 @@
     if (target <= 0) {
       return false;
     }
-    double longest = figures.pauseMillis(longestReadMillis(figures));
+    double longest = figures.pauseMillis(UNBROKEN_READ_MILLIS);
     boolean before = atRiskByTarget.getOrDefault(target, true);
     boolean now = longest >= target * (before ? SAFE_RATIO : AT_RISK_RATIO);
     atRiskByTarget.put(target, now);
@@ -66,14 +62,6 @@
         .toList();
   }
 
-  /** Returns the longest reading between two events; prompts bound it while engines' is unknown. */
-  private double longestReadMillis(EngineFigures figures) {
-    boolean boundKnown = figures.readingPauseMillis() < EngineFigures.UNKNOWN_PAUSE;
-    return boundKnown || longRead.samples() < LEAST_PROMPTS
-        ? Double.POSITIVE_INFINITY
-        : longRead.value() * LONG_READS_TOGETHER;
-  }
-
   /** Returns the shortest pause target at risk that was asked for lately; infinite if none was. */
   double shortestTargetMillis(long nowMillis) {
     askedMillisByTarget.values().removeIf(asked -> nowMillis - asked > TARGET_LIFE_MILLIS);
--- a/core/src/main/java/org/shallothold/core/placement/ServerModel.java
+++ b/core/src/main/java/org/shallothold/core/placement/ServerModel.java
@@ -14,7 +14,7 @@
 
   // A report of the server's load is used for as long as a typical answer takes.
   private static final long REPORT_LIFE_MILLIS = 1_000;
-  // Peers send news several times a second; older news comes from a peer that is cut off.
+  // Peers repeat their open work more than once a second; older news is of a peer that is cut off.
   private static final long PEER_NEWS_LIFE_MILLIS = 1_500;
   private static final double SLOWNESS_WEIGHT = 0.2;
   private static final double MIN_SLOWNESS = 0.5;
--- a/core/src/test/java/org/shallothold/core/placement/EnginePlacementTest.java
+++ b/core/src/test/java/org/shallothold/core/placement/EnginePlacementTest.java
@@ -151,18 +151,28 @@
       IntStream.range(0, 30)
           .forEach(
               number ->
-                  assertNotEquals(lane, place(100 + number, digest(number, number), 1).server()));
+                  assertNotEquals(
+                      lane, place(100 + number, digest(100 + number, number), 1).server()));
     }
 
-    /** Guards against a lane that is too small for a burst of short requests. */
+    /**
+     * Guards against a lane that is too small for a burst of short requests beside long prompts.
+     */
     @Test
     void getMoreEnginesInABurst() {
-      IntStream.range(0, 400).forEach(number -> policy.requestArrived(query(number), number * 10L));
+      LongStream.range(0, 4_000).filter(now -> now % 10 == 0).forEach(this::arriveAt);
       int calm = policy.laneSize(6, 4_000);
-      IntStream.range(0, 800)
-          .forEach(number -> policy.requestArrived(query(number), 4_000 + number * 5L));
+      LongStream.range(4_000, 8_000).filter(now -> now % 5 == 0).forEach(this::arriveAt);
       assertTrue(policy.laneSize(6, 8_000) > calm);
     }
+
+    /** A query, and every tenth of a second a digest, so that digests could fill all engines. */
+    private void arriveAt(long now) {
+      policy.requestArrived(query(now), now);
+      if (now % 100 == 0) {
+        policy.requestArrived(digest(now, now), now);
+      }
+    }
   }
 
   /** Nothing is known of the engines yet, and a burst of long prompts begins. */
@@ -291,7 +301,8 @@
       ServerModel lane = placeAt(1, member(1), 0);
       LongStream.range(0, 30)
           .forEach(
-              number -> assertNotEquals(lane, placeAt(100 + number, digest(number, number), 1)));
+              number ->
+                  assertNotEquals(lane, placeAt(100 + number, digest(100 + number, number), 1)));
     }
 
     /** Guards against engines kept for streams whose pauses hold anyway. */
