Listen before the rest of the start, and let early requests wait for the first configuration

Cause: after a loss of all gateways, callers met no listener until the whole start was done, and then refusals until the configuration was read; most had no attempt left.

--- a/core/src/test/java/org/shallothold/core/placement/EnginePlacementTest.java
+++ b/core/src/test/java/org/shallothold/core/placement/EnginePlacementTest.java
@@ -205,6 +205,92 @@
     }
   }
 
+  /** A burst of long prompts whose shared parts no engine caches yet, beside short pauses. */
+  @Nested
+  class ColdBurst {
+
+    private Work draft(long request, int ownTokens) {
+      return new Work(
+          List.of(
+              new PromptPart(500 + request, 5_400), new PromptPart(4_000_000 + request, ownTokens)),
+          5_400 + ownTokens,
+          380,
+          Rank.of(2),
+          2_500,
+          1_500);
+    }
+
+    private Work member(long request) {
+      return new Work(
+          List.of(new PromptPart(8, 200), new PromptPart(3_000_000 + request, 630)),
+          830,
+          290,
+          Rank.of(0),
+          800,
+          400);
+    }
+
+    private Placement placeAt(EnginePlacement chooser, long number, Work work, long nowMillis) {
+      chooser.requestArrived(work, nowMillis);
+      Placement placement =
+          chooser.choose(work, engines, EnginePlacementTest::isExcluded, nowMillis).orElseThrow();
+      placement.server().sent(number, work, placement.readMillis(), placement.tight(), nowMillis);
+      return placement;
+    }
+
+    /**
+     * Guards against engines that stand idle for the sake of short pauses while the others read
+     * without a break: prompts that leave room in the shortest target go there too.
+     */
+    @Test
+    void usesAllEnginesForPromptsThatFit() {
+      EnginePlacement chooser = EnginePlacement.of(TestEngines.longChunks(), "north");
+      placeAt(chooser, 1, member(1), 0);
+      long used =
+          LongStream.range(0, 12)
+              .mapToObj(number -> placeAt(chooser, 10 + number, draft(number, 5_400), 1).server())
+              .distinct()
+              .count();
+      assertEquals(engines.size(), used);
+    }
+
+    /** Guards against a prompt that alone breaks the pauses of the streams beside it. */
+    @Test
+    void keepsTheLongestPromptsToOtherEngines() {
+      EnginePlacement chooser = EnginePlacement.of(TestEngines.longChunks(), "north");
+      ServerModel streams = placeAt(chooser, 1, member(1), 0).server();
+      LongStream.range(0, 12)
+          .forEach(
+              number ->
+                  assertNotEquals(
+                      streams, placeAt(chooser, 10 + number, draft(number, 30_000), 1).server()));
+    }
+
+    /**
+     * Guards against taking pauses for safe since each prompt is short: prompts that follow each
+     * other are read without a break. Nothing kept the streams apart for ten seconds.
+     */
+    @Test
+    void putsPausesAtRiskUntilTheirBoundIsKnown() {
+      EnginePlacement fresh = EnginePlacement.of(EngineEstimator.create(), "north");
+      LongStream.range(0, 40).forEach(number -> fresh.requestArrived(draft(number, 600), number));
+      assertTrue(placeAt(fresh, 1, member(1), 50).tight());
+    }
+
+    /**
+     * Guards against streams that find themselves among long prompts when these need more engines:
+     * they gather where the lane ends last.
+     */
+    @Test
+    void leavesTheStreamsTheirEnginesWhenTheLaneShrinks() {
+      EnginePlacement chooser = EnginePlacement.of(TestEngines.longChunks(), "north");
+      ServerModel streams = placeAt(chooser, 1, member(1), 0).server();
+      LongStream.range(0, 40).forEach(number -> chooser.requestArrived(draft(number, 30_000), 10));
+      assertTrue(chooser.laneSize(engines.size(), 10) < engines.size() - 1);
+      assertEquals(streams, placeAt(chooser, 2, member(2), 20).server());
+    }
+  }
+
   /** Engines that get cached parts from each other much faster than they read them. */
   @Nested
   class Transfers {
@@ -241,6 +327,23 @@
       assertTrue(placement.readMillis() < 180, "reads for " + placement.readMillis());
     }
 
+    /** Guards against a short part that every engine reads, though one of them caches it. */
+    @Test
+    void replaceReadingAShortPartAgain() {
+      EnginePlacement chooser = policyWith(MILLIS_PER_TOKEN);
+      ServerModel cached =
+          chooser
+              .choose(query(1), engines, EnginePlacementTest::isExcluded, 0)
+              .orElseThrow()
+              .server();
+      cached.sent(1, query(1), 25, true, 0);
+      LongStream.range(10, 20)
+          .forEach(number -> cached.sent(number, digest(number, number), 300, false, 0));
+      Placement second =
+          chooser.choose(query(2), engines, EnginePlacementTest::isExcluded, 1).orElseThrow();
+      assertEquals(cached, second.cacheSource());
+    }
+
     /** Guards against transfers that take as long as reading. */
     @Test
     void areNotUsedWhenTheyAreSlow() {
--- a/gateway/src/main/java/org/shallothold/gateway/forward/ForwardedRequest.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/ForwardedRequest.java
@@ -55,6 +55,12 @@
   // Events of a stream hold a few tokens each.
   private static final int MAX_EVENT_BYTES = 1024 * 1024;
 
+  // A gateway that just started reads the configuration within this time if the platform answers;
+  // a refused caller may have no attempt left.
+  private static final long START_WAIT_MILLIS = 1_000;
+  // Leaves the caller time for another gateway.
+  private static final long START_WAIT_DIVISOR = 3;
+  private static final long START_POLL_MILLIS = 10;
   private static final long NOT_CONFIGURED_RETRY_MILLIS = 500;
   private static final long NO_SERVER_RETRY_MILLIS = 400;
   // Another gateway can take it at once.
@@ -102,12 +108,19 @@
   }
 
   void start() {
+    if (ended) {
+      return;
+    }
     if (forwarder.isRefusing()) {
       refuse(
           HttpResponseStatus.SERVICE_UNAVAILABLE,
           Verdict.notRun(ReasonCode.GATEWAY_LEAVING, OTHER_GATEWAY_RETRY_MILLIS));
       return;
     }
+    if (!forwarder.state().isKnown() && waitedMillis() < longestStartWaitMillis()) {
+      forwarder.eventLoop().schedule(this::start, START_POLL_MILLIS, TimeUnit.MILLISECONDS);
+      return;
+    }
     Optional<RoutingConfiguration> configuration = forwarder.state().configuration();
     if (configuration.isEmpty()) {
       refuse(
@@ -148,6 +161,17 @@
     sendFirst();
   }
 
+  private long waitedMillis() {
+    return Clock.millis() - arrivedMillis;
+  }
+
+  /** Returns how long the request waits for the first configuration and list of servers. */
+  private long longestStartWaitMillis() {
+    return facts.deadlineMillis() > 0
+        ? Math.min(START_WAIT_MILLIS, facts.deadlineMillis() / START_WAIT_DIVISOR)
+        : START_WAIT_MILLIS;
+  }
+
   @Override
   public void callerLeft() {
     if (ended) {
--- a/gateway/src/main/java/org/shallothold/gateway/forward/ForwardingGateway.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/ForwardingGateway.java
@@ -52,17 +52,19 @@
   private final RoutingState state;
   private final PrefixReads prefixReads = new PrefixReads();
   private final Forwarder forwarder;
+  private final CallerListener callers;
   private @Nullable PeerExchange peers;
-  private @Nullable CallerListener callers;
 
   private ForwardingGateway(
       ForwardOptions options,
       EventLoop eventLoop,
+      CallerListener callers,
       HeaderTranslation translation,
       PublishedDecoder decoder,
       DecisionLog log) {
     this.options = options;
     this.eventLoop = eventLoop;
+    this.callers = callers;
     this.log = log;
     this.state = new RoutingState(eventLoop, decoder, translation, log);
     this.forwarder =
@@ -83,8 +85,10 @@
       PublishedSource source,
       DecisionLog log) {
     EventLoopGroup group = Transport.group("forward", 1);
+    // First of all: after a restart, callers that meet no listener fail and don't come back.
+    CallerListener callers = CallerListener.bind(group, options.callers());
     ForwardingGateway gateway =
-        new ForwardingGateway(options, group.next(), translation, decoder, log);
+        new ForwardingGateway(options, group.next(), callers, translation, decoder, log);
     gateway.listen(group, source);
     log.add(
         LogLine.of("started")
@@ -95,7 +99,7 @@
 
   /** Returns the port that callers connect to. */
   public int callersPort() {
-    return callers == null ? 0 : callers.port();
+    return callers.port();
   }
 
   /**
@@ -127,7 +131,6 @@
   }
 
   private void listen(EventLoopGroup group, PublishedSource source) {
-    callers = CallerListener.start(group, options.callers(), forwarder);
     if (options.peers() != null) {
       peers =
           PeerExchange.start(
@@ -143,6 +146,7 @@
       StatusListener.start(group, options.metrics(), this::metricsText);
     }
     source.start(eventLoop, state);
+    callers.serve(forwarder);
     eventLoop.scheduleAtFixedRate(
         state::maintain, MAINTENANCE_MILLIS, MAINTENANCE_MILLIS, TimeUnit.MILLISECONDS);
     eventLoop.scheduleAtFixedRate(
@@ -173,7 +177,7 @@
     gauges.read(
         gateways(),
         peers == null ? 0 : peers.newsAgeMillis(),
-        callers == null ? 0 : callers.connections(),
+        callers.connections(),
         log.droppedLines());
     return new StatusListener.Answer(HttpResponseStatus.OK.code(), metrics.text());
   }
@@ -189,8 +193,7 @@
   }
 
   private int openWork() {
-    long busy = callers == null ? 0 : callers.busyConnections();
-    return forwarder.openRequests() + (int) busy;
+    return forwarder.openRequests() + (int) callers.busyConnections();
   }
 
   /**
@@ -201,10 +204,8 @@
    */
   int stopTaking() {
     forwarder.refuseNew();
-    if (callers != null) {
-      callers.stopAccepting();
-      callers.closeIdle();
-    }
+    callers.stopAccepting();
+    callers.closeIdle();
     return forwarder.openRequests();
   }
 
--- a/gateway/src/main/java/org/shallothold/gateway/forward/RoutingState.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/RoutingState.java
@@ -94,6 +94,11 @@
     return servers.values();
   }
 
+  /** Returns whether a configuration and a list of servers, even an empty one, were ever read. */
+  boolean isKnown() {
+    return configuration != null && asOf(PublishedTopic.SERVERS) > 0;
+  }
+
   /** Returns whether there is a configuration and servers for requests. */
   boolean isServing() {
     return configuration != null && !servers.isEmpty();
--- a/gateway/src/main/java/org/shallothold/gateway/forward/caller/CallerListener.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/caller/CallerListener.java
@@ -9,6 +9,7 @@
 import java.net.InetSocketAddress;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Objects;
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
 import org.shallothold.wire.connection.Transport;
@@ -20,28 +21,27 @@
   private static final int MAX_CHUNK_BYTES = 64 * 1024;
   private static final int BACKLOG = 1_024;
 
-  private final CallerService service;
   private final Set<CallerConnection> connections = new HashSet<>();
+  private @Nullable CallerService service;
   private @Nullable Channel listening;
 
-  private CallerListener(CallerService service) {
-    this.service = service;
-  }
+  private CallerListener() {}
 
   /**
-   * Starts to listen.
+   * Listens without taking connections yet. They wait in the operating system, so that callers that
+   * come during the rest of the start are not turned away.
    *
    * @throws IllegalStateException if the address can't be bound
    */
-  public static CallerListener start(
-      EventLoopGroup group, InetSocketAddress address, CallerService service) {
-    CallerListener listener = new CallerListener(service);
+  public static CallerListener bind(EventLoopGroup group, InetSocketAddress address) {
+    CallerListener listener = new CallerListener();
     var bound =
         new ServerBootstrap()
             .group(group)
             .channel(Transport.serverChannel(group))
             .option(ChannelOption.SO_REUSEADDR, true)
             .option(ChannelOption.SO_BACKLOG, BACKLOG)
+            .option(ChannelOption.AUTO_READ, false)
             .childOption(ChannelOption.TCP_NODELAY, true)
             .childHandler(
                 new ChannelInitializer<Channel>() {
@@ -59,6 +59,15 @@
     return listener;
   }
 
+  /** Takes connections from now on, and passes their requests to a service. */
+  public void serve(CallerService forConnections) {
+    service = forConnections;
+    Channel open = listening;
+    if (open != null) {
+      open.config().setAutoRead(true);
+    }
+  }
+
   /** Returns the port that callers connect to. */
   public int port() {
     Channel open = listening;
@@ -89,10 +98,11 @@
   }
 
   private void initialize(Channel channel) {
-    CallerConnection connection = new CallerConnection(service, channel);
+    CallerService serving = Objects.requireNonNull(service);
+    CallerConnection connection = new CallerConnection(serving, channel);
     connections.add(connection);
     channel.closeFuture().addListener(ignored -> connections.remove(connection));
-    int maxHead = service.limits().maxHeaderBytes();
+    int maxHead = serving.limits().maxHeaderBytes();
     channel
         .pipeline()
         .addLast(new HttpServerCodec(Math.min(MAX_LINE_BYTES, maxHead), maxHead, MAX_CHUNK_BYTES))
--- a/gateway/src/test/java/org/shallothold/gateway/forward/ForwardContractTest.java
+++ b/gateway/src/test/java/org/shallothold/gateway/forward/ForwardContractTest.java
@@ -540,6 +540,20 @@
       }
     }
 
+    /**
+     * Guards against refusing callers that come in the moment between the start and the first
+     * configuration: after the loss of all gateways they often have no attempt left.
+     */
+    @Test
+    void areNotGivenWhileTheFirstConfigurationIsRead() throws IOException {
+      try (ForwardFixture fixture = ForwardFixture.unconfigured();
+          Socket socket = fixture.connect()) {
+        ForwardFixture.send(socket, "/once/x", "Connection: close\r\n", "");
+        fixture.configure(exchange -> exchange.answer(200, "whole"));
+        assertTrue(ForwardFixture.readAll(socket).startsWith("HTTP/1.1 200 "));
+      }
+    }
+
     /** Guards against refusals at the gateway's share of connections while servers are free. */
     @Test
     void areNotGivenAtTheShareOfConnections() throws IOException, InterruptedException {
--- a/gateway/src/test/java/org/shallothold/gateway/forward/ForwardFixture.java
+++ b/gateway/src/test/java/org/shallothold/gateway/forward/ForwardFixture.java
@@ -80,6 +80,12 @@
     return fixture;
   }
 
+  /** Publishes the configuration and a server to a gateway that knew none. */
+  void configure(ScriptedServer.Script script) throws IOException {
+    servers.add(ScriptedServer.start("first", script));
+    publish();
+  }
+
   ScriptedServer first() {
     return servers.getFirst();
   }
--- a/runtime/src/main/java/org/shallothold/runtime/logging/JsonLineFormatter.java
+++ b/runtime/src/main/java/org/shallothold/runtime/logging/JsonLineFormatter.java
@@ -9,11 +9,14 @@
 /** Formats a log record as one JSON line. */
 public final class JsonLineFormatter extends Formatter {
 
-  private static final ObjectMapper MAPPER = new ObjectMapper();
+  /** Made with the first record: a process that starts must not wait for it. */
+  private static final class Json {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+  }
 
   @Override
   public String format(LogRecord logRecord) {
-    ObjectNode line = MAPPER.createObjectNode();
+    ObjectNode line = Json.MAPPER.createObjectNode();
     line.put("time", logRecord.getInstant().toString());
     line.put("level", logRecord.getLevel().getName());
     line.put("logger", logRecord.getLoggerName());
@@ -24,7 +27,7 @@
     }
     LogContext.fields().forEach(line::put);
     try {
-      return MAPPER.writeValueAsString(line) + "\n";
+      return Json.MAPPER.writeValueAsString(line) + "\n";
     } catch (JsonProcessingException e) {
       return "{\"level\":\"SEVERE\",\"message\":\"a log line could not be written as JSON\"}\n";
     }
