--- a/gateway/src/main/java/org/shallothold/gateway/forward/peer/PeerExchange.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/peer/PeerExchange.java
@@ -39,6 +39,8 @@
 public final class PeerExchange {
 
   private static final long NEWS_MILLIS = 600;
+  // News of a changed configuration or list of servers don't wait for the next round.
+  private static final long TICK_MILLIS = 150;
   // Changes that come together share a message. Short beside the time that an engine reads a
   // prompt,
   // in which another gateway must not send it the next one unknowingly.
@@ -104,6 +106,8 @@
   private final Map<PublishedTopic, Long> behindSinceMillis = new HashMap<>();
   private long lastRequestMillis;
   private boolean changesScheduled;
+  private long newsMillis = Long.MIN_VALUE / 2;
+  private long toldChangedAt;
 
   private static final class Dialed {
     private @Nullable PeerClient client;
@@ -147,7 +151,7 @@
     PeerExchange exchange = new PeerExchange(eventLoop, processId, own, seeds, source, log);
     PeerServer.bind(exchange.group, own, LIMITS, exchange::hello, exchange.listener(null), null);
     eventLoop.execute(exchange::dialMissing);
-    eventLoop.scheduleAtFixedRate(exchange::tick, NEWS_MILLIS, NEWS_MILLIS, TimeUnit.MILLISECONDS);
+    eventLoop.scheduleAtFixedRate(exchange::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
     return exchange;
   }
 
@@ -184,6 +188,21 @@
     heard.entrySet().removeIf(entry -> silent(entry, now));
     heardOfMillis.values().removeIf(millis -> now - millis > FORGET_MILLIS);
     dialMissing();
+    long changedAt = publishedChangedAt();
+    if (changedAt != toldChangedAt || now - newsMillis >= NEWS_MILLIS) {
+      toldChangedAt = changedAt;
+      newsMillis = now;
+      sendNews();
+    }
+  }
+
+  /** Returns the revision of the latest published change that is known. */
+  private long publishedChangedAt() {
+    return Math.max(
+        source.changedAt(PublishedTopic.CONFIGURATION), source.changedAt(PublishedTopic.SERVERS));
+  }
+
+  private void sendNews() {
     FleetNews.Builder news =
         FleetNews.newBuilder()
             .setProcessId(processId)
