--- a/core/src/main/java/org/shallothold/core/placement/EnginePlacement.java
+++ b/core/src/main/java/org/shallothold/core/placement/EnginePlacement.java
@@ -15,9 +15,10 @@
  * Chooses a model engine by the estimated time to the first event and by what reading the prompt
  * costs others: an engine that reads a long prompt delays the events of all its streams.
  *
- * <p>Streams with a short pause target and long prompts are kept apart: some engines, the same in
- * all gateways, are kept for the former. How many follows from the work of these streams. Owned by
- * one thread.
+ * <p>Streams with a short pause target and prompts that would break it are kept apart: some
+ * engines, the lane, the same in all gateways, are kept for the former. Prompts that leave room in
+ * the target may enter the lane. It takes all engines that the others leave free. Owned by one
+ * thread.
  */
 public final class EnginePlacement implements PlacementPolicy {
 
@@ -27,9 +28,8 @@
   private static final double LEAVE_LANE_COST_MILLIS = 250;
   // Other work enters the lane only when its own engines can't be reached.
   private static final double ENTER_LANE_COST_MILLIS = 5_000;
-  // Streams gather at the engines that leave the lane last, and other prompts at those that leave
-  // it
-  // first: a stream stays in its engine's lane when long prompts need more engines.
+  // For each place in the lane's order. Streams prefer the engines that leave the lane last, other
+  // prompts those that leave it first: when long prompts need more engines, few streams are there.
   private static final double LANE_ORDER_COST_MILLIS = 12;
   // All else equal, gateways agree on the engine that caches a prefix. Not so for streams that are
   // kept apart: their engines are agreed on by the lane.
@@ -93,8 +93,8 @@
    *
    * @param servers all engines of the service
    * @param inService those that take new work, in an order that all gateways share
-   * @param laneDepths of the engines that are kept for short pauses, the first of them, how many
-   *     engines further the lane must shrink until they leave it
+   * @param laneDepths the engines that are kept for short pauses, each with the number of engines
+   *     by which the lane must shrink until this one has left it
    * @param arrivals requests noted until then, whose work decides on the lane
    */
   private record Fleet(
--- /dev/null
+++ b/gateway/src/test/java/org/shallothold/gateway/forward/caller/CallerListenerTest.java
@@ -0,0 +1,78 @@
+package org.shallothold.gateway.forward.caller;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoopGroup;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.shallothold.core.route.CallerLimits;
+import org.shallothold.core.verdict.ReasonCode;
+import org.shallothold.wire.connection.Transport;
+
+/** Connections of callers that come while the gateway starts. */
+class CallerListenerTest {
+
+  private final EventLoopGroup group = Transport.group("test", 1);
+
+  @AfterEach
+  void stop() {
+    group.shutdownGracefully();
+  }
+
+  /** Answers each request with 204. */
+  private static final class Service implements CallerService {
+
+    @Override
+    public CallerRequestListener accept(CallerRequest request, CallerExchange exchange) {
+      request.body().release();
+      exchange.answer(
+          HttpResponseStatus.NO_CONTENT, new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER);
+      return new CallerRequestListener() {
+        @Override
+        public void callerLeft() {}
+
+        @Override
+        public void writabilityChanged() {}
+      };
+    }
+
+    @Override
+    public void rejected(ReasonCode reason) {}
+
+    @Override
+    public CallerLimits limits() {
+      return CallerLimits.DEFAULT;
+    }
+
+    @Override
+    public boolean isLeaving() {
+      return false;
+    }
+  }
+
+  /** Guards against callers that are turned away, or never served, since they came too early. */
+  @Test
+  void connectionsDuringTheStartAreServedAfterIt() throws IOException {
+    CallerListener listener =
+        CallerListener.bind(group, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+    try (Socket early = new Socket(InetAddress.getLoopbackAddress(), listener.port())) {
+      byte[] request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
+      early.getOutputStream().write(request);
+      listener.serve(new Service());
+      BufferedReader answer =
+          new BufferedReader(
+              new InputStreamReader(early.getInputStream(), StandardCharsets.US_ASCII));
+      assertEquals("HTTP/1.1 204 No Content", answer.readLine());
+    }
+  }
+}
