--- a/core/src/main/java/org/shallothold/core/placement/PauseRisk.java
+++ b/core/src/main/java/org/shallothold/core/placement/PauseRisk.java
@@ -6,8 +6,8 @@
 
 /**
  * Tells which streams miss their pause target when their engine reads prompts. That depends on the
- * engines and on the prompts: with short chunks or short prompts no pause grows long. Owned by one
- * thread.
+ * engines: with short chunks no pause grows long. Until that is known, every target is at risk.
+ * Owned by one thread.
  */
 final class PauseRisk {
 
--- a/core/src/test/java/org/shallothold/core/placement/EnginePlacementTest.java
+++ b/core/src/test/java/org/shallothold/core/placement/EnginePlacementTest.java
@@ -59,10 +59,24 @@
         200);
   }
 
+  private static Work member(long request) {
+    return new Work(
+        List.of(new PromptPart(8, 200), new PromptPart(3_000_000 + request, 630)),
+        830,
+        290,
+        Rank.of(0),
+        800,
+        400);
+  }
+
   private Placement place(long number, Work work, long nowMillis) {
-    policy.requestArrived(work, nowMillis);
+    return place(policy, number, work, nowMillis);
+  }
+
+  private Placement place(EnginePlacement chooser, long number, Work work, long nowMillis) {
+    chooser.requestArrived(work, nowMillis);
     Placement placement =
-        policy.choose(work, engines, EnginePlacementTest::isExcluded, nowMillis).orElseThrow();
+        chooser.choose(work, engines, EnginePlacementTest::isExcluded, nowMillis).orElseThrow();
     placement.server().sent(number, work, placement.readMillis(), placement.tight(), nowMillis);
     return placement;
   }
@@ -220,24 +234,6 @@
           1_500);
     }
 
-    private Work member(long request) {
-      return new Work(
-          List.of(new PromptPart(8, 200), new PromptPart(3_000_000 + request, 630)),
-          830,
-          290,
-          Rank.of(0),
-          800,
-          400);
-    }
-
-    private Placement placeAt(EnginePlacement chooser, long number, Work work, long nowMillis) {
-      chooser.requestArrived(work, nowMillis);
-      Placement placement =
-          chooser.choose(work, engines, EnginePlacementTest::isExcluded, nowMillis).orElseThrow();
-      placement.server().sent(number, work, placement.readMillis(), placement.tight(), nowMillis);
-      return placement;
-    }
-
     /**
      * Guards against engines that stand idle for the sake of short pauses while the others read
      * without a break: prompts that leave room in the shortest target go there too.
@@ -245,10 +241,10 @@
     @Test
     void usesAllEnginesForPromptsThatFit() {
       EnginePlacement chooser = EnginePlacement.of(TestEngines.longChunks(), "north");
-      placeAt(chooser, 1, member(1), 0);
+      place(chooser, 1, member(1), 0);
       long used =
           LongStream.range(0, 12)
-              .mapToObj(number -> placeAt(chooser, 10 + number, draft(number, 5_400), 1).server())
+              .mapToObj(number -> place(chooser, 10 + number, draft(number, 5_400), 1).server())
               .distinct()
               .count();
       assertEquals(engines.size(), used);
@@ -258,12 +254,12 @@
     @Test
     void keepsTheLongestPromptsToOtherEngines() {
       EnginePlacement chooser = EnginePlacement.of(TestEngines.longChunks(), "north");
-      ServerModel streams = placeAt(chooser, 1, member(1), 0).server();
+      ServerModel streams = place(chooser, 1, member(1), 0).server();
       LongStream.range(0, 12)
           .forEach(
               number ->
                   assertNotEquals(
-                      streams, placeAt(chooser, 10 + number, draft(number, 30_000), 1).server()));
+                      streams, place(chooser, 10 + number, draft(number, 30_000), 1).server()));
     }
 
     /**
@@ -274,7 +270,7 @@
     void putsPausesAtRiskUntilTheirBoundIsKnown() {
       EnginePlacement fresh = EnginePlacement.of(EngineEstimator.create(), "north");
       LongStream.range(0, 40).forEach(number -> fresh.requestArrived(draft(number, 600), number));
-      assertTrue(placeAt(fresh, 1, member(1), 50).tight());
+      assertTrue(place(fresh, 1, member(1), 50).tight());
     }
 
     /**
@@ -284,10 +280,10 @@
     @Test
     void leavesTheStreamsTheirEnginesWhenTheLaneShrinks() {
       EnginePlacement chooser = EnginePlacement.of(TestEngines.longChunks(), "north");
-      ServerModel streams = placeAt(chooser, 1, member(1), 0).server();
+      ServerModel streams = place(chooser, 1, member(1), 0).server();
       LongStream.range(0, 40).forEach(number -> chooser.requestArrived(draft(number, 30_000), 10));
       assertTrue(chooser.laneSize(engines.size(), 10) < engines.size() - 1);
-      assertEquals(streams, placeAt(chooser, 2, member(2), 20).server());
+      assertEquals(streams, place(chooser, 2, member(2), 20).server());
     }
   }
 
@@ -377,22 +373,8 @@
 
     private final EnginePlacement policy = EnginePlacement.of(TestEngines.longChunks(), "north");
 
-    private Work member(long request) {
-      return new Work(
-          List.of(new PromptPart(8, 200), new PromptPart(3_000_000 + request, 630)),
-          830,
-          290,
-          Rank.of(0),
-          800,
-          400);
-    }
-
     private ServerModel placeAt(long number, Work work, long nowMillis) {
-      policy.requestArrived(work, nowMillis);
-      Placement placement =
-          policy.choose(work, engines, EnginePlacementTest::isExcluded, nowMillis).orElseThrow();
-      placement.server().sent(number, work, placement.readMillis(), placement.tight(), nowMillis);
-      return placement.server();
+      return place(policy, number, work, nowMillis).server();
     }
 
     /**
