--- a/review/lib/StreamEngine.java
+++ b/review/lib/StreamEngine.java
@@ -135,10 +135,10 @@
   /** Closes all sockets as the operating system does for a process that ends, then ends. */
   private static void crash() {
     try {
-      listener.close();
       for (Stream stream : STREAMS) {
         stream.socket.close();
       }
+      listener.close();
     } catch (IOException e) {
       // The process ends anyway.
     }
