--- a/review/3/LeftoverBytes.java
+++ b/review/3/LeftoverBytes.java
@@ -58,11 +58,11 @@
       nextOrdersFail = false;
       STATUS_BY_ATTEMPT.put(id, 500);
       lab.record.add(engine.id + ": answers 500 to " + id);
-      engine.answer(request, socket, 500, "", "the order failed");
+      engine.answer(request, socket, 500, "the order failed");
       return;
     }
     STATUS_BY_ATTEMPT.put(id, 200);
-    engine.answer(request, socket, 200, "", engine.id + " done");
+    engine.answer(request, socket, 200, engine.id + " done");
     if (nextOrdersFail && !spoiled) {
       spoiled = true;
       spoiledConnection = socket;
--- a/review/lib/Engine.java
+++ b/review/lib/Engine.java
@@ -29,14 +29,13 @@
   private final ServerSocket listener;
   private final List<Socket> connections = new ArrayList<>();
   volatile Handler handler;
-  volatile String extraFields = "";
 
   Engine(RunRecord record, String id, String service) throws IOException {
     this.record = record;
     this.id = id;
     this.service = service;
     this.born = System.currentTimeMillis();
-    this.handler = (request, socket) -> answer(request, socket, 200, "", id + " done");
+    this.handler = (request, socket) -> answer(request, socket, 200, id + " done");
     this.listener = new ServerSocket(0, 200, InetAddress.getByName("127.0.0.1"));
     Thread.ofVirtual().start(this::accept);
   }
@@ -52,19 +51,17 @@
         .formatted(service, address(), state, sequence, born);
   }
 
-  void answer(Http.Message request, Socket socket, int status, String fields, String body)
+  void answer(Http.Message request, Socket socket, int status, String body)
       throws IOException {
     byte[] bytes = Http.bytes(body);
     Http.write(
         socket,
-        "HTTP/1.1 %d X\r\nAttempt-Id: %s\r\nResponse-Signature: sig.%s.%s\r\n%s%sContent-Length: %d\r\n\r\n"
+        "HTTP/1.1 %d X\r\nAttempt-Id: %s\r\nResponse-Signature: sig.%s.%s\r\nContent-Length: %d\r\n\r\n"
             .formatted(
                 status,
                 request.field("Attempt-Id"),
                 id,
                 request.field("Attempt-Id"),
-                extraFields,
-                fields,
                 bytes.length),
         bytes);
   }
--- a/review/lib/Gateway.java
+++ b/review/lib/Gateway.java
@@ -7,7 +7,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.TimeUnit;
 
 /** A gateway of the project, started as a process with the command of the deploy file. */
 final class Gateway {
@@ -137,27 +136,10 @@
     }
   }
 
-  /** Sends a signal to the process, by its id. */
-  void signal(String signal) throws IOException, InterruptedException {
-    new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor();
-  }
-
-  boolean awaitEnd(long millis) throws InterruptedException {
-    return process.waitFor(millis, TimeUnit.MILLISECONDS);
-  }
-
-  boolean isAlive() {
-    return process != null && process.isAlive();
-  }
-
   void kill() throws InterruptedException {
     if (process != null) {
       process.destroyForcibly();
       process.waitFor();
     }
   }
-
-  Path log() {
-    return log;
-  }
 }
--- a/review/lib/Store.java
+++ b/review/lib/Store.java
@@ -10,8 +10,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
-import java.util.concurrent.atomic.AtomicInteger;
-import java.util.function.Predicate;
 
 /** Stand-in for the platform's metadata store: ranges and watches, one revision counter. */
 final class Store {
@@ -24,9 +22,6 @@
   private final List<Event> events = new ArrayList<>();
   private final List<Socket> connections = new ArrayList<>();
   private long revision = 100;
-  private volatile Predicate<String> losesAnswer = call -> false;
-  final AtomicInteger answers = new AtomicInteger();
-  final AtomicInteger lostAnswers = new AtomicInteger();
 
   Store(RunRecord record) throws IOException {
     this.record = record;
@@ -56,11 +51,6 @@
     return revision;
   }
 
-  /** Sets which answers are lost. A connection on which one is lost returns nothing further. */
-  void loseAnswers(Predicate<String> predicate) {
-    losesAnswer = predicate;
-  }
-
   private void accept() {
     while (true) {
       try {
@@ -77,22 +67,10 @@
   }
 
   private void serve(Socket socket) {
-    boolean silent = false;
     try (socket) {
       BufferedInputStream in = new BufferedInputStream(socket.getInputStream());
       for (Http.Message call = Http.readRequest(in); call != null; call = Http.readRequest(in)) {
-        if (silent) {
-          continue;
-        }
-        String answer = answer(call.target());
-        answers.incrementAndGet();
-        if (losesAnswer.test(call.target() + " " + answer)) {
-          lostAnswers.incrementAndGet();
-          silent = true;
-          record.add("store: the answer to " + call.target() + " is lost");
-          continue;
-        }
-        byte[] body = Http.bytes(answer);
+        byte[] body = Http.bytes(answer(call.target()));
         Http.write(
             socket,
             "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: "
--- a/review/lib/StreamEngine.java
+++ b/review/lib/StreamEngine.java
@@ -6,15 +6,14 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.util.ArrayList;
-import java.util.Iterator;
 import java.util.List;
 
 /**
  * Stand-in for a model engine, as a process of its own. It makes the events of all its streams in
  * steps, as a batch. Its streams have neither a length nor chunks and end with their connection.
  * Arguments: id, events of a stream, milliseconds of a step. Writes its port and then a line for
- * each run to standard output. A line "drain" on standard input makes it say that it leaves, "exit"
- * ends it, and "crash" ends it abruptly in the middle of its next step.
+ * each run to standard output. A line "drain" on standard input makes it say that it leaves, and
+ * "exit" ends it.
  */
 final class StreamEngine {
 
@@ -31,9 +30,7 @@
   }
 
   private static final List<Stream> STREAMS = new ArrayList<>();
-  private static volatile ServerSocket listener;
   private static volatile boolean leaving;
-  private static volatile boolean crashesInNextStep;
 
   private StreamEngine() {}
 
@@ -41,7 +38,7 @@
     String id = arguments[0];
     int events = Integer.parseInt(arguments[1]);
     long stepMillis = Long.parseLong(arguments[2]);
-    listener = new ServerSocket(0, 200, InetAddress.getByName("127.0.0.1"));
+    ServerSocket listener = new ServerSocket(0, 200, InetAddress.getByName("127.0.0.1"));
     System.out.println("PORT " + listener.getLocalPort());
     Thread.ofPlatform().daemon().start(() -> step(events, stepMillis));
     Thread.ofPlatform()
@@ -63,9 +60,6 @@
       if (line.equals("drain")) {
         leaving = true;
       }
-      if (line.equals("crash")) {
-        crashesInNextStep = true;
-      }
       if (line.equals("exit")) {
         break;
       }
@@ -113,16 +107,7 @@
   private static void step(int events, long stepMillis) {
     while (true) {
       synchronized (STREAMS) {
-        int half = crashesInNextStep ? STREAMS.size() / 2 : -1;
-        int made = 0;
-        for (Iterator<Stream> streams = STREAMS.iterator(); streams.hasNext(); ) {
-          if (made++ == half) {
-            crash();
-          }
-          if (endsInStep(streams.next(), events)) {
-            streams.remove();
-          }
-        }
+        STREAMS.removeIf(stream -> endsInStep(stream, events));
       }
       try {
         Thread.sleep(stepMillis);
@@ -132,19 +117,6 @@
     }
   }
 
-  /** Closes all sockets as the operating system does for a process that ends, then ends. */
-  private static void crash() {
-    try {
-      for (Stream stream : STREAMS) {
-        stream.socket.close();
-      }
-      listener.close();
-    } catch (IOException e) {
-      // The process ends anyway.
-    }
-    Runtime.getRuntime().halt(1);
-  }
-
   private static boolean endsInStep(Stream stream, int events) {
     try {
       stream.sent++;
