Close connections on which a server sends bytes that belong to no request

Cause: the beginning of an additional response stayed in the HTTP decoder of an idle connection. Only a complete head closed the connection. The next response was then read as the continuation of these bytes; its fields held the right request id, so the check of the id passed.

Why this works: the decoder is told when a response is expected. Bytes that arrive otherwise, and bytes that follow the last byte of a response in the same read, close the connection. That covers idle connections, those kept after a check of the server and those whose request was abandoned before its send; a connection whose reading is paused at the end of a response is not used again. Bytes that arrive after the next request was written can't be told apart by their time, but the status line of the real response then stands within another field, where it is refused as malformed: the request may have run.

Ruled out: a fresh decoder for each response alone does not help with bytes that arrive late.

A metric and a log line (additional_bytes) show each connection that was closed for this reason.

--- a/gateway/src/main/java/org/shallothold/gateway/forward/ForwardMetrics.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/ForwardMetrics.java
@@ -17,6 +17,7 @@
   final Counter rateLimitedSends;
   final Counter requestsHeldForRate;
   final Counter misdirectedPermitRequests;
+  final Counter additionalBytes;
   final Counter serverEnds;
   final Counter partStandingChanges;
   final Counter requestsBlockedForPart;
@@ -59,6 +60,11 @@
         metrics.counter(
             "shallothold_misdirected_permit_requests_total",
             "Requests for send permits that reached a gateway that does not coordinate the server.");
+    additionalBytes =
+        metrics.counter(
+            "shallothold_additional_bytes_connections_total",
+            "Connections closed because the server sent bytes that belong to no request.",
+            "service");
     serverEnds =
         metrics.counter(
             "shallothold_server_ends_total",
--- a/gateway/src/main/java/org/shallothold/gateway/forward/ForwardingGateway.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/ForwardingGateway.java
@@ -74,7 +74,7 @@
     this.eventLoop = eventLoop;
     this.callerListener = callerListener;
     this.log = log;
-    this.state = new RoutingState(eventLoop, decoder, translation, log);
+    this.state = new RoutingState(eventLoop, decoder, translation, log, metrics);
     this.forwarder =
         new Forwarder(
             options, eventLoop, state, translation, log, metrics, this::gatewayCount, prefixReads);
--- a/gateway/src/main/java/org/shallothold/gateway/forward/RoutingState.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/RoutingState.java
@@ -46,6 +46,7 @@
   private final PublishedDecoder decoder;
   private final HeaderTranslation translation;
   private final StructuredLog log;
+  private final ForwardMetrics metrics;
 
   private final Map<PublishedTopic, PublishedState> publishedStates =
       new EnumMap<>(PublishedTopic.class);
@@ -85,7 +86,9 @@
       EventLoop eventLoop,
       PublishedDecoder decoder,
       HeaderTranslation translation,
-      StructuredLog log) {
+      StructuredLog log,
+      ForwardMetrics metrics) {
+    this.metrics = metrics;
     this.eventLoop = eventLoop;
     this.decoder = decoder;
     this.translation = translation;
@@ -132,7 +135,20 @@
         server.id(),
         id ->
             BackendPool.of(
-                eventLoop, new InetSocketAddress(server.host(), server.port()), translation));
+                eventLoop,
+                new InetSocketAddress(server.host(), server.port()),
+                translation,
+                (length, lastRequestId) -> recordAdditionalBytes(server, length, lastRequestId)));
+  }
+
+  private void recordAdditionalBytes(ServerEntry server, int length, String lastRequestId) {
+    metrics.additionalBytes.labelValues(server.service()).inc();
+    log.add(
+        LogLine.of("additional_bytes")
+            .with("server", server.id())
+            .with("service", server.service())
+            .with("bytes", length)
+            .with("last_request", lastRequestId));
   }
 
   /** Returns the number of connections to backend servers that are open or being opened. */
--- a/gateway/src/main/java/org/shallothold/gateway/forward/backend/BackendConnection.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/backend/BackendConnection.java
@@ -12,16 +12,18 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import java.util.Optional;
 import org.jspecify.annotations.Nullable;
 import org.shallothold.gateway.forward.port.HeaderTranslation;
 import org.shallothold.gateway.forward.port.ResponseMetadata;
 
 /**
  * An HTTP/1.1 connection to a backend server that carries at most one request at a time. Discards
- * responses that name another request, and closes if a response arrives while no request waits for
- * one. Not thread-safe; used on the event loop only.
+ * responses that name another request, and closes if bytes arrive while no request waits for a
+ * response. Not thread-safe; used on the event loop only.
  */
-final class BackendConnection extends ChannelInboundHandlerAdapter {
+final class BackendConnection extends ChannelInboundHandlerAdapter
+    implements ResponseDecoder.Listener {
 
   // Larger than any response that the gateway buffers, so that an overdue response to an earlier
   // request can be discarded whole.
@@ -31,9 +33,10 @@
   private final BackendPool pool;
   private final HeaderTranslation translation;
   private final Channel channel;
+  private final ResponseDecoder decoder = new ResponseDecoder(this);
 
   private @Nullable BackendListener listener;
-  private @Nullable String requestId;
+  private String requestId = "";
   private boolean headReceived;
   private boolean discarding;
   private long discardedBytes;
@@ -49,6 +52,11 @@
     this.channel = channel;
   }
 
+  /** Returns the decoder to put in front of this handler in the channel's pipeline. */
+  ResponseDecoder decoder() {
+    return decoder;
+  }
+
   /**
    * Sends a request and releases its buffer. The connection must be {@linkplain #isUsable usable}.
    *
@@ -63,6 +71,7 @@
     discardedBytes = 0;
     discardedResponses = 0;
     requestWritten = false;
+    decoder.expectResponse(request.method());
     responseListener.sending();
     channel.writeAndFlush(request).addListener((ChannelFuture future) -> writeCompleted(future));
   }
@@ -121,6 +130,11 @@
     pool.connectionClosed(this);
   }
 
+  @Override
+  public void unexpectedBytes(int length) {
+    closeForAdditionalBytes(length);
+  }
+
   private void writeCompleted(ChannelFuture future) {
     requestWritten = future.isSuccess();
     if (!requestWritten) {
@@ -130,9 +144,9 @@
   }
 
   private void readHead(HttpResponse head) {
-    if (head.decoderResult().isFailure()) {
-      reusable = false;
-      fail("the server sent a malformed response");
+    Optional<String> problem = ResponseHeadCheck.problem(head);
+    if (problem.isPresent()) {
+      fail(problem.get());
       channel.close();
       return;
     }
@@ -216,15 +230,27 @@
       return;
     }
     listener = null;
+    int additionalBytes = decoder.endResponse();
+    if (additionalBytes > 0) {
+      closeForAdditionalBytes(additionalBytes);
+    }
+    // Bytes that follow the response may wait unread while reading is paused.
+    reusable &= channel.config().isAutoRead();
     // A server that responded before it received the whole request would read the rest of it as
     // the next request.
     reusable &= requestWritten;
     current.completed();
-    // Deferred, so that whatever follows the response in the same buffer is read, and closes the
-    // connection, before another request uses it.
+    // Deferred, so that bytes that follow the response in the same read close the connection before
+    // another request uses it.
     channel.eventLoop().execute(() -> pool.connectionReleased(this));
   }
 
+  private void closeForAdditionalBytes(int length) {
+    reusable = false;
+    pool.additionalBytesReceived(length, requestId);
+    channel.close();
+  }
+
   private void fail(String reason) {
     BackendListener current = listener;
     listener = null;
--- a/gateway/src/main/java/org/shallothold/gateway/forward/backend/BackendPool.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/backend/BackendPool.java
@@ -8,7 +8,7 @@
 import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.util.ReferenceCountUtil;
 import java.net.ConnectException;
 import java.net.InetSocketAddress;
@@ -40,20 +40,35 @@
   // A connection that a server accepted while it was ending is closed within this time.
   private static final long CHECK_OPEN_MILLIS = 20;
   private static final int MAX_CHECKS = 4;
-  private static final int MAX_HEAD_BYTES = 32 * 1024;
-  private static final int MAX_CHUNK_BYTES = 64 * 1024;
 
   private final Bootstrap bootstrap;
   private final HeaderTranslation translation;
+  private final AdditionalBytesListener additionalBytesListener;
   private final Deque<IdleConnection> idleConnections = new ArrayDeque<>();
   private final Set<BackendConnection> openConnections = new HashSet<>();
   private int connectionsBeingOpened;
 
   private record IdleConnection(BackendConnection connection, long sinceNanos) {}
 
+  /** Receives what servers send without a request. */
+  public interface AdditionalBytesListener {
+
+    /**
+     * Called when a connection is closed because its server sent bytes that belong to no request.
+     *
+     * @param length number of bytes that were received
+     * @param lastRequestId id of the last request on the connection; empty if there was none
+     */
+    void additionalBytesReceived(int length, String lastRequestId);
+  }
+
   private BackendPool(
-      EventLoop eventLoop, InetSocketAddress address, HeaderTranslation translation) {
+      EventLoop eventLoop,
+      InetSocketAddress address,
+      HeaderTranslation translation,
+      AdditionalBytesListener additionalBytesListener) {
     this.translation = translation;
+    this.additionalBytesListener = additionalBytesListener;
     this.bootstrap =
         new Bootstrap()
             .group(eventLoop)
@@ -73,8 +88,11 @@
 
   /** Returns a pool without connections; they are opened on demand. */
   public static BackendPool of(
-      EventLoop eventLoop, InetSocketAddress address, HeaderTranslation translation) {
-    return new BackendPool(eventLoop, address, translation);
+      EventLoop eventLoop,
+      InetSocketAddress address,
+      HeaderTranslation translation,
+      AdditionalBytesListener additionalBytesListener) {
+    return new BackendPool(eventLoop, address, translation, additionalBytesListener);
   }
 
   /** Handle of a request in flight. */
@@ -231,11 +249,17 @@
     idleConnections.removeIf(entry -> entry.connection() == connection);
   }
 
+  void additionalBytesReceived(int length, String lastRequestId) {
+    additionalBytesListener.additionalBytesReceived(length, lastRequestId);
+  }
+
   private void initialize(Channel channel) {
+    BackendConnection connection = new BackendConnection(this, translation, channel);
     channel
         .pipeline()
-        .addLast(new HttpClientCodec(MAX_HEAD_BYTES, MAX_HEAD_BYTES, MAX_CHUNK_BYTES))
-        .addLast(new BackendConnection(this, translation, channel));
+        .addLast(connection.decoder())
+        .addLast(new HttpRequestEncoder())
+        .addLast(connection);
   }
 
   private @Nullable BackendConnection takeIdle() {
--- /dev/null
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/backend/ResponseDecoder.java
@@ -0,0 +1,68 @@
+package org.shallothold.gateway.forward.backend;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.util.ReferenceCountUtil;
+
+/**
+ * Decodes the responses on one connection to a backend server, and detects bytes that belong to no
+ * request: those that arrive while no response is expected, and those that follow the last byte of
+ * a response. If they stayed in the decoder, the next response would be read as their continuation.
+ * Not thread-safe; used on the event loop only.
+ */
+final class ResponseDecoder extends HttpResponseDecoder {
+
+  private static final int MAX_HEAD_BYTES = 32 * 1024;
+  private static final int MAX_CHUNK_BYTES = 64 * 1024;
+
+  private final Listener listener;
+  private HttpMethod method = HttpMethod.GET;
+  private boolean responseExpected;
+
+  /** Receives the bytes that belong to no request. */
+  interface Listener {
+
+    /** Called when bytes arrive while no response is expected; they are discarded. */
+    void unexpectedBytes(int length);
+  }
+
+  ResponseDecoder(Listener listener) {
+    super(MAX_HEAD_BYTES, MAX_HEAD_BYTES, MAX_CHUNK_BYTES);
+    this.listener = listener;
+  }
+
+  /** Prepares for the response to a request with the given method. */
+  void expectResponse(HttpMethod requestMethod) {
+    method = requestMethod;
+    responseExpected = true;
+  }
+
+  /**
+   * Ends the response whose last part was decoded just now.
+   *
+   * @return the number of bytes that were received after it
+   */
+  int endResponse() {
+    responseExpected = false;
+    return actualReadableBytes();
+  }
+
+  @Override
+  public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
+    if (responseExpected) {
+      super.channelRead(context, message);
+      return;
+    }
+    int length = message instanceof ByteBuf bytes ? bytes.readableBytes() : 0;
+    ReferenceCountUtil.release(message);
+    listener.unexpectedBytes(length);
+  }
+
+  @Override
+  protected boolean isContentAlwaysEmpty(HttpMessage message) {
+    return method.equals(HttpMethod.HEAD) || super.isContentAlwaysEmpty(message);
+  }
+}
--- a/gateway/src/test/java/org/shallothold/gateway/forward/ForwardGaugesTest.java
+++ b/gateway/src/test/java/org/shallothold/gateway/forward/ForwardGaugesTest.java
@@ -27,7 +27,8 @@
           eventLoop,
           new TestDecoder(),
           new TestTranslation(),
-          StructuredLog.start(System.out, "gauges-test"));
+          StructuredLog.start(System.out, "gauges-test"),
+          ForwardMetrics.create());
 
   @AfterEach
   void stop() {
--- a/gateway/src/test/java/org/shallothold/gateway/forward/RoutingStateTest.java
+++ b/gateway/src/test/java/org/shallothold/gateway/forward/RoutingStateTest.java
@@ -30,7 +30,8 @@
           eventLoop,
           new SingleServerDecoder(),
           new TestTranslation(),
-          StructuredLog.start(System.out, "routing-test"));
+          StructuredLog.start(System.out, "routing-test"),
+          ForwardMetrics.create());
 
   @AfterEach
   void stop() {
--- a/gateway/src/test/java/org/shallothold/gateway/forward/ScriptedServer.java
+++ b/gateway/src/test/java/org/shallothold/gateway/forward/ScriptedServer.java
@@ -181,6 +181,7 @@
     while (!listener.isClosed()) {
       try {
         Socket connection = listener.accept();
+        connection.setTcpNoDelay(true);
         connections.add(connection);
         Thread.ofVirtual().start(() -> serve(connection));
       } catch (IOException e) {
