Send a request again on another connection only

By reading (a reviewer's question, not seen by callers): a server rejects a request and sends the rejection twice. If the request is sent to the same server once more over the same connection, the second copy is taken for the response to that send, since both name the same request, and the request may be sent on to another server although this one runs it. A connection whose last request had the same id is now closed instead of used. BackendPoolTest.sameRequestUsesAnotherConnection fails without the rule.

--- a/gateway/src/main/java/org/shallothold/gateway/forward/backend/BackendConnection.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/backend/BackendConnection.java
@@ -57,6 +57,11 @@
     return decoder;
   }
 
+  /** Returns the id of the last request; an empty string before the first. */
+  String lastRequestId() {
+    return requestId;
+  }
+
   /**
    * Sends a request and releases its buffer. The connection must be {@linkplain #isUsable usable}.
    *
--- a/gateway/src/main/java/org/shallothold/gateway/forward/backend/BackendPool.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/backend/BackendPool.java
@@ -135,7 +135,7 @@
    */
   public Exchange send(FullHttpRequest request, String requestId, BackendListener listener) {
     Exchange exchange = new Exchange();
-    BackendConnection reused = takeIdle();
+    BackendConnection reused = takeIdle(requestId);
     if (reused != null) {
       exchange.connection = reused;
       reused.send(request, requestId, listener);
@@ -262,13 +262,20 @@
         .addLast(connection);
   }
 
-  private @Nullable BackendConnection takeIdle() {
+  /**
+   * Removes and returns an idle connection for a request; null if there is none. A connection whose
+   * last request was the same one is closed: a second copy of the response to it would be taken for
+   * the response to this one.
+   */
+  private @Nullable BackendConnection takeIdle(String requestId) {
     while (!idleConnections.isEmpty()) {
       IdleConnection entry = idleConnections.removeFirst();
-      if (entry.connection().isUsable() && !isExpired(entry)) {
-        return entry.connection();
+      BackendConnection connection = entry.connection();
+      boolean sameRequest = !requestId.isEmpty() && connection.lastRequestId().equals(requestId);
+      if (connection.isUsable() && !isExpired(entry) && !sameRequest) {
+        return connection;
       }
-      entry.connection().close();
+      connection.close();
     }
     return null;
   }
--- a/gateway/src/test/java/org/shallothold/gateway/forward/BackendPoolTest.java
+++ b/gateway/src/test/java/org/shallothold/gateway/forward/BackendPoolTest.java
@@ -36,6 +36,7 @@
 /** Which connections to a backend server are used for further requests. */
 class BackendPoolTest {
 
+  private static final long SETTLE_MILLIS = 150;
   private static final String LEFTOVER = "HTTP/1.1 200 OK";
 
   private final EventLoopGroup group = Transport.group("test", 1);
@@ -224,4 +225,26 @@
       assertEquals("500 2", call("b"));
     }
   }
+
+  @Nested
+  class RepeatedRequest {
+
+    /**
+     * Guards against taking a second copy of the response to the first send, such as a rejection,
+     * for the response to the second one: both name the same request.
+     */
+    @Test
+    void sameRequestUsesAnotherConnection() throws Exception {
+      assertEquals("500 1", call("a"));
+      Thread.sleep(SETTLE_MILLIS);
+      assertEquals("500 2", call("a"));
+    }
+
+    @Test
+    void otherRequestUsesSameConnection() throws Exception {
+      assertEquals("500 1", call("a"));
+      Thread.sleep(SETTLE_MILLIS);
+      assertEquals("500 1", call("b"));
+    }
+  }
 }
