Bound the memory of all buffered requests and responses together

Cause: each response may use 8 MiB and each event 1 MiB, and nothing bounded their sum.

Responses being buffered, unfinished events, callers' bodies and pipelined messages, and responses that callers have not read yet count. When a buffer does not fit, the largest response being buffered is given up, so that small sound ones go on; its request is retried where that is safe, else it fails as one that may have run. A body that does not fit is refused with 503 memory_full and Retry-After. Responses that are ready are delivered, even above the bound; nothing else is buffered meanwhile.

shallothold_buffer_bytes, shallothold_buffers_shed_total and the line buffer_shed explain it.

--- a/core/src/main/java/org/shallothold/core/verdict/ReasonCode.java
+++ b/core/src/main/java/org/shallothold/core/verdict/ReasonCode.java
@@ -39,6 +39,8 @@
   SERVER_RATE_LIMIT,
   /** Backend servers ended on requests with a part of the prompt. */
   PROMPT_PART_BLOCKED,
+  /** The gateway's memory for buffered requests and responses is used up. */
+  MEMORY_FULL,
   /** The backend server is leaving. */
   SERVER_LEAVING,
   /** The gateway is shutting down; the caller should use another one. */
--- a/experiment/src/main/java/org/shallothold/experiment/rate/StatedRateRun.java
+++ b/experiment/src/main/java/org/shallothold/experiment/rate/StatedRateRun.java
@@ -127,7 +127,8 @@
               null,
               List.of(seed),
               new ForwardOptions.RetryLimit(0.2, 50, 10_000),
-              8_000);
+              8_000,
+              ForwardOptions.bufferBytes(Runtime.getRuntime().maxMemory()));
       ports.add(
           ForwardingGateway.start(
                   options,
--- a/gateway/src/main/java/org/shallothold/gateway/forward/Attempt.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/Attempt.java
@@ -15,6 +15,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.jspecify.annotations.Nullable;
+import org.shallothold.core.memory.MemoryBudget;
 import org.shallothold.core.placement.EngineEstimator;
 import org.shallothold.core.placement.PauseSampler;
 import org.shallothold.core.placement.Placement;
@@ -61,6 +62,7 @@
   private @Nullable HttpResponse head;
   private @Nullable ResponseMetadata receivedFacts;
   private @Nullable ByteBuf buffered;
+  private final MemoryBudget.Reservation bufferMemory;
   private final EventFramer framer = EventFramer.create();
   private final PauseSampler pauseSampler = PauseSampler.create();
   private boolean streaming;
@@ -75,6 +77,7 @@
     this.work = owner.profile();
     this.caller = owner.caller();
     this.requestKey = owner.number();
+    this.bufferMemory = forwarder.memory().reserveSheddable(this::shed);
     this.service = service;
     this.placement = placement;
     this.server = placement.server();
@@ -230,26 +233,55 @@
       return;
     }
     server.recordBytesReceived(MonotonicClock.millis());
-    if (!streaming) {
-      ByteBuf received = buffered == null ? Unpooled.buffer(content.readableBytes()) : buffered;
-      buffered = received;
-      if (received.readableBytes() + content.readableBytes() > MAX_BUFFERED_RESPONSE_BYTES) {
-        abortResponse("the response is larger than " + MAX_BUFFERED_RESPONSE_BYTES + " bytes");
-        return;
-      }
+    ByteBuf received = buffered == null ? Unpooled.buffer(content.readableBytes()) : buffered;
+    buffered = received;
+    if (!streaming
+        && received.readableBytes() + content.readableBytes() > MAX_BUFFERED_RESPONSE_BYTES) {
+      abortResponse("the response is larger than " + MAX_BUFFERED_RESPONSE_BYTES + " bytes");
+      return;
+    }
+    if (!bufferMemory.resize(capacityFor(received, content.readableBytes()))) {
+      shed();
+      return;
+    }
+    if (streaming) {
+      forwardEvents(received, content);
+    } else {
       received.writeBytes(content);
+    }
+  }
+
+  /** Returns the capacity that the buffer has after a number of bytes were written to it. */
+  private static int capacityFor(ByteBuf buffer, int additionalBytes) {
+    int required = buffer.writerIndex() + additionalBytes;
+    return required <= buffer.capacity()
+        ? buffer.capacity()
+        : buffer.alloc().calculateNewCapacity(required, buffer.maxCapacity());
+  }
+
+  /**
+   * Gives up the response because the memory for buffers is used up. Fails the attempt later, since
+   * the memory may be needed while another response is being read.
+   */
+  private void shed() {
+    if (done) {
       return;
     }
-    forwardEvents(content);
+    forwarder.bufferShed(service, server.entry().id(), trace, bufferedBytes());
+    releaseBuffered();
+    exchange.abandon();
+    forwarder.eventLoop().execute(() -> failed("the memory for buffers is used up", false));
+  }
+
+  private int bufferedBytes() {
+    return buffered == null ? 0 : buffered.readableBytes();
   }
 
   /**
    * Forwards complete events only, so that another attempt can resume after the last of them.
    * Events that the caller already received from an earlier attempt are dropped.
    */
-  private void forwardEvents(ByteBuf content) {
-    ByteBuf pending = buffered == null ? Unpooled.buffer(content.readableBytes()) : buffered;
-    buffered = pending;
+  private void forwardEvents(ByteBuf pending, ByteBuf content) {
     int scanStart = pending.writerIndex();
     pending.writeBytes(content);
     ByteBuf completeEvents = Unpooled.buffer(pending.readableBytes());
@@ -458,6 +490,7 @@
     owner.recordFirstEvent();
     ByteBuf body = buffered == null ? Unpooled.EMPTY_BUFFER : buffered;
     buffered = null;
+    bufferMemory.close();
     boolean success = status >= 200 && status < 300;
     owner.end(
         success ? "completed" : "server_error",
@@ -566,6 +599,7 @@
       buffered.release();
       buffered = null;
     }
+    bufferMemory.close();
   }
 
   private void countResult(String name) {
--- a/gateway/src/main/java/org/shallothold/gateway/forward/ForwardGauges.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/ForwardGauges.java
@@ -2,6 +2,7 @@
 
 import io.prometheus.metrics.core.metrics.Gauge;
 import java.util.Locale;
+import org.shallothold.core.memory.MemoryBudget;
 import org.shallothold.core.placement.TrackedServer;
 import org.shallothold.core.rate.RateObservation;
 import org.shallothold.core.route.RouteConfiguration;
@@ -31,6 +32,7 @@
   private final Gauge restrictedParts;
   private final Gauge partTrials;
   private final Gauge peerUpdateAge;
+  private final Gauge bufferBytes;
   private final Gauge openRequests;
   private final Gauge callerConnections;
   private final Gauge logLinesDropped;
@@ -97,6 +99,11 @@
         metrics.gauge(
             "shallothold_peer_news_age_seconds",
             "Time since the news of the peer that was heard longest ago.");
+    bufferBytes =
+        metrics.gauge(
+            "shallothold_buffer_bytes",
+            "Memory of buffered requests and responses: in use, highest use, and limit.",
+            "kind");
     openRequests =
         metrics.gauge("shallothold_forwarded_open_requests", "Requests without an end yet.");
     callerConnections =
@@ -138,6 +145,10 @@
   /** Updates the gauges of requests in flight, queued requests and retries. */
   void updateRequests(Forwarder forwarder, long nowMillis) {
     openRequests.set(forwarder.openRequestCount());
+    MemoryBudget memory = forwarder.memory();
+    bufferBytes.labelValues("used").set((double) memory.usedBytes());
+    bufferBytes.labelValues("peak").set((double) memory.peakBytes());
+    bufferBytes.labelValues("limit").set((double) memory.limitBytes());
     sendPermits.set(forwarder.rateLimits().permits());
     restrictedParts.clear();
     forwarder
--- a/gateway/src/main/java/org/shallothold/gateway/forward/ForwardMetrics.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/ForwardMetrics.java
@@ -18,6 +18,7 @@
   final Counter requestsHeldForRate;
   final Counter misdirectedPermitRequests;
   final Counter additionalBytes;
+  final Counter buffersShed;
   final Counter serverEnds;
   final Counter partStandingChanges;
   final Counter requestsBlockedForPart;
@@ -65,6 +66,11 @@
             "shallothold_additional_bytes_connections_total",
             "Connections closed because the server sent bytes that belong to no request.",
             "service");
+    buffersShed =
+        metrics.counter(
+            "shallothold_buffers_shed_total",
+            "Responses given up because the memory for buffers was used up.",
+            "service");
     serverEnds =
         metrics.counter(
             "shallothold_server_ends_total",
--- a/gateway/src/main/java/org/shallothold/gateway/forward/ForwardOptions.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/ForwardOptions.java
@@ -18,6 +18,7 @@
  * @param seedAddresses addresses of gateways to connect to at the start; some may be out of date
  * @param retryLimit limit of retries that all gateways share
  * @param shutdownTimeoutMillis time from SIGTERM until the process is killed, in milliseconds
+ * @param bufferBytes memory for all buffered requests and responses together, in bytes
  */
 public record ForwardOptions(
     String processId,
@@ -29,7 +30,20 @@
     @Nullable InetSocketAddress metricsAddress,
     List<InetSocketAddress> seedAddresses,
     RetryLimit retryLimit,
-    long shutdownTimeoutMillis) {
+    long shutdownTimeoutMillis,
+    long bufferBytes) {
+
+  // The rest of the heap holds the routing state, and the copies made while buffers grow.
+  private static final long HEAP_PER_BUFFER_BYTE = 4;
+
+  /**
+   * Returns the memory that a process may use for buffers.
+   *
+   * @param maxHeapBytes size to which the process's heap may grow, in bytes
+   */
+  public static long bufferBytes(long maxHeapBytes) {
+    return maxHeapBytes / HEAP_PER_BUFFER_BYTE;
+  }
 
   /**
    * Limit of the retries that all gateways together may send to one service.
--- a/gateway/src/main/java/org/shallothold/gateway/forward/Forwarder.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/Forwarder.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.IntSupplier;
+import org.shallothold.core.memory.MemoryBudget;
 import org.shallothold.core.placement.EngineEstimator;
 import org.shallothold.core.placement.EnginePlacementPolicy;
 import org.shallothold.core.placement.PlacementPolicy;
@@ -44,6 +45,7 @@
   private final StatedRateLimits rateLimits;
   private final PromptPartQuarantine promptParts;
   private final ServerEndDetector serverEnds;
+  private final MemoryBudget memory;
 
   private final Map<String, ServiceQueue> queuesByService = new HashMap<>();
   private final Map<String, FleetRetryBudget> retryBudgetsByService = new HashMap<>();
@@ -71,6 +73,7 @@
     this.metrics = metrics;
     this.gatewayCount = gatewayCount;
     this.prefixReads = prefixReads;
+    this.memory = MemoryBudget.of(options.bufferBytes());
     this.rateLimits = new StatedRateLimits(state.statedRates(), log, metrics);
     rateLimits.setAnswerListener(this::permitAnswered);
     // Peers are told at once.
@@ -137,6 +140,22 @@
     return state.configuration().map(RouteConfiguration::limits).orElse(CallerLimits.DEFAULT);
   }
 
+  @Override
+  public MemoryBudget memory() {
+    return memory;
+  }
+
+  /** Records that a response was given up because the memory for buffers is used up. */
+  void bufferShed(String service, String serverId, RequestTrace trace, int bytes) {
+    metrics.buffersShed.labelValues(service).inc();
+    trace
+        .addLine("buffer_shed")
+        .with("server", serverId)
+        .with("bytes", bytes)
+        .with("used_bytes", memory.usedBytes())
+        .with("limit_bytes", memory.limitBytes());
+  }
+
   @Override
   public boolean isLeaving() {
     return leaving;
--- a/gateway/src/main/java/org/shallothold/gateway/forward/ForwardingGateway.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/ForwardingGateway.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
+import org.shallothold.core.memory.MemoryBudget;
 import org.shallothold.core.placement.EngineEstimate;
 import org.shallothold.core.placement.TrackedServer;
 import org.shallothold.core.publish.PublishedItem;
@@ -240,6 +241,11 @@
     return forwarder.openRequestCount();
   }
 
+  /** Returns the memory for buffers; to be used on the event loop only. */
+  MemoryBudget memory() {
+    return forwarder.memory();
+  }
+
   private int callOnEventLoop(java.util.function.IntSupplier supplier) {
     CountDownLatch completed = new CountDownLatch(1);
     int[] result = new int[1];
--- a/gateway/src/main/java/org/shallothold/gateway/forward/caller/CallerConnection.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/caller/CallerConnection.java
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
@@ -28,6 +29,7 @@
 import java.util.Deque;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
+import org.shallothold.core.memory.MemoryBudget;
 import org.shallothold.core.verdict.ReasonCode;
 import org.shallothold.core.verdict.Verdict;
 
@@ -41,10 +43,15 @@
   // Bounds the memory for a caller that pipelines requests without reading the responses; its
   // connection is closed.
   private static final int MAX_QUEUED_MESSAGES = 1_024;
+  // Another gateway probably has memory left.
+  private static final long MEMORY_RETRY_AFTER_MILLIS = 100;
 
   private final CallerService service;
   private final Channel channel;
   private final Deque<Object> queuedMessages = new ArrayDeque<>();
+  private final MemoryBudget.Reservation bodyMemory;
+  private final MemoryBudget.Reservation queueMemory;
+  private final MemoryBudget.Reservation outputMemory;
 
   private @Nullable HttpRequest head;
   private @Nullable ByteBuf body;
@@ -59,6 +66,9 @@
   CallerConnection(CallerService service, Channel channel) {
     this.service = service;
     this.channel = channel;
+    this.bodyMemory = service.memory().reserve();
+    this.queueMemory = service.memory().reserve();
+    this.outputMemory = service.memory().reserve();
   }
 
   @Override
@@ -71,17 +81,26 @@
     if (closing) {
       ReferenceCountUtil.release(message);
     } else if (responsePending || !queuedMessages.isEmpty()) {
-      if (queuedMessages.size() >= MAX_QUEUED_MESSAGES) {
-        ReferenceCountUtil.release(message);
-        channel.close();
-        return;
-      }
-      queuedMessages.addLast(message);
+      queue(message);
     } else {
       read(message);
     }
   }
 
+  private void queue(Object message) {
+    if (queuedMessages.size() >= MAX_QUEUED_MESSAGES
+        || !queueMemory.resize(queueMemory.bytes() + contentBytes(message))) {
+      ReferenceCountUtil.release(message);
+      channel.close();
+      return;
+    }
+    queuedMessages.addLast(message);
+  }
+
+  private static int contentBytes(Object message) {
+    return message instanceof HttpContent content ? content.content().readableBytes() : 0;
+  }
+
   @Override
   public void channelWritabilityChanged(ChannelHandlerContext context) {
     if (listener != null) {
@@ -96,6 +115,8 @@
     releaseRequest();
     queuedMessages.forEach(ReferenceCountUtil::release);
     queuedMessages.clear();
+    queueMemory.close();
+    outputMemory.close();
     CallerRequestListener current = listener;
     listener = null;
     if (current != null) {
@@ -135,7 +156,7 @@
     }
     setConnectionHeader(response);
     listener = null;
-    channel.writeAndFlush(response);
+    write(response);
     responseCompleted();
   }
 
@@ -151,7 +172,23 @@
 
   @Override
   public void sendEvents(ByteBuf events) {
-    channel.writeAndFlush(new DefaultHttpContent(events));
+    write(new DefaultHttpContent(events));
+  }
+
+  /** Writes a message, and accounts for the memory of what the caller has not read yet. */
+  private void write(Object message) {
+    channel.writeAndFlush(message).addListener(ignored -> updateOutputMemory());
+    updateOutputMemory();
+  }
+
+  private void updateOutputMemory() {
+    outputMemory.occupy(unwrittenBytes());
+  }
+
+  /** Returns the number of bytes of responses that wait until the caller reads. */
+  private long unwrittenBytes() {
+    ChannelOutboundBuffer buffer = channel.unsafe().outboundBuffer();
+    return buffer == null ? 0 : buffer.totalPendingWriteBytes();
   }
 
   @Override
@@ -227,10 +264,18 @@
     if (bytes.isReadable()) {
       ByteBuf all = body == null ? channel.alloc().buffer(bytes.readableBytes()) : body;
       body = all;
-      if (all.readableBytes() + bytes.readableBytes() > service.limits().maxBodyBytes()) {
+      int length = all.readableBytes() + bytes.readableBytes();
+      if (length > service.limits().maxBodyBytes()) {
         reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, ReasonCode.BODY_TOO_LARGE);
         return;
       }
+      if (!bodyMemory.resize(length)) {
+        reject(
+            HttpResponseStatus.SERVICE_UNAVAILABLE,
+            ReasonCode.MEMORY_FULL,
+            Verdict.notRun(ReasonCode.MEMORY_FULL, MEMORY_RETRY_AFTER_MILLIS));
+        return;
+      }
       all.writeBytes(bytes);
     }
     if (content instanceof LastHttpContent) {
@@ -255,6 +300,7 @@
 
   private void responseCompleted() {
     responsePending = false;
+    bodyMemory.close();
     if (!keepAlive) {
       closing = true;
       channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
@@ -266,7 +312,9 @@
 
   private void readQueuedMessages() {
     while (!responsePending && !closing && !queuedMessages.isEmpty()) {
-      read(queuedMessages.removeFirst());
+      Object message = queuedMessages.removeFirst();
+      queueMemory.resize(queueMemory.bytes() - contentBytes(message));
+      read(message);
     }
   }
 
@@ -286,10 +334,14 @@
   }
 
   private void reject(HttpResponseStatus status, ReasonCode reason) {
+    reject(status, reason, Verdict.notRun(reason));
+  }
+
+  private void reject(HttpResponseStatus status, ReasonCode reason, Verdict verdict) {
     service.requestRejected(reason);
     releaseRequest();
     keepAlive = false;
-    Refusal refusal = Refusal.of(status, Verdict.notRun(reason));
+    Refusal refusal = Refusal.of(status, verdict);
     sendResponse(refusal.status(), refusal.headers(), refusal.body());
   }
 
@@ -297,6 +349,7 @@
     if (body != null) {
       body.release();
     }
+    bodyMemory.close();
     body = null;
     head = null;
   }
--- a/gateway/src/main/java/org/shallothold/gateway/forward/caller/CallerService.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/caller/CallerService.java
@@ -1,5 +1,6 @@
 package org.shallothold.gateway.forward.caller;
 
+import org.shallothold.core.memory.MemoryBudget;
 import org.shallothold.core.route.CallerLimits;
 import org.shallothold.core.verdict.ReasonCode;
 
@@ -20,6 +21,9 @@
   /** Returns the limits in force for requests and connections of callers. */
   CallerLimits limits();
 
+  /** Returns the memory that buffers of requests and responses share. */
+  MemoryBudget memory();
+
   /** Returns whether connections are to be closed after their next response. */
   boolean isLeaving();
 }
--- a/gateway/src/main/java/org/shallothold/gateway/http/HttpErrors.java
+++ b/gateway/src/main/java/org/shallothold/gateway/http/HttpErrors.java
@@ -65,6 +65,7 @@
           NO_SERVER,
           SERVER_LEAVING,
           GATEWAY_LEAVING,
+          MEMORY_FULL,
           CONFIGURATION_BEHIND,
           NOT_CONFIGURED,
           CANCELLED,
--- a/gateway/src/test/java/org/shallothold/gateway/forward/ForwardFixture.java
+++ b/gateway/src/test/java/org/shallothold/gateway/forward/ForwardFixture.java
@@ -17,8 +17,10 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.locks.LockSupport;
+import java.util.function.ToLongFunction;
 import org.jspecify.annotations.Nullable;
 import org.shallothold.core.membership.ServerEntry;
+import org.shallothold.core.memory.MemoryBudget;
 import org.shallothold.core.publish.PublishedItem;
 import org.shallothold.core.route.CallKind;
 import org.shallothold.core.route.CallerLimits;
@@ -42,8 +44,12 @@
   private final @Nullable InetSocketAddress seedAddress;
 
   private ForwardFixture() {
+    this(Limits.DEFAULT);
+  }
+
+  private ForwardFixture(Limits limits) {
     seedAddress = null;
-    gateways.add(Instance.start("test", null, List.of(), new TestDecoder()));
+    gateways.add(Instance.start("test", null, List.of(), new TestDecoder(), limits));
   }
 
   /** Starts gateways that exchange their state; none has a configuration. */
@@ -52,7 +58,9 @@
     seedAddress = seed;
     for (int i = 0; i < gatewayCount; i++) {
       InetSocketAddress peerAddress = i == 0 ? seed : freeAddress();
-      gateways.add(Instance.start("test-" + i, peerAddress, List.of(seed), new TestDecoder()));
+      gateways.add(
+          Instance.start(
+              "test-" + i, peerAddress, List.of(seed), new TestDecoder(), Limits.DEFAULT));
     }
   }
 
@@ -72,7 +80,8 @@
         String processId,
         @Nullable InetSocketAddress peerAddress,
         List<InetSocketAddress> seeds,
-        PublishedDecoder decoder) {
+        PublishedDecoder decoder,
+        Limits limits) {
       InetSocketAddress anyPort = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
       ForwardOptions options =
           new ForwardOptions(
@@ -85,7 +94,8 @@
               null,
               seeds,
               new ForwardOptions.RetryLimit(0.2, 100, 10_000),
-              8_000);
+              limits.shutdownTimeoutMillis(),
+              limits.bufferBytes());
       CompletableFuture<EventLoop> eventLoop = new CompletableFuture<>();
       CompletableFuture<PublishedSource.Listener> listener = new CompletableFuture<>();
       ForwardingGateway gateway =
@@ -102,6 +112,38 @@
     }
   }
 
+  /**
+   * Limits of a gateway.
+   *
+   * @param shutdownTimeoutMillis time from the begin of a shutdown to its end, in milliseconds
+   * @param bufferBytes memory for buffers, in bytes
+   */
+  record Limits(long shutdownTimeoutMillis, long bufferBytes) {
+    private static final Limits DEFAULT = new Limits(8_000, 32L * 1024 * 1024);
+
+    Limits withShutdownTimeoutMillis(long millis) {
+      return new Limits(millis, bufferBytes);
+    }
+
+    Limits withBufferBytes(long bytes) {
+      return new Limits(shutdownTimeoutMillis, bytes);
+    }
+
+    static Limits defaults() {
+      return DEFAULT;
+    }
+  }
+
+  /** Starts a gateway with limits, and two servers; see {@link #withServers}. */
+  static ForwardFixture withLimits(
+      Limits limits, ScriptedServer.Script first, ScriptedServer.Script second) throws IOException {
+    ForwardFixture fixture = new ForwardFixture(limits);
+    fixture.servers.add(ScriptedServer.start("first", first));
+    fixture.servers.add(ScriptedServer.start("second", second));
+    fixture.publish();
+    return fixture;
+  }
+
   /** Starts a gateway without a configuration. */
   static ForwardFixture unconfigured() {
     return new ForwardFixture();
@@ -113,11 +155,7 @@
    */
   static ForwardFixture withServers(ScriptedServer.Script first, ScriptedServer.Script second)
       throws IOException {
-    ForwardFixture fixture = new ForwardFixture();
-    fixture.servers.add(ScriptedServer.start("first", first));
-    fixture.servers.add(ScriptedServer.start("second", second));
-    fixture.publish();
-    return fixture;
+    return withLimits(Limits.DEFAULT, first, second);
   }
 
   /** Starts gateways that exchange their state and two servers, and publishes both to all. */
@@ -147,7 +185,11 @@
   int addGateway() throws IOException {
     gateways.add(
         Instance.start(
-            "test-" + gateways.size(), freeAddress(), List.of(seed()), new TestDecoder()));
+            "test-" + gateways.size(),
+            freeAddress(),
+            List.of(seed()),
+            new TestDecoder(),
+            Limits.DEFAULT));
     publish(gateways.getLast(), servers, 1);
     return gateways.size() - 1;
   }
@@ -175,6 +217,14 @@
     return servers.stream().mapToInt(server -> server.requests().size()).sum();
   }
 
+  /** Returns a figure of the gateway's memory for buffers. */
+  long bufferBytes(ToLongFunction<MemoryBudget> figure) {
+    Instance first = gateways.getFirst();
+    return CompletableFuture.supplyAsync(
+            () -> figure.applyAsLong(first.gateway().memory()), first.eventLoop().join())
+        .join();
+  }
+
   /** Makes the gateway's event loop handle nothing for a time. */
   void keepEventLoopBusy(Duration time) {
     gateways.getFirst().eventLoop().join().execute(() -> LockSupport.parkNanos(time.toNanos()));
@@ -234,6 +284,12 @@
     return connect(0);
   }
 
+  /** Returns the address at which callers connect. */
+  InetSocketAddress connectAddress() {
+    return new InetSocketAddress(
+        InetAddress.getLoopbackAddress(), gateways.getFirst().gateway().callerPort());
+  }
+
   private Socket connect(int gateway) throws IOException {
     return new Socket(
         InetAddress.getLoopbackAddress(), gateways.get(gateway).gateway().callerPort());
--- a/gateway/src/test/java/org/shallothold/gateway/forward/caller/CallerListenerTest.java
+++ b/gateway/src/test/java/org/shallothold/gateway/forward/caller/CallerListenerTest.java
@@ -15,6 +15,7 @@
 import java.nio.charset.StandardCharsets;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.shallothold.core.memory.MemoryBudget;
 import org.shallothold.core.route.CallerLimits;
 import org.shallothold.core.verdict.ReasonCode;
 import org.shallothold.wire.connection.Transport;
@@ -32,6 +33,8 @@
   /** Responds to each request with status 204. */
   private static final class NoContentService implements CallerService {
 
+    private final MemoryBudget memory = MemoryBudget.of(1_000_000);
+
     @Override
     public CallerRequestListener accept(CallerRequest request, CallerExchange exchange) {
       request.body().release();
@@ -54,6 +57,11 @@
       return CallerLimits.DEFAULT;
     }
 
+    @Override
+    public MemoryBudget memory() {
+      return memory;
+    }
+
     @Override
     public boolean isLeaving() {
       return false;
