Take a response without a length as complete only if its server is alive

Cause: the end of a server was believed only if nothing had arrived from it since the loss, in milliseconds; its last bytes and the end of the connection are usually read in the same one. The check was then undecided, and an undecided check counted as "the server goes on", also for the losses of the next second.

Why this works: only a check that began after the loss and found the server alive makes such a response complete. Otherwise it failed: it is retried where that is safe. An undecided check is repeated for the next loss, and losses during a check that began after them share its result.

--- a/gateway/src/main/java/org/shallothold/gateway/forward/Attempt.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/Attempt.java
@@ -376,13 +376,15 @@
     if (connectionDelimited && !endChecked) {
       // The end of the connection is the end of the response only if the server goes on.
       endChecked = true;
-      forwarder.serverEnds().connectionLost(server, partsAtStake(), sentMillis, this::completed);
+      forwarder
+          .serverEnds()
+          .responseEndedWithConnection(server, partsAtStake(), sentMillis, this::completed);
       return;
     }
     done = true;
-    if (connectionDelimited && forwarder.serverEnds().hasEnded(server)) {
+    if (connectionDelimited && !forwarder.serverEnds().isAlive(server)) {
       server.recordEnd(requestKey);
-      fail("the server ended with the connection");
+      fail("the connection ended, and the server is not known to go on");
       return;
     }
     HttpResponse responseHead = head;
--- a/gateway/src/main/java/org/shallothold/gateway/forward/RoutingState.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/RoutingState.java
@@ -131,14 +131,34 @@
 
   /** Returns the connection pool of a server, created at its first use. */
   BackendPool pool(ServerEntry server) {
-    return pools.computeIfAbsent(
-        server.id(),
-        id ->
-            BackendPool.of(
-                eventLoop,
-                new InetSocketAddress(server.host(), server.port()),
-                translation,
-                (length, lastRequestId) -> recordAdditionalBytes(server, length, lastRequestId)));
+    return pools.computeIfAbsent(server.id(), id -> createPool(server));
+  }
+
+  /** Checks whether a server accepts connections; it need not be listed any more. */
+  void checkReachable(ServerEntry server, Consumer<BackendPool.Reachability> listener) {
+    TrackedServer listed = servers.get(server.id());
+    boolean hasPool =
+        listed != null
+            && listed.entry().host().equals(server.host())
+            && listed.entry().port() == server.port();
+    if (hasPool) {
+      pool(server).checkReachable(listener);
+      return;
+    }
+    BackendPool pool = createPool(server);
+    pool.checkReachable(
+        reachability -> {
+          pool.close();
+          listener.accept(reachability);
+        });
+  }
+
+  private BackendPool createPool(ServerEntry server) {
+    return BackendPool.of(
+        eventLoop,
+        new InetSocketAddress(server.host(), server.port()),
+        translation,
+        (length, lastRequestId) -> recordAdditionalBytes(server, length, lastRequestId));
   }
 
   private void recordAdditionalBytes(ServerEntry server, int length, String lastRequestId) {
--- a/gateway/src/main/java/org/shallothold/gateway/forward/ServerEndDetector.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/ServerEndDetector.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
 import org.shallothold.core.placement.TrackedServer;
 import org.shallothold.gateway.forward.backend.BackendPool.Reachability;
 
@@ -14,7 +15,8 @@
  * Tells the end of a backend server from the loss of single connections. After a loss, the server
  * is asked for a new connection: if no process listens any more, it has ended. If that is not
  * clear, the list of servers decides: an instance that disappears from it soon after the loss has
- * ended. Servers that are leaving end as planned and are not reported. Owned by the event loop.
+ * ended. The end of a server that is leaving or no longer listed is planned and not reported. Owned
+ * by the event loop.
  */
 final class ServerEndDetector {
 
@@ -29,6 +31,7 @@
   private final RoutingState state;
   private final Listener listener;
   private final Map<String, Loss> lossesByServer = new HashMap<>();
+  private long lastCheckNumber;
 
   /** Receives the ends of servers. */
   interface Listener {
@@ -56,11 +59,13 @@
     private final TrackedServer server;
     private final long instanceStartMillis;
     private final long millis;
+    private final long checkNumber;
     private final Map<Long, Long> sentMillisByPart = new HashMap<>();
     private final List<Runnable> waiting = new ArrayList<>();
     private Result result = Result.CHECKING;
 
-    private Loss(TrackedServer server, long millis) {
+    private Loss(TrackedServer server, long millis, long checkNumber) {
+      this.checkNumber = checkNumber;
       this.server = server;
       this.instanceStartMillis = server.entry().startedMillis();
       this.millis = millis;
@@ -86,56 +91,106 @@
    */
   void connectionLost(
       TrackedServer server, Collection<Long> partIds, long sentMillis, Runnable decided) {
-    long nowMillis = MonotonicClock.millis();
-    if (server.isLeaving() || state.server(server.entry().id()) != server) {
+    if (isEndPlanned(server)) {
       decided.run();
       return;
     }
-    Loss known = lossesByServer.get(server.entry().id());
-    if (known != null
-        && known.result != Result.ALIVE
-        && nowMillis - known.millis < SAME_END_MILLIS) {
-      addToKnown(known, partIds, sentMillis, decided);
+    check(server, partIds, sentMillis, lastCheckNumber + 1, decided);
+  }
+
+  /**
+   * Finds out whether a server goes on after the end of a connection that alone ends a response.
+   *
+   * @param partIds shared prompt parts of the request if the server had hardly begun to answer it
+   * @param sentMillis time at which the request was sent
+   * @param decided called when {@link #isAlive} tells whether the server goes on
+   */
+  void responseEndedWithConnection(
+      TrackedServer server, Collection<Long> partIds, long sentMillis, Runnable decided) {
+    if (isEndPlanned(server)) {
+      decided.run();
+      return;
+    }
+    check(server, partIds, sentMillis, lastCheckNumber + 1, decided);
+  }
+
+  private boolean isEndPlanned(TrackedServer server) {
+    return server.isLeaving() || state.server(server.entry().id()) != server;
+  }
+
+  /**
+   * Waits for a check of the server, which it begins if none is running.
+   *
+   * @param minCheckNumber number of the first check that can show that the server is alive: those
+   *     before it began before the loss
+   */
+  private void check(
+      TrackedServer server,
+      Collection<Long> partIds,
+      long sentMillis,
+      long minCheckNumber,
+      Runnable decided) {
+    Loss known = recentLoss(server);
+    if (known != null && known.result == Result.ENDED) {
+      known.addParts(partIds, sentMillis);
+      report(known);
+      decided.run();
       return;
     }
-    Loss loss = new Loss(server, nowMillis);
+    if (known != null && known.result == Result.CHECKING) {
+      known.addParts(partIds, sentMillis);
+      boolean isTooEarly = known.checkNumber < minCheckNumber;
+      known.waiting.add(
+          isTooEarly
+              ? () -> checkAgainIfAlive(known, partIds, sentMillis, minCheckNumber, decided)
+              : decided);
+      return;
+    }
+    Loss loss = new Loss(server, MonotonicClock.millis(), ++lastCheckNumber);
+    if (known != null && known.result == Result.UNDECIDED) {
+      loss.sentMillisByPart.putAll(known.sentMillisByPart);
+    }
     loss.addParts(partIds, sentMillis);
     loss.waiting.add(decided);
     lossesByServer.put(server.entry().id(), loss);
-    state.pool(server.entry()).checkReachable(reachability -> checked(loss, reachability));
+    state.checkReachable(server.entry(), reachability -> checked(loss, reachability));
     eventLoop.schedule(() -> checkTimedOut(loss), MAX_CHECK_MILLIS, TimeUnit.MILLISECONDS);
   }
 
-  private void checkTimedOut(Loss loss) {
-    if (loss.result == Result.CHECKING) {
-      decide(loss, Result.UNDECIDED);
-    }
+  /** Returns the last loss if this one may belong to it; null if there is none. */
+  private @Nullable Loss recentLoss(TrackedServer server) {
+    Loss known = lossesByServer.get(server.entry().id());
+    boolean isRecent =
+        known != null
+            && known.server == server
+            && MonotonicClock.millis() - known.millis < SAME_END_MILLIS;
+    return isRecent ? known : null;
   }
 
-  private void addToKnown(Loss known, Collection<Long> partIds, long sentMillis, Runnable decided) {
-    known.addParts(partIds, sentMillis);
-    if (known.result == Result.CHECKING) {
-      // The check began before this loss, so that it can't show that the server is still alive.
-      known.waiting.add(
-          () -> {
-            if (known.result == Result.ALIVE) {
-              connectionLost(known.server, partIds, sentMillis, decided);
-            } else {
-              decided.run();
-            }
-          });
-      return;
+  private void checkAgainIfAlive(
+      Loss known,
+      Collection<Long> partIds,
+      long sentMillis,
+      long minCheckNumber,
+      Runnable decided) {
+    if (known.result == Result.ALIVE) {
+      check(known.server, partIds, sentMillis, minCheckNumber, decided);
+    } else {
+      decided.run();
     }
-    if (known.result == Result.ENDED) {
-      report(known);
+  }
+
+  private void checkTimedOut(Loss loss) {
+    if (loss.result == Result.CHECKING) {
+      decide(loss, Result.UNDECIDED);
     }
-    decided.run();
   }
 
-  /** Returns whether a server was found to have ended lately. */
-  boolean hasEnded(TrackedServer server) {
+  /** Returns whether the latest check of a server has found that it goes on. */
+  boolean isAlive(TrackedServer server) {
     Loss known = lossesByServer.get(server.entry().id());
-    return known != null && known.result == Result.ENDED;
+    return isEndPlanned(server)
+        || (known != null && known.server == server && known.result == Result.ALIVE);
   }
 
   private void checked(Loss loss, Reachability reachability) {
@@ -143,7 +198,7 @@
       case REFUSED -> {
         loss.server.recordUnreachable(MonotonicClock.millis());
         // A server that answers on another connection is overloaded rather than gone.
-        decide(loss, loss.server.silentSince(loss.millis) ? Result.ENDED : Result.UNDECIDED);
+        decide(loss, isSilentAfter(loss) ? Result.ENDED : Result.UNDECIDED);
       }
       case ACCEPTED -> decide(loss, Result.ALIVE);
       case NO_ANSWER -> decide(loss, Result.UNDECIDED);
@@ -164,6 +219,9 @@
   }
 
   private void report(Loss loss) {
+    if (isEndPlanned(loss.server)) {
+      return;
+    }
     listener.serverEnded(loss.server, loss.millis, Map.copyOf(loss.sentMillisByPart));
   }
 
@@ -181,6 +239,11 @@
   private boolean isGone(Loss loss) {
     TrackedServer listed = state.server(loss.server.entry().id());
     boolean replaced = listed == null || listed.entry().startedMillis() != loss.instanceStartMillis;
-    return replaced && !loss.server.isLeaving() && loss.server.silentSince(loss.millis);
+    return replaced && !loss.server.isLeaving() && isSilentAfter(loss);
+  }
+
+  /** The last bytes of a server and its end are often read within the same millisecond. */
+  private static boolean isSilentAfter(Loss loss) {
+    return loss.server.silentSince(loss.millis + 1);
   }
 }
--- a/gateway/src/test/java/org/shallothold/gateway/forward/ConnectionDelimitedContractTest.java
+++ b/gateway/src/test/java/org/shallothold/gateway/forward/ConnectionDelimitedContractTest.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Supplier;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -24,6 +25,7 @@
 
   private static final Script GOOD = exchange -> exchange.respond(200, "other");
   private static final Duration DOWN_TIME = Duration.ofSeconds(5);
+  private static final String SIGNED = "X-Signed: s";
 
   /** How the server ends the connection. */
   private enum End {
@@ -206,6 +208,64 @@
     }
   }
 
+  @Nested
+  class EndsOfServers {
+
+    private static final int ENDS = 12;
+
+    /** Answers half of the first request to it and ends at once; answers others soundly. */
+    private static Script endingAfter(String half, Script sound, Supplier<ScriptedServer> server) {
+      AtomicInteger requests = new AtomicInteger();
+      return exchange -> {
+        if (requests.incrementAndGet() > 1) {
+          sound.handle(exchange);
+          return;
+        }
+        exchange.send(exchange.head(200, SIGNED));
+        exchange.send(half);
+        server.get().end(DOWN_TIME);
+      };
+    }
+
+    private static ForwardFixture fixture(String half, Script sound) throws IOException {
+      List<ScriptedServer> servers = new ArrayList<>();
+      servers.add(ScriptedServer.start("first", endingAfter(half, sound, servers::getFirst)));
+      servers.add(ScriptedServer.start("second", sound));
+      return ForwardFixture.withGateways(1, servers);
+    }
+
+    /**
+     * Guards against half of a response that reaches the caller as a success because its last bytes
+     * and the end of its server are read in the same millisecond.
+     */
+    @Test
+    void halfResponseOfServerThatEndsAtOnceIsNotComplete() throws IOException {
+      for (int i = 0; i < ENDS; i++) {
+        try (ForwardFixture fixture = fixture("half", GOOD)) {
+          String response = fixture.call("/once/x", "");
+          assertTrue(response.startsWith("HTTP/1.1 502 "), response);
+        }
+      }
+    }
+
+    /** Guards against a stream that ends as complete for the same reason. */
+    @Test
+    void streamOfServerThatEndsAtOnceIsResumed() throws IOException {
+      for (int i = 0; i < ENDS; i++) {
+        try (ForwardFixture fixture = fixture(event(1), rest())) {
+          assertWhole(fixture.call("/stream/x", ""));
+        }
+      }
+    }
+
+    private static void assertWhole(String response) {
+      for (int id = 1; id <= 3; id++) {
+        assertEquals(2, response.split("data: e" + id, -1).length, response);
+      }
+      assertTrue(response.endsWith("0\r\n\r\n"), response);
+    }
+  }
+
   @Nested
   class CallersOfHttp10 {
 
