Check leaving servers before a response without a length counts as complete

Cause: for a server that leaves or is no longer listed, the end of a connection was not followed by a check, so that it always counted as the end of the response.

A leaving server that still accepts connections completes its responses as before (wholeResponseOfLeavingServerIsForwarded).

--- a/gateway/src/main/java/org/shallothold/gateway/forward/ServerEndDetector.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/ServerEndDetector.java
@@ -107,10 +107,6 @@
    */
   void responseEndedWithConnection(
       TrackedServer server, Collection<Long> partIds, long sentMillis, Runnable decided) {
-    if (isEndPlanned(server)) {
-      decided.run();
-      return;
-    }
     check(server, partIds, sentMillis, lastCheckNumber + 1, decided);
   }
 
@@ -189,8 +185,7 @@
   /** Returns whether the latest check of a server has found that it goes on. */
   boolean isAlive(TrackedServer server) {
     Loss known = lossesByServer.get(server.entry().id());
-    return isEndPlanned(server)
-        || (known != null && known.server == server && known.result == Result.ALIVE);
+    return known != null && known.server == server && known.result == Result.ALIVE;
   }
 
   private void checked(Loss loss, Reachability reachability) {
--- a/gateway/src/test/java/org/shallothold/gateway/forward/ConnectionDelimitedContractTest.java
+++ b/gateway/src/test/java/org/shallothold/gateway/forward/ConnectionDelimitedContractTest.java
@@ -26,6 +26,7 @@
   private static final Script GOOD = exchange -> exchange.respond(200, "other");
   private static final Duration DOWN_TIME = Duration.ofSeconds(5);
   private static final String SIGNED = "X-Signed: s";
+  private static final String LEAVING = SIGNED + "\r\nX-Leaving: 1";
 
   /** How the server ends the connection. */
   private enum End {
@@ -221,8 +222,8 @@
           sound.handle(exchange);
           return;
         }
-        exchange.send(exchange.head(200, SIGNED));
-        exchange.send(half);
+        exchange.send(exchange.head(200, half.startsWith("leaving ") ? LEAVING : SIGNED));
+        exchange.send(half.replace("leaving ", ""));
         server.get().end(DOWN_TIME);
       };
     }
@@ -258,6 +259,34 @@
       }
     }
 
+    /**
+     * Guards against a stream or response that ends as complete because its server, which was
+     * leaving, exited before it was done.
+     */
+    @Test
+    void responsesOfLeavingServerThatExitsAreNotComplete() throws IOException {
+      try (ForwardFixture fixture = fixture("leaving " + event(1), rest())) {
+        assertWhole(fixture.call("/stream/x", ""));
+      }
+      try (ForwardFixture fixture = fixture("leaving half", GOOD)) {
+        String response = fixture.call("/once/x", "");
+        assertTrue(response.startsWith("HTTP/1.1 502 "), response);
+      }
+    }
+
+    /** Guards against failing what a leaving server completes before it exits. */
+    @Test
+    void wholeResponseOfLeavingServerIsForwarded() throws IOException {
+      Script leaving =
+          exchange -> {
+            exchange.send(exchange.head(200, LEAVING) + "whole");
+            exchange.connection().close();
+          };
+      try (ForwardFixture fixture = ForwardFixture.withServers(leaving, GOOD)) {
+        assertTrue(fixture.call("/once/x", "").endsWith("whole"));
+      }
+    }
+
     private static void assertWhole(String response) {
       for (int id = 1; id <= 3; id++) {
         assertEquals(2, response.split("data: e" + id, -1).length, response);
