Report bytes of one response near another with both ids, their place and the connection's age

Before this, a discarded response of another request and the head of a response within another one's body left no line, and additional_bytes told neither the age of the connection nor the time since its last response. Which bytes are forwarded is unchanged: the head within a body is looked for, and only reported. explain tells it for both requests.

--- a/command/src/main/java/org/shallothold/command/logs/RequestStory.java
+++ b/command/src/main/java/org/shallothold/command/logs/RequestStory.java
@@ -5,10 +5,13 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 
 /** Says in sentences what happened to a request, and what its gateway believed. Stateless. */
 public final class RequestStory {
 
+  private static final Set<String> FOREIGN_BYTES = Set.of("additional_bytes", "foreign_response");
+
   private RequestStory() {}
 
   /** Returns the sentences for a request with at least one line. */
@@ -20,6 +23,7 @@
     beliefs(logs, last).forEach(story::add);
     statedRate(logs, entries).ifPresent(story::add);
     blockedPart(logs, entries).ifPresent(story::add);
+    foreignBytes(logs, requestId).forEach(story::add);
     story.add("cause: " + cause(entries));
     return List.copyOf(story);
   }
@@ -57,6 +61,11 @@
                       entry.text("part"),
                       entry.text("ended_servers"),
                       entry.text("last_end_age_millis"));
+          case "foreign_response" ->
+              "%s sent bytes of another response (%s), which name request '%s'"
+                      .formatted(
+                          entry.text("server"), entry.text("place"), entry.text("named_request"))
+                  + connection(entry);
           case "server_unreachable" -> "the server could not be reached: " + entry.text("reason");
           case "repeat_denied" -> "the shared budget allowed no repeat to " + entry.text("service");
           case "caller_left" -> "the caller closed its connection";
@@ -148,6 +157,33 @@
                                     entry.text("source"))));
   }
 
+  /** Tells of bytes that came on connections which had carried the request before. */
+  private static List<String> foreignBytes(LogFiles logs, String requestId) {
+    return logs.entries().stream()
+        .filter(entry -> FOREIGN_BYTES.contains(entry.event()))
+        .filter(
+            entry ->
+                entry.text("named_request").equals(requestId)
+                    || entry.text("last_request").equals(requestId))
+        .map(
+            entry ->
+                "%s %s: %s sent %s bytes (%s) on a connection that had carried it, near request '%s'"
+                        .formatted(
+                            entry.time(),
+                            entry.process(),
+                            entry.text("server"),
+                            entry.text("bytes"),
+                            entry.text("place"),
+                            entry.text("request"))
+                    + connection(entry))
+        .toList();
+  }
+
+  private static String connection(LogEntry entry) {
+    return "; connection open for %s ms, last response %s ms before"
+        .formatted(entry.text("connection_age_millis"), entry.text("since_last_response_millis"));
+  }
+
   private static long age(LogEntry entry, Instant time) {
     return Duration.between(entry.time(), time).toMillis();
   }
--- a/command/src/test/java/org/shallothold/command/logs/RequestStoryTest.java
+++ b/command/src/test/java/org/shallothold/command/logs/RequestStoryTest.java
@@ -151,4 +151,27 @@
   void cutLinesAreCounted() throws IOException {
     assertEquals(1, logs().skipped());
   }
+
+  /** Guards against a mixed response that neither of the two requests' explanations mentions. */
+  @Test
+  void bytesOfAnotherResponseAreToldForBothRequests() throws IOException {
+    Path file =
+        Files.write(
+            directory.resolve("foreign.log"),
+            List.of(
+                "{\"time\":\"2026-01-01T00:00:01Z\",\"process\":\"one\","
+                    + "\"event\":\"request_ended\",\"request\":\"r1\",\"outcome\":\"completed\"}",
+                "{\"time\":\"2026-01-01T00:00:02Z\",\"process\":\"one\","
+                    + "\"event\":\"foreign_response\",\"request\":\"r2\",\"server\":\"s1\","
+                    + "\"place\":\"before_response\",\"bytes\":9,\"named_request\":\"r1\","
+                    + "\"last_request\":\"r1\",\"connection_age_millis\":70,"
+                    + "\"since_last_response_millis\":40}",
+                "{\"time\":\"2026-01-01T00:00:03Z\",\"process\":\"one\","
+                    + "\"event\":\"request_ended\",\"request\":\"r2\",\"outcome\":\"completed\"}"));
+    LogFiles logs = LogFiles.read(List.of(file.toString()));
+    assertTrue(RequestStory.of(logs, "r1").toString().contains("near request 'r2'"));
+    String story = RequestStory.of(logs, "r2").toString();
+    assertTrue(story.contains("which name request 'r1'"));
+    assertTrue(story.contains("connection open for 70 ms, last response 40 ms before"));
+  }
 }
--- a/gateway/src/main/java/org/shallothold/gateway/forward/ForwardMetrics.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/ForwardMetrics.java
@@ -18,6 +18,7 @@
   final Counter requestsHeldForRate;
   final Counter misdirectedPermitRequests;
   final Counter additionalBytes;
+  final Counter foreignBytes;
   final Counter buffersShed;
   final Counter serverEnds;
   final Counter partStandingChanges;
@@ -66,6 +67,12 @@
             "shallothold_additional_bytes_connections_total",
             "Connections closed because the server sent bytes that belong to no request.",
             "service");
+    foreignBytes =
+        metrics.counter(
+            "shallothold_foreign_bytes_total",
+            "Responses of servers, or parts of them, that do not belong to the request in flight.",
+            "service",
+            "place");
     buffersShed =
         metrics.counter(
             "shallothold_buffers_shed_total",
--- a/gateway/src/main/java/org/shallothold/gateway/forward/RoutingState.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/RoutingState.java
@@ -26,6 +26,7 @@
 import org.shallothold.core.route.RouteConfiguration;
 import org.shallothold.core.route.RoutedService;
 import org.shallothold.gateway.forward.backend.BackendPool;
+import org.shallothold.gateway.forward.backend.ForeignBytes;
 import org.shallothold.gateway.forward.port.HeaderTranslation;
 import org.shallothold.gateway.forward.port.PublishedDecoder;
 import org.shallothold.gateway.forward.port.PublishedSource;
@@ -158,17 +159,26 @@
         eventLoop,
         new InetSocketAddress(server.host(), server.port()),
         translation,
-        (length, lastRequestId) -> recordAdditionalBytes(server, length, lastRequestId));
+        foreignBytes -> recordForeignBytes(server, foreignBytes));
   }
 
-  private void recordAdditionalBytes(ServerEntry server, int length, String lastRequestId) {
-    metrics.additionalBytes.labelValues(server.service()).inc();
+  private void recordForeignBytes(ServerEntry server, ForeignBytes foreignBytes) {
+    String place = foreignBytes.place().label();
+    metrics.foreignBytes.labelValues(server.service(), place).inc();
+    if (!foreignBytes.place().isDuringRequest()) {
+      metrics.additionalBytes.labelValues(server.service()).inc();
+    }
     log.add(
-        LogLine.of("additional_bytes")
+        LogLine.of(foreignBytes.place().isDuringRequest() ? "foreign_response" : "additional_bytes")
+            .with("request", foreignBytes.request())
             .with("server", server.id())
             .with("service", server.service())
-            .with("bytes", length)
-            .with("last_request", lastRequestId));
+            .with("place", place)
+            .with("bytes", foreignBytes.length())
+            .with("named_request", foreignBytes.namedRequest())
+            .with("last_request", foreignBytes.lastRequest())
+            .with("connection_age_millis", foreignBytes.connectionAgeMillis())
+            .with("since_last_response_millis", foreignBytes.idleMillis()));
   }
 
   /** Returns the number of connections to backend servers that are open or being opened. */
--- a/gateway/src/main/java/org/shallothold/gateway/forward/backend/BackendConnection.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/backend/BackendConnection.java
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.shallothold.gateway.forward.port.HeaderTranslation;
 import org.shallothold.gateway.forward.port.ResponseMetadata;
@@ -30,14 +31,20 @@
   private static final long MAX_DISCARDED_BYTES = 8L * 1024 * 1024;
   private static final int MAX_DISCARDED_RESPONSES = 100;
 
-  private final BackendPool pool;
+  private final Owner owner;
   private final HeaderTranslation translation;
   private final Channel channel;
+  private final long openedNanos = System.nanoTime();
   private final ResponseDecoder decoder = new ResponseDecoder(this);
+  private final EmbeddedHeadDetector embeddedHeads;
 
   private @Nullable BackendListener listener;
   private String requestId = "";
+  private String formerRequestId = "";
+  private long lastResponseNanos;
+  private boolean responseReceived;
   private boolean headReceived;
+  private boolean embeddedHeadReported;
   private boolean discarding;
   private long discardedBytes;
   private int discardedResponses;
@@ -46,10 +53,23 @@
   private boolean requestWritten;
   private long keepAliveMillis = BackendPool.DEFAULT_KEEP_ALIVE_MILLIS;
 
-  BackendConnection(BackendPool pool, HeaderTranslation translation, Channel channel) {
-    this.pool = pool;
+  /** The pool that the connection belongs to. */
+  interface Owner {
+
+    /** Called when the connection carries no request any more, and was not closed by the server. */
+    void connectionReleased(BackendConnection connection);
+
+    void connectionClosed(BackendConnection connection);
+
+    /** Called when the server sent bytes that do not belong to the request in flight. */
+    void foreignBytesReceived(ForeignBytes foreignBytes);
+  }
+
+  BackendConnection(Owner owner, HeaderTranslation translation, Channel channel) {
+    this.owner = owner;
     this.translation = translation;
     this.channel = channel;
+    this.embeddedHeads = new EmbeddedHeadDetector(translation);
   }
 
   /** Returns the decoder to put in front of this handler in the channel's pipeline. */
@@ -70,8 +90,11 @@
    */
   void send(FullHttpRequest request, String id, BackendListener responseListener) {
     listener = responseListener;
+    formerRequestId = requestId;
     requestId = id;
     headReceived = false;
+    embeddedHeadReported = false;
+    embeddedHeads.reset();
     discarding = false;
     discardedBytes = 0;
     discardedResponses = 0;
@@ -132,12 +155,12 @@
   @Override
   public void channelInactive(ChannelHandlerContext context) {
     fail("connection closed");
-    pool.connectionClosed(this);
+    owner.connectionClosed(this);
   }
 
   @Override
   public void unexpectedBytes(int length) {
-    closeForAdditionalBytes(length);
+    closeForAdditionalBytes(ForeignBytes.Place.IDLE, length);
   }
 
   private void writeCompleted(ChannelFuture future) {
@@ -151,6 +174,9 @@
   private void readHead(HttpResponse head) {
     Optional<String> problem = ResponseHeadCheck.problem(head);
     if (problem.isPresent()) {
+      if (ResponseHeadCheck.containsTwoResponses(head)) {
+        report(ForeignBytes.Place.WITHIN_HEAD, 0, "");
+      }
       fail(problem.get());
       channel.close();
       return;
@@ -175,6 +201,7 @@
     }
     if (responseId != null && !responseId.equals(requestId)) {
       reusable = false;
+      report(ForeignBytes.Place.BEFORE_RESPONSE, 0, responseId);
       discard();
       return;
     }
@@ -228,6 +255,7 @@
     }
     ByteBuf bytes = content.content();
     if (bytes.isReadable()) {
+      reportEmbeddedHead(bytes);
       current.contentReceived(bytes);
     }
     if (content instanceof LastHttpContent && listener == current) {
@@ -241,9 +269,11 @@
       return;
     }
     listener = null;
+    responseReceived = true;
+    lastResponseNanos = System.nanoTime();
     int additionalBytes = decoder.endResponse();
     if (additionalBytes > 0) {
-      closeForAdditionalBytes(additionalBytes);
+      closeForAdditionalBytes(ForeignBytes.Place.AFTER_RESPONSE, additionalBytes);
     }
     // Bytes that follow the response may wait unread while reading is paused.
     reusable &= channel.config().isAutoRead();
@@ -253,15 +283,46 @@
     current.completed();
     // Deferred, so that bytes that follow the response in the same read close the connection before
     // another request uses it.
-    channel.eventLoop().execute(() -> pool.connectionReleased(this));
+    channel.eventLoop().execute(() -> owner.connectionReleased(this));
   }
 
-  private void closeForAdditionalBytes(int length) {
+  private void closeForAdditionalBytes(ForeignBytes.Place place, int length) {
     reusable = false;
-    pool.additionalBytesReceived(length, requestId);
+    report(place, length, "");
     channel.close();
   }
 
+  private void reportEmbeddedHead(ByteBuf bytes) {
+    if (embeddedHeadReported) {
+      return;
+    }
+    embeddedHeads
+        .examine(bytes)
+        .ifPresent(
+            embedded -> {
+              embeddedHeadReported = true;
+              String named = embedded.requestId();
+              report(
+                  ForeignBytes.Place.WITHIN_BODY,
+                  bytes.readableBytes(),
+                  named == null ? "" : named);
+            });
+  }
+
+  private void report(ForeignBytes.Place place, int length, String namedRequest) {
+    long nowNanos = System.nanoTime();
+    boolean inFlight = place.isDuringRequest();
+    owner.foreignBytesReceived(
+        new ForeignBytes(
+            place,
+            length,
+            inFlight ? requestId : "",
+            inFlight ? formerRequestId : requestId,
+            namedRequest,
+            TimeUnit.NANOSECONDS.toMillis(nowNanos - openedNanos),
+            responseReceived ? TimeUnit.NANOSECONDS.toMillis(nowNanos - lastResponseNanos) : -1));
+  }
+
   private void fail(String reason) {
     BackendListener current = listener;
     listener = null;
--- a/gateway/src/main/java/org/shallothold/gateway/forward/backend/BackendPool.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/backend/BackendPool.java
@@ -43,32 +43,28 @@
 
   private final Bootstrap bootstrap;
   private final HeaderTranslation translation;
-  private final AdditionalBytesListener additionalBytesListener;
+  private final ForeignBytesListener foreignBytesListener;
   private final Deque<IdleConnection> idleConnections = new ArrayDeque<>();
   private final Set<BackendConnection> openConnections = new HashSet<>();
+  private final BackendConnection.Owner connectionOwner = new ConnectionOwner();
   private int connectionsBeingOpened;
 
   private record IdleConnection(BackendConnection connection, long sinceNanos) {}
 
-  /** Receives what servers send without a request. */
-  public interface AdditionalBytesListener {
+  /** Receives what servers send beside the responses to the requests in flight. */
+  public interface ForeignBytesListener {
 
-    /**
-     * Called when a connection is closed because its server sent bytes that belong to no request.
-     *
-     * @param length number of bytes that were received
-     * @param lastRequestId id of the last request on the connection; empty if there was none
-     */
-    void additionalBytesReceived(int length, String lastRequestId);
+    /** Called for each response, or part of one, that does not belong to the request in flight. */
+    void foreignBytesReceived(ForeignBytes foreignBytes);
   }
 
   private BackendPool(
       EventLoop eventLoop,
       InetSocketAddress address,
       HeaderTranslation translation,
-      AdditionalBytesListener additionalBytesListener) {
+      ForeignBytesListener foreignBytesListener) {
     this.translation = translation;
-    this.additionalBytesListener = additionalBytesListener;
+    this.foreignBytesListener = foreignBytesListener;
     this.bootstrap =
         new Bootstrap()
             .group(eventLoop)
@@ -91,8 +87,8 @@
       EventLoop eventLoop,
       InetSocketAddress address,
       HeaderTranslation translation,
-      AdditionalBytesListener additionalBytesListener) {
-    return new BackendPool(eventLoop, address, translation, additionalBytesListener);
+      ForeignBytesListener foreignBytesListener) {
+    return new BackendPool(eventLoop, address, translation, foreignBytesListener);
   }
 
   /** Handle of a request in flight. */
@@ -235,7 +231,7 @@
     }
   }
 
-  void connectionReleased(BackendConnection connection) {
+  private void connectionReleased(BackendConnection connection) {
     if (connection.isUsable()) {
       connection.setAutoRead(true);
       idleConnections.addFirst(new IdleConnection(connection, System.nanoTime()));
@@ -244,17 +240,13 @@
     }
   }
 
-  void connectionClosed(BackendConnection connection) {
+  private void connectionClosed(BackendConnection connection) {
     openConnections.remove(connection);
     idleConnections.removeIf(entry -> entry.connection() == connection);
   }
 
-  void additionalBytesReceived(int length, String lastRequestId) {
-    additionalBytesListener.additionalBytesReceived(length, lastRequestId);
-  }
-
   private void initialize(Channel channel) {
-    BackendConnection connection = new BackendConnection(this, translation, channel);
+    BackendConnection connection = new BackendConnection(connectionOwner, translation, channel);
     channel
         .pipeline()
         .addLast(connection.decoder())
@@ -313,4 +305,22 @@
     exchange.connection = connection;
     connection.send(request, requestId, listener);
   }
+
+  private final class ConnectionOwner implements BackendConnection.Owner {
+
+    @Override
+    public void connectionReleased(BackendConnection connection) {
+      BackendPool.this.connectionReleased(connection);
+    }
+
+    @Override
+    public void connectionClosed(BackendConnection connection) {
+      BackendPool.this.connectionClosed(connection);
+    }
+
+    @Override
+    public void foreignBytesReceived(ForeignBytes foreignBytes) {
+      foreignBytesListener.foreignBytesReceived(foreignBytes);
+    }
+  }
 }
--- a/gateway/src/main/java/org/shallothold/gateway/forward/backend/ResponseHeadCheck.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/backend/ResponseHeadCheck.java
@@ -30,16 +30,19 @@
     if (head.status().code() == HttpResponseStatus.SWITCHING_PROTOCOLS.code()) {
       return Optional.of("the server switched protocols unasked");
     }
-    boolean merged =
-        containsStatusLine(head.status().reasonPhrase())
-            || head.headers().entries().stream()
-                .map(Map.Entry::getValue)
-                .anyMatch(ResponseHeadCheck::containsStatusLine);
-    return merged
+    return containsTwoResponses(head)
         ? Optional.of("the response contains the status line of another one")
         : Optional.empty();
   }
 
+  /** Returns whether a status line stands within the head. */
+  static boolean containsTwoResponses(HttpResponse head) {
+    return containsStatusLine(head.status().reasonPhrase())
+        || head.headers().entries().stream()
+            .map(Map.Entry::getValue)
+            .anyMatch(ResponseHeadCheck::containsStatusLine);
+  }
+
   private static boolean isHttp1(HttpVersion version) {
     return version.equals(HttpVersion.HTTP_1_1) || version.equals(HttpVersion.HTTP_1_0);
   }
--- a/gateway/src/test/java/org/shallothold/gateway/forward/BackendPoolTest.java
+++ b/gateway/src/test/java/org/shallothold/gateway/forward/BackendPoolTest.java
@@ -60,7 +60,7 @@
         eventLoop,
         new InetSocketAddress(InetAddress.getLoopbackAddress(), Math.max(0, socket.getLocalPort())),
         new TestTranslation(),
-        (length, lastRequestId) -> additionalBytes.complete(length));
+        foreignBytes -> additionalBytes.complete(foreignBytes.length()));
   }
 
   @BeforeEach
