Fail responses within which another response stands

Cause: a response was complete as soon as as many bytes as it announced had arrived, whatever they were. Decoder, head check, connection and attempt each decided a part of whose bytes these are, and none looked at the body.

ResponseMatcher now decides alone to which request the bytes on a connection belong. A body that holds the head of another response, ends within one, or is followed by bytes that are no response fails the request as one that may have run. A status line alone is no proof, since a body may quote HTTP: the head must name a request, be signed or say 'not run'.

Not told apart: fewer than 7 bytes of a late response within a body; a cut one within a body without a length or chunks, before its first telling field; a cut one within a head.

--- a/gateway/src/main/java/org/shallothold/gateway/forward/backend/BackendConnection.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/backend/BackendConnection.java
@@ -8,13 +8,14 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
+import org.shallothold.gateway.forward.backend.ResponseMatcher.HeadMatch;
+import org.shallothold.gateway.forward.backend.ResponseMatcher.Mismatch;
 import org.shallothold.gateway.forward.port.HeaderTranslation;
 import org.shallothold.gateway.forward.port.ResponseMetadata;
 
@@ -32,11 +33,10 @@
   private static final int MAX_DISCARDED_RESPONSES = 100;
 
   private final Owner owner;
-  private final HeaderTranslation translation;
   private final Channel channel;
   private final long openedNanos = System.nanoTime();
   private final ResponseDecoder decoder = new ResponseDecoder(this);
-  private final EmbeddedHeadDetector embeddedHeads;
+  private final ResponseMatcher matcher;
 
   private @Nullable BackendListener listener;
   private String requestId = "";
@@ -44,7 +44,6 @@
   private long lastResponseNanos;
   private boolean responseReceived;
   private boolean headReceived;
-  private boolean embeddedHeadReported;
   private boolean discarding;
   private long discardedBytes;
   private int discardedResponses;
@@ -67,9 +66,8 @@
 
   BackendConnection(Owner owner, HeaderTranslation translation, Channel channel) {
     this.owner = owner;
-    this.translation = translation;
     this.channel = channel;
-    this.embeddedHeads = new EmbeddedHeadDetector(translation);
+    this.matcher = new ResponseMatcher(translation);
   }
 
   /** Returns the decoder to put in front of this handler in the channel's pipeline. */
@@ -93,13 +91,12 @@
     formerRequestId = requestId;
     requestId = id;
     headReceived = false;
-    embeddedHeadReported = false;
-    embeddedHeads.reset();
     discarding = false;
     discardedBytes = 0;
     discardedResponses = 0;
     requestWritten = false;
     decoder.expectResponse(request.method());
+    matcher.expectResponse(id);
     responseListener.sending();
     channel.writeAndFlush(request).addListener((ChannelFuture future) -> writeCompleted(future));
   }
@@ -172,39 +169,26 @@
   }
 
   private void readHead(HttpResponse head) {
-    Optional<String> problem = ResponseHeadCheck.problem(head);
-    if (problem.isPresent()) {
-      if (ResponseHeadCheck.containsTwoResponses(head)) {
-        report(ForeignBytes.Place.WITHIN_HEAD, 0, "");
-      }
-      fail(problem.get());
-      channel.close();
-      return;
-    }
-    if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
-      discard();
-      return;
-    }
     BackendListener current = listener;
     if (current == null || headReceived) {
       reusable = false;
       channel.close();
       return;
     }
-    ResponseMetadata metadata = translation.readResponse(head);
-    String responseId = metadata.requestId();
-    if (responseId == null && !requestId.isEmpty()) {
-      // It may be an additional response to an earlier request.
-      fail("the response names no request");
-      channel.close();
-      return;
-    }
-    if (responseId != null && !responseId.equals(requestId)) {
-      reusable = false;
-      report(ForeignBytes.Place.BEFORE_RESPONSE, 0, responseId);
-      discard();
-      return;
+    switch (matcher.matchHead(head)) {
+      case HeadMatch.Own(ResponseMetadata metadata) -> ownHeadReceived(current, head, metadata);
+      case HeadMatch.Informational() -> discard();
+      case HeadMatch.Other(String namedRequest) -> {
+        reusable = false;
+        report(ForeignBytes.Place.BEFORE_RESPONSE, 0, namedRequest);
+        discard();
+      }
+      case HeadMatch.Unusable(Mismatch mismatch) -> failUnmatched(mismatch);
     }
+  }
+
+  private void ownHeadReceived(
+      BackendListener current, HttpResponse head, ResponseMetadata metadata) {
     headReceived = true;
     reusable &= HttpUtil.isKeepAlive(head);
     keepAliveMillis =
@@ -255,7 +239,11 @@
     }
     ByteBuf bytes = content.content();
     if (bytes.isReadable()) {
-      reportEmbeddedHead(bytes);
+      Optional<Mismatch> mismatch = matcher.matchOwnBody(content);
+      if (mismatch.isPresent()) {
+        failUnmatched(mismatch.get());
+        return;
+      }
       current.contentReceived(bytes);
     }
     if (content instanceof LastHttpContent && listener == current) {
@@ -268,12 +256,17 @@
       fail("connection lost before the end of the response");
       return;
     }
+    ByteBuf following = decoder.endResponse();
+    Optional<Mismatch> mismatch = matcher.matchEnd(following);
+    if (mismatch.isPresent()) {
+      failUnmatched(mismatch.get());
+      return;
+    }
     listener = null;
     responseReceived = true;
     lastResponseNanos = System.nanoTime();
-    int additionalBytes = decoder.endResponse();
-    if (additionalBytes > 0) {
-      closeForAdditionalBytes(ForeignBytes.Place.AFTER_RESPONSE, additionalBytes);
+    if (following.isReadable()) {
+      closeForAdditionalBytes(ForeignBytes.Place.AFTER_RESPONSE, following.readableBytes());
     }
     // Bytes that follow the response may wait unread while reading is paused.
     reusable &= channel.config().isAutoRead();
@@ -292,21 +285,14 @@
     channel.close();
   }
 
-  private void reportEmbeddedHead(ByteBuf bytes) {
-    if (embeddedHeadReported) {
-      return;
+  /** Fails the request because its response can't be told from other bytes. */
+  private void failUnmatched(Mismatch mismatch) {
+    ForeignBytes.Place place = mismatch.place();
+    if (place != null) {
+      report(place, mismatch.length(), mismatch.namedRequest());
     }
-    embeddedHeads
-        .examine(bytes)
-        .ifPresent(
-            embedded -> {
-              embeddedHeadReported = true;
-              String named = embedded.requestId();
-              report(
-                  ForeignBytes.Place.WITHIN_BODY,
-                  bytes.readableBytes(),
-                  named == null ? "" : named);
-            });
+    fail(mismatch.reason());
+    channel.close();
   }
 
   private void report(ForeignBytes.Place place, int length, String namedRequest) {
--- a/gateway/src/main/java/org/shallothold/gateway/forward/backend/EmbeddedHeadDetector.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/backend/EmbeddedHeadDetector.java
@@ -54,6 +54,11 @@
     return statusLineSeen;
   }
 
+  /** Returns whether the last byte examined may stand within the head of a response. */
+  boolean isWithinHead() {
+    return collecting;
+  }
+
   /**
    * Examines the next part of the body, whose indexes stay unchanged.
    *
--- a/gateway/src/main/java/org/shallothold/gateway/forward/backend/ResponseDecoder.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/backend/ResponseDecoder.java
@@ -43,11 +43,11 @@
   /**
    * Ends the response whose last part was decoded just now.
    *
-   * @return the number of bytes that were received after it
+   * @return the bytes that were received after it; valid during the call of the listener
    */
-  int endResponse() {
+  ByteBuf endResponse() {
     responseExpected = false;
-    return actualReadableBytes();
+    return internalBuffer();
   }
 
   @Override
