Fail requests whose response is read as the rest of another one at once

Cause: the real response is taken for the rest of the cut one's body, chunk or trailers and is discarded with it. A malformed chunk of the discarded response was ignored too, after which the decoder reads nothing more.

ResponseMatcher now examines what is discarded: a status line within it, trailers or a malformed chunk end the request at once. It may have run, so an order is refused as such and a repeatable request goes to another server. A whole late response is still skipped, and the real one delivered.

--- a/gateway/src/main/java/org/shallothold/gateway/forward/backend/BackendConnection.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/backend/BackendConnection.java
@@ -223,6 +223,11 @@
 
   private void readContent(HttpContent content) {
     if (discarding) {
+      Optional<Mismatch> mismatch = matcher.matchOtherBody(content);
+      if (mismatch.isPresent()) {
+        failUnmatched(mismatch.get());
+        return;
+      }
       discarding = !(content instanceof LastHttpContent);
       discardedBytes += content.content().readableBytes();
       closeIfTooMuchDiscarded();
--- a/gateway/src/main/java/org/shallothold/gateway/forward/backend/ResponseMatcher.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/backend/ResponseMatcher.java
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.LastHttpContent;
 import java.util.Optional;
 import org.jspecify.annotations.Nullable;
 import org.shallothold.gateway.forward.port.HeaderTranslation;
@@ -97,6 +98,24 @@
     return new HeadMatch.Unusable(new Mismatch(reason, place, 0, ""));
   }
 
+  /**
+   * Examines the body of another response. If that response was cut, the one to the request in
+   * flight is read as its rest, and would be discarded with it.
+   */
+  Optional<Mismatch> matchOtherBody(HttpContent content) {
+    // The head of the next response after the last chunk of a cut one is read as trailers.
+    boolean hasTrailers =
+        content instanceof LastHttpContent last && !last.trailingHeaders().isEmpty();
+    if (content.decoderResult().isFailure() || hasTrailers) {
+      return Optional.of(
+          new Mismatch("another response is malformed", ForeignBytes.Place.BEFORE_RESPONSE, 0, ""));
+    }
+    Optional<ResponseMetadata> embedded = embeddedHeads.examine(content.content());
+    return embeddedHeads.isStatusLineSeen()
+        ? Optional.of(mismatch("another response contains a status line", content, embedded))
+        : Optional.empty();
+  }
+
   /** Examines a part of the body of the response to the request in flight. */
   Optional<Mismatch> matchOwnBody(HttpContent content) {
     bodyReceived = true;
--- a/gateway/src/test/java/org/shallothold/gateway/forward/LateResponseContractTest.java
+++ b/gateway/src/test/java/org/shallothold/gateway/forward/LateResponseContractTest.java
@@ -96,4 +96,45 @@
       }
     }
   }
+
+  /**
+   * Guards against a request that waits until its deadline because the response to it is read as
+   * the rest of a cut late one. An order must be refused at once as one that may have run.
+   */
+  @Test
+  void orderBehindCutLateResponseIsRefusedBeforeDeadline() throws IOException {
+    AtomicReference<String> late = new AtomicReference<>("");
+    try (ForwardFixture fixture = ForwardFixture.unconfigured()) {
+      fixture.configure(exchange -> respondAfter(late.get(), exchange));
+      List<String> withBody =
+          LATE_RESPONSES.stream()
+              .filter(response -> !response.endsWith("Length: 0\r\n\r\n"))
+              .toList();
+      for (String response : withBody) {
+        // Cut after the first byte of the body.
+        late.set(response.substring(0, response.indexOf("\r\n\r\n") + 5));
+        String received = fixture.call("/once/order", "");
+        assertTrue(received.startsWith("HTTP/1.1 502 "), late.get() + " -> " + received);
+      }
+    }
+  }
+
+  /** Guards against the same for a request that may run again: another server responds to it. */
+  @Test
+  void repeatableRequestBehindCutLateResponseIsAnswered() throws IOException {
+    String response = LATE_RESPONSES.getFirst();
+    String cut = response.substring(0, response.length() - 2);
+    try (ForwardFixture fixture =
+        ForwardFixture.withServers(
+            exchange -> respondAfter(cut, exchange), exchange -> exchange.respond(200, "sound"))) {
+      String received = fixture.call("/repeatable/lookup", "");
+      assertTrue(received.endsWith("\r\n\r\nsound"), received);
+    }
+  }
+
+  private static void respondAfter(String late, Exchange exchange) throws IOException {
+    exchange.send(late);
+    pause();
+    exchange.respond(200, OWN_BODY);
+  }
 }
--- a/gateway/src/test/java/org/shallothold/gateway/forward/backend/BackendConnectionTest.java
+++ b/gateway/src/test/java/org/shallothold/gateway/forward/backend/BackendConnectionTest.java
@@ -200,6 +200,20 @@
   @Nested
   class LateResponse {
 
+    /** Guards against reading the response to a request as the rest of a late one, cut anywhere. */
+    @ParameterizedTest
+    @MethodSource("org.shallothold.gateway.forward.backend.BackendConnectionTest#pairs")
+    void cutAnywhereBeforeResponse(String own, String late) {
+      lengths(1, 1, late).forEach(cut -> assertMatched(own, 0, late.substring(0, cut), false));
+    }
+
+    /** Guards against the rest of a late response whose beginning was read before. */
+    @ParameterizedTest
+    @MethodSource("org.shallothold.gateway.forward.backend.BackendConnectionTest#pairs")
+    void restBeforeResponse(String own, String late) {
+      lengths(1, 1, late).forEach(begin -> assertMatched(own, 0, late.substring(begin), false));
+    }
+
     /** Guards against taking a late response for a part of the head or body of the next one. */
     @ParameterizedTest
     @MethodSource("org.shallothold.gateway.forward.backend.BackendConnectionTest#pairs")
