--- a/command/src/main/java/org/shallothold/command/logs/RequestStory.java
+++ b/command/src/main/java/org/shallothold/command/logs/RequestStory.java
@@ -29,7 +29,12 @@
   }
 
   private static String sentence(LogEntry entry) {
-    String place = entry.time() + " " + entry.process() + " +" + entry.text("age_millis") + " ms: ";
+    String ageMillis = entry.text("age_millis");
+    String place =
+        entry.time()
+            + " "
+            + entry.process()
+            + (ageMillis.isEmpty() ? ": " : " +" + ageMillis + " ms: ");
     return place
         + switch (entry.event()) {
           case "request_taken" ->
--- a/gateway/src/test/java/org/shallothold/gateway/forward/backend/BackendConnectionTest.java
+++ b/gateway/src/test/java/org/shallothold/gateway/forward/backend/BackendConnectionTest.java
@@ -1,6 +1,7 @@
 package org.shallothold.gateway.forward.backend;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.buffer.ByteBuf;
@@ -251,6 +252,21 @@
     return response.indexOf("\r\n", response.indexOf("\r\n") + 2) + 2;
   }
 
+  @Nested
+  class AbandonedRequest {
+
+    /** Guards against taking the response to a request that was given up for the next one's. */
+    @Test
+    void connectionIsClosed() {
+      Connection connection = new Connection();
+      BackendConnection abandoned = connection.channel.pipeline().get(BackendConnection.class);
+      abandoned.abandon();
+      assertFalse(abandoned.isUsable());
+      assertFalse(connection.channel.isOpen());
+      assertEquals(PENDING, connection.outcome());
+    }
+  }
+
   @Nested
   class Report {
 
