Close connections that a scripted server accepts while it ends

What tests saw: half of a response as a 200 (responseWhoseServerEndedIsNotComplete), and an end that was not noticed (endOfServerThatAnswersWithoutLengthIsEvidence).

Cause, in the test support: end() closes the listening socket and then the connections that it knows. A connection that the accept thread has accepted and not added yet is missed and stays open for good. The operating system of a process that ends closes it. The gateway's check of the server uses just such a connection, and rightly finds it open after 20 ms.

The accept thread now closes a connection itself if its listener is closed by then; one that was added before is closed by end(). No check, bound or wait of a test changes.

--- a/gateway/src/test/java/org/shallothold/gateway/forward/ScriptedServer.java
+++ b/gateway/src/test/java/org/shallothold/gateway/forward/ScriptedServer.java
@@ -183,6 +183,12 @@
         Socket connection = listener.accept();
         connection.setTcpNoDelay(true);
         connections.add(connection);
+        // An end that closed the others before this one was added has not closed it.
+        if (listener.isClosed()) {
+          connections.remove(connection);
+          connection.close();
+          return;
+        }
         Thread.ofVirtual().start(() -> serve(connection));
       } catch (IOException e) {
         return;
