Send what peers do not know yet before the question for a trial

Likely cause, by the order of the log lines and by reading: evidence about ended servers waits up to 4 ms for other changes, while the question for a trial is sent at once over the same connection. A coordinator that does not know of the end yet allows the trial.

Pending changes are now sent before a question for a trial. Questions for other permits, of which there are many, are as before.

--- a/gateway/src/main/java/org/shallothold/gateway/forward/peer/PeerExchange.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/peer/PeerExchange.java
@@ -290,6 +290,10 @@
       connect(address);
       return false;
     }
+    if (changesScheduled && request.getTrialPartIdsCount() > 0) {
+      // The coordinator needs the end of a server that led to the question to answer it.
+      sendChanges();
+    }
     PeerConnection connection = peer.connection;
     return connection != null
         && connection.send(Envelope.newBuilder().setSendPermitRequest(request).build());
--- a/gateway/src/test/java/org/shallothold/gateway/forward/peer/PeerExchangeTest.java
+++ b/gateway/src/test/java/org/shallothold/gateway/forward/peer/PeerExchangeTest.java
@@ -59,6 +59,8 @@
     private final BlockingQueue<FleetNews> updates = new LinkedBlockingQueue<>();
     private final BlockingQueue<String> changes = new LinkedBlockingQueue<>();
     private final BlockingQueue<SendPermitAnswer> answers = new LinkedBlockingQueue<>();
+    // Changes and permit requests, in the order in which they arrived.
+    private final BlockingQueue<String> ordered = new LinkedBlockingQueue<>();
 
     Gateway(long revision) {
       this.revision = revision;
@@ -87,6 +89,7 @@
 
     @Override
     public void changesReceived(String peer, WorkChanges workChanges) {
+      ordered.add("changes");
       changes.add(peer + " at " + workChanges.getOpenWork(0).getServerId());
     }
 
@@ -126,6 +129,7 @@
 
     @Override
     public SendPermitAnswer answer(String peer, SendPermitRequest request) {
+      ordered.add("permit request");
       return SendPermitAnswer.newBuilder()
           .setServerId(request.getServerId())
           .setRequestNumber(request.getRequestNumber())
@@ -245,6 +249,29 @@
     assertTrue(answer.getGranted());
   }
 
+  /**
+   * Guards against a trial of a prompt part that its coordinator allows because the question
+   * arrives before the end of the server that led to it.
+   */
+  @Test
+  void changesArriveBeforeTheQuestionForATrial() throws IOException, InterruptedException {
+    InetSocketAddress first = freeAddress();
+    Gateway coordinator = new Gateway(1);
+    start("first", first, coordinator);
+    PeerExchange second = start("second", freeAddress(), new Gateway(1), first);
+    coordinator.updates.take();
+    String address = first.getHostString() + ":" + first.getPort();
+    eventLoop.execute(
+        () -> {
+          second.announceChanges();
+          second.sendPermitRequest(
+              address,
+              SendPermitRequest.newBuilder().addTrialPartIds(5).setRequestNumber(7).build());
+        });
+    assertEquals("changes", coordinator.ordered.take());
+    assertEquals("permit request", coordinator.ordered.take());
+  }
+
   /**
    * Guards against gateways that keep the address of one that is gone alive by telling it to each
    * other: an address that no gateway heard of for 20 s is not learned again.
