Refuse streams whose server fails before the first event instead of closing the connection

What callers saw: the gateway closed their connection with no byte sent if a server sent the signed head of a stream and failed before the end of the first event: it closed or reset the connection, sent an event over 1 MiB or an incomplete one, or was silent until the deadline (log: answer_failed, then request_ended with the outcome "broken").

Cause: a stream counted as begun when the server's head arrived. The head was written to the caller without a flush, and a begun stream can only be cut.

A stream now begins with the first events that are forwarded, or with the end of a complete stream without events, and has the head of the server that sent them. Until then failRequest, the deadline and the planned stop see a request that was not begun and refuse it: 502 or 504, may_have_run. A begun stream is cut and resumed as before, under the head that its caller has. A 429, 503 or 408 without 'not run' of the server that answers a resumable stream second is refused with 502, as the first server may have run it; before, these streams were closed.

--- a/gateway/src/main/java/org/shallothold/gateway/forward/Attempt.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/Attempt.java
@@ -181,11 +181,6 @@
             && matchedRoute.kind().streaming()
             && responseHead.status().code() == HttpResponseStatus.OK.code()
             && responseFacts.signed();
-    if (streaming && !progress.streamStarted) {
-      progress.streamStarted = true;
-      caller.beginStream(
-          responseHead.status(), forwarder.translation().toCallerHeaders(responseHead));
-    }
   }
 
   /** Returns whether only the end of the connection ends the response. */
@@ -317,10 +312,12 @@
   }
 
   private void forwardToCaller(ByteBuf completeEvents, int events) {
-    if (!completeEvents.isReadable()) {
+    HttpResponse responseHead = head;
+    if (!completeEvents.isReadable() || responseHead == null) {
       completeEvents.release();
       return;
     }
+    beginStream(responseHead);
     server.recordFirstEvent(requestKey, placement.expectedMillis(), MonotonicClock.millis());
     updateEstimates(events);
     if (!progress.firstEventSeen) {
@@ -334,6 +331,19 @@
     }
   }
 
+  /**
+   * Sends the head of the stream unless the caller has one. Not called before there are events to
+   * forward or the stream is complete: until then the request can still be refused with a status.
+   */
+  private void beginStream(HttpResponse responseHead) {
+    if (progress.streamStarted) {
+      return;
+    }
+    progress.streamStarted = true;
+    caller.beginStream(
+        responseHead.status(), forwarder.translation().toCallerHeaders(responseHead));
+  }
+
   /**
    * Closes the connection to the server because its response can't be used, and fails the attempt.
    */
@@ -396,13 +406,13 @@
     server.recordEnd(requestKey);
     forwarder.workRemoved(server.entry().id());
     if (streaming) {
-      endStreamedResponse();
+      endStreamedResponse(responseHead);
     } else {
       endBufferedResponse(responseHead, responseFacts);
     }
   }
 
-  private void endStreamedResponse() {
+  private void endStreamedResponse(HttpResponse responseHead) {
     boolean truncated = buffered != null && buffered.isReadable();
     releaseBuffered();
     if (truncated) {
@@ -418,6 +428,7 @@
     recordWholeAnswer();
     countResult("stream_ended");
     completeRequest();
+    beginStream(responseHead);
     caller.endStream();
   }
 
@@ -484,7 +495,7 @@
 
   /** Forwards the buffered response to the caller. */
   private void deliverResponse(HttpResponse responseHead, int status, boolean repeatable) {
-    if (!repeatable && impliesNotRun(status)) {
+    if (impliesNotRun(status) && (!repeatable || earlierStreamMayHaveRun())) {
       releaseBuffered();
       owner.failRequest(ReasonCode.BACKEND_FAILED);
       return;
@@ -506,6 +517,12 @@
         responseHead.status(), forwarder.translation().toCallerHeaders(responseHead), body);
   }
 
+  /** Returns whether the request is for a stream, and another attempt may have run it. */
+  private boolean earlierStreamMayHaveRun() {
+    Route matchedRoute = owner.route();
+    return matchedRoute != null && matchedRoute.kind().streaming() && progress.possibleRuns > 1;
+  }
+
   /**
    * Returns whether a caller would take the status as a promise that the request was not run, which
    * isn't known here.
--- a/gateway/src/main/java/org/shallothold/gateway/forward/RequestProgress.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/RequestProgress.java
@@ -11,7 +11,7 @@
   /** Attempts that servers rejected without running the request. */
   int rejections;
 
-  /** Whether the head of a streamed response was sent to the caller. */
+  /** Whether the caller was sent the head of a stream, so that it can't be refused any more. */
   boolean streamStarted;
 
   /** Whether the caller was sent a part of the response's body. */
