--- a/gateway/src/test/java/org/shallothold/gateway/forward/LateResponsesProgram.java
+++ b/gateway/src/test/java/org/shallothold/gateway/forward/LateResponsesProgram.java
@@ -433,11 +433,12 @@
   }
 
   private void report(String outcome, Call call, Received received) {
+    boolean isFirst = !counts.containsKey(outcome);
     count(outcome);
-    // The deadline is no breach by itself; its examples must not displace others.
-    int limit = outcome.equals("status_504") ? 1 : MAX_EXAMPLES;
     Connection connection = Objects.requireNonNull(requests.get(call.id())).connection;
-    if (examples.size() < limit) {
+    // One of each other outcome, so that frequent ones don't displace those of MIXED.
+    boolean isMixed = outcome.startsWith("mixed_");
+    if (isMixed ? mixed.get() <= MAX_EXAMPLES : isFirst) {
       examples.add(
           "{\"outcome\":"
               + quote(outcome)
