Withhold the content of a chunk until the rest of the same read shows that the chunk ends where it should

What callers saw: an event into which the beginning of a late response was mixed; the chunk then proved malformed, the stream was resumed behind that event at another server, and looked complete.

Cause: the decoder gives the content of a chunk before it has read the line break that ends it, and the content was forwarded at once. Bytes that were inserted into a chunk leave as many of its own behind it, in the same read as a rule.

Content is now forwarded with the next part of the response or at the end of the read, and dropped if the chunk is malformed. Nothing waits for another read, so events are not delayed.

The other test of the class still fails: a status line between CR and LF of a chunk-size line is ignored by the decoder.

--- a/gateway/src/main/java/org/shallothold/gateway/forward/backend/BackendConnection.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/backend/BackendConnection.java
@@ -44,6 +44,8 @@
   private long lastResponseNanos;
   private boolean responseReceived;
   private boolean headReceived;
+  // Withheld until the rest of the same read shows that its chunk ends where it should.
+  private @Nullable ByteBuf withheldContent;
   private boolean discarding;
   private long discardedBytes;
   private int discardedResponses;
@@ -103,6 +105,7 @@
 
   /** Abandons the request by closing the connection, upon which the server drops the request. */
   void abandon() {
+    dropWithheldContent();
     listener = null;
     reusable = false;
     channel.close();
@@ -142,6 +145,12 @@
     }
   }
 
+  @Override
+  public void channelReadComplete(ChannelHandlerContext context) {
+    deliverWithheldContent();
+    context.fireChannelReadComplete();
+  }
+
   @Override
   public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
     connectionFailed = true;
@@ -249,13 +258,39 @@
         failUnmatched(mismatch.get());
         return;
       }
-      current.contentReceived(bytes);
+      deliverWithheldContent();
+      withheldContent = bytes.retain();
+    }
+    if (content instanceof LastHttpContent) {
+      deliverWithheldContent();
+      if (listener == current) {
+        finish(current);
+      }
+    }
+  }
+
+  private void deliverWithheldContent() {
+    ByteBuf content = withheldContent;
+    withheldContent = null;
+    if (content == null) {
+      return;
     }
-    if (content instanceof LastHttpContent && listener == current) {
-      finish(current);
+    try {
+      BackendListener current = listener;
+      if (current != null) {
+        current.contentReceived(content);
+      }
+    } finally {
+      content.release();
     }
   }
 
+  private void dropWithheldContent() {
+    ByteBuf content = withheldContent;
+    withheldContent = null;
+    ReferenceCountUtil.release(content);
+  }
+
   private void finish(BackendListener current) {
     if (connectionFailed) {
       fail("connection lost before the end of the response");
@@ -315,6 +350,7 @@
   }
 
   private void fail(String reason) {
+    dropWithheldContent();
     BackendListener current = listener;
     listener = null;
     reusable = false;
