Forward the events before a gap in a stream

Cause: the whole events of a read were discarded at a gap, after they had been counted as forwarded. They are now forwarded.

--- a/gateway/src/main/java/org/shallothold/gateway/forward/Attempt.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/Attempt.java
@@ -287,7 +287,8 @@
       }
       long id = framer.lastEventId();
       if (hasGap(id)) {
-        completeEvents.release();
+        // They count as forwarded, so that another attempt goes on behind them.
+        forwardToCaller(completeEvents, events);
         abortResponse("event " + id + " followed event " + progress.lastEventId);
         return;
       }
--- a/gateway/src/test/java/org/shallothold/gateway/forward/ForwardContractTest.java
+++ b/gateway/src/test/java/org/shallothold/gateway/forward/ForwardContractTest.java
@@ -315,6 +315,34 @@
       }
     }
 
+    /** Guards against losing an event that came in the same read as one after a gap. */
+    @Test
+    void eventBeforeGapIsForwardedOnce() throws IOException {
+      Script gap =
+          exchange -> {
+            exchange.send(exchange.head(200, "X-Signed: s\r\nTransfer-Encoding: chunked"));
+            exchange.send(Exchange.chunk(event(1)));
+            awaitForwarding();
+            exchange.send(Exchange.chunk(event(2) + event(4)));
+          };
+      Script rest = stream(event(3) + event(4), true);
+      try (ForwardFixture fixture = ForwardFixture.withServers(gap, rest)) {
+        String response = fixture.call("/stream/x", "");
+        assertEquals("2", fixture.second().requests().getFirst().header("X-After"));
+        for (int id = 1; id <= 4; id++) {
+          assertEquals(2, response.split("data: e" + id, -1).length, response);
+        }
+      }
+    }
+
+    private void awaitForwarding() throws IOException {
+      try {
+        Thread.sleep(50);
+      } catch (InterruptedException e) {
+        throw new IOException(e);
+      }
+    }
+
     /**
      * Guards against the text of an error in the middle of a stream, and against a stream that ends
      * as complete, when the server that should resume it answers with an error.
