Bound what the search for another response keeps and reports, and refuse no body for mentioning HTTP

A body now ends within another response only if it ends in a whole status code or in a head. - The fields of an embedded head were kept without a bound and parsed again for each line (40,000 fields: 3 s on the event loop).

--- a/command/src/main/java/org/shallothold/command/logs/RequestStory.java
+++ b/command/src/main/java/org/shallothold/command/logs/RequestStory.java
@@ -172,12 +172,11 @@
                     || entry.text("last_request").equals(requestId))
         .map(
             entry ->
-                "%s %s: %s sent %s bytes (%s) on a connection that had carried it, near request '%s'"
+                "%s %s: %s sent bytes (%s) that name it or came after its response, near request '%s'"
                         .formatted(
                             entry.time(),
                             entry.process(),
                             entry.text("server"),
-                            entry.text("bytes"),
                             entry.text("place"),
                             entry.text("request"))
                     + connection(entry))
--- a/gateway/src/main/java/org/shallothold/gateway/forward/backend/EmbeddedHeadDetector.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/backend/EmbeddedHeadDetector.java
@@ -25,8 +25,12 @@
   private static final String START = "HTTP/1.";
   private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] ([0-9]{3})\\b");
   private static final Pattern FIELD = Pattern.compile("([!#$%&'*+.^_`|~0-9A-Za-z-]+):(.*)");
-  // Longer lines are no part of a head that servers send.
+  // The end of a body that stands within a status line, after its code.
+  private static final Pattern CUT_STATUS_LINE =
+      Pattern.compile("HTTP/1\\.[01] [0-9]{3}( [A-Za-z ]*)?\r?");
+  // Longer lines and heads are none that servers send.
   private static final int MAX_LINE_LENGTH = 4 * 1024;
+  private static final int MAX_HEAD_LENGTH = 32 * 1024;
 
   // The fields may hold any bytes and are only read.
   private static final HttpHeadersFactory UNCHECKED_FIELDS =
@@ -36,7 +40,8 @@
   private final StringBuilder line = new StringBuilder();
   private int matchedStart;
   private boolean collecting;
-  private @Nullable HttpResponse head;
+  private @Nullable HttpResponseStatus status;
+  private int headLength;
   private boolean statusLineSeen;
 
   EmbeddedHeadDetector(HeaderTranslation translation) {
@@ -54,9 +59,9 @@
     return statusLineSeen;
   }
 
-  /** Returns whether the last byte examined may stand within the head of a response. */
+  /** Returns whether the last byte examined stands within what looks like a head. */
   boolean isWithinHead() {
-    return collecting;
+    return collecting && (status != null || CUT_STATUS_LINE.matcher(line).matches());
   }
 
   /**
@@ -107,23 +112,23 @@
   private Optional<ResponseMetadata> lineEnded() {
     String text = line.toString().stripTrailing();
     line.setLength(0);
+    headLength += text.length();
     Matcher statusLine = STATUS_LINE.matcher(text);
     if (statusLine.find()) {
       statusLineSeen = true;
-      int status = Integer.parseInt(statusLine.group(1));
-      head =
-          new DefaultHttpResponse(
-              HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), UNCHECKED_FIELDS);
+      status = HttpResponseStatus.valueOf(Integer.parseInt(statusLine.group(1)));
       return Optional.empty();
     }
-    HttpResponse current = head;
+    HttpResponseStatus current = status;
     Matcher field = FIELD.matcher(text);
-    if (current == null || !field.matches()) {
+    if (current == null || !field.matches() || headLength > MAX_HEAD_LENGTH) {
       stopCollecting();
       return Optional.empty();
     }
-    current.headers().add(field.group(1), field.group(2).strip());
-    ResponseMetadata metadata = translation.readResponse(current);
+    // One field is enough for a proof, so that none has to be kept.
+    HttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, current, UNCHECKED_FIELDS);
+    head.headers().add(field.group(1), field.group(2).strip());
+    ResponseMetadata metadata = translation.readResponse(head);
     return metadata.requestId() != null || metadata.signed() || metadata.notRun()
         ? Optional.of(metadata)
         : Optional.empty();
@@ -133,6 +138,7 @@
     collecting = false;
     matchedStart = 0;
     line.setLength(0);
-    head = null;
+    status = null;
+    headLength = 0;
   }
 }
--- a/gateway/src/main/java/org/shallothold/gateway/forward/backend/ForeignBytes.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/backend/ForeignBytes.java
@@ -6,7 +6,7 @@
  * Bytes that a backend server sent on a connection and that do not belong to the request in flight.
  *
  * @param place where the bytes were found
- * @param length number of bytes found so far
+ * @param length number of bytes in the read part that holds them; 0 if they can't be counted
  * @param request id of the request in flight; empty if there is none
  * @param lastRequest id of the request that the connection carried before; empty if there was none
  * @param namedRequest id of the request that the bytes name; empty if they name none
@@ -34,7 +34,12 @@
     /** Within the head of a response, which holds a part of another one. */
     WITHIN_HEAD,
     /** Within the body of the response to the request in flight. */
-    WITHIN_BODY;
+    WITHIN_BODY,
+    /**
+     * Somewhere in a head or chunk that can't be parsed. The bytes of another response are one
+     * possible cause.
+     */
+    MALFORMED;
 
     /** Returns whether a request was in flight when the bytes were found. */
     public boolean isDuringRequest() {
--- a/gateway/src/main/java/org/shallothold/gateway/forward/backend/ResponseHeadCheck.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/backend/ResponseHeadCheck.java
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpVersion;
 import java.util.Map;
 import java.util.Optional;
@@ -27,6 +28,9 @@
     if (!isHttp1(head.protocolVersion())) {
       return Optional.of("the server responded with " + head.protocolVersion());
     }
+    if (head.status().codeClass() == HttpStatusClass.UNKNOWN) {
+      return Optional.of("the server responded with status " + head.status().code());
+    }
     if (head.status().code() == HttpResponseStatus.SWITCHING_PROTOCOLS.code()) {
       return Optional.of("the server switched protocols unasked");
     }
--- a/gateway/src/main/java/org/shallothold/gateway/forward/backend/ResponseMatcher.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/backend/ResponseMatcher.java
@@ -7,7 +7,6 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.util.Optional;
-import org.jspecify.annotations.Nullable;
 import org.shallothold.gateway.forward.port.HeaderTranslation;
 import org.shallothold.gateway.forward.port.ResponseMetadata;
 
@@ -48,12 +47,11 @@
    * Why the response to the request in flight can't be told from other bytes.
    *
    * @param reason description for logs
-   * @param place where the other bytes stand; null if nothing shows that there are any
-   * @param length number of these bytes found so far
+   * @param place where the other bytes stand
+   * @param length number of bytes in the read part that holds them; 0 if they can't be counted
    * @param namedRequest id of the request that they name; empty if they name none
    */
-  record Mismatch(
-      String reason, ForeignBytes.@Nullable Place place, int length, String namedRequest) {}
+  record Mismatch(String reason, ForeignBytes.Place place, int length, String namedRequest) {}
 
   ResponseMatcher(HeaderTranslation translation) {
     this.translation = translation;
@@ -76,7 +74,9 @@
     if (problem.isPresent()) {
       return unusable(
           problem.get(),
-          ResponseHeadCheck.containsTwoResponses(head) ? ForeignBytes.Place.WITHIN_HEAD : null);
+          ResponseHeadCheck.containsTwoResponses(head)
+              ? ForeignBytes.Place.WITHIN_HEAD
+              : ForeignBytes.Place.MALFORMED);
     }
     if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
       return new HeadMatch.Informational();
@@ -94,7 +94,7 @@
     return new HeadMatch.Own(metadata);
   }
 
-  private static HeadMatch unusable(String reason, ForeignBytes.@Nullable Place place) {
+  private static HeadMatch unusable(String reason, ForeignBytes.Place place) {
     return new HeadMatch.Unusable(new Mismatch(reason, place, 0, ""));
   }
 
@@ -118,7 +118,12 @@
 
   /** Examines a part of the body of the response to the request in flight. */
   Optional<Mismatch> matchOwnBody(HttpContent content) {
-    bodyReceived = true;
+    if (content.decoderResult().isFailure()) {
+      return Optional.of(
+          new Mismatch(
+              "the response body is truncated or malformed", ForeignBytes.Place.MALFORMED, 0, ""));
+    }
+    bodyReceived |= content.content().isReadable();
     Optional<ResponseMetadata> embedded = embeddedHeads.examine(content.content());
     return embedded.isPresent()
         ? Optional.of(mismatch("the body contains the head of a response", content, embedded))
--- a/gateway/src/main/java/org/shallothold/gateway/forward/port/ResponseMetadata.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/port/ResponseMetadata.java
@@ -6,7 +6,8 @@
 /**
  * Header fields of a backend server's response, decoded.
  *
- * @param requestId id of the request that the response belongs to; null if unspecified
+ * @param requestId id of the request that the response belongs to; null if unspecified, or if the
+ *     id or the signature occurs more than once
  * @param signed whether the response carries the server's signature
  * @param notRun whether the server states that it did not run the request
  * @param runningRequests number of requests running at the server; -1 if unspecified
