Send each request to the backend server on a connection of its own

A server that responds to a request twice, the second time late, changed the response to the next request on the sidecar's kept connection: responses there name no request. With the additional response sent after the second request had arrived, a failed order was reported as done ("201 failed 2" from a cut of 12 bytes on) or as failed without a usable response, and completions broke. Bytes in the same write as the first response were handled by the client already.

The JDK's client has no setting that prevents reuse reliably, so each request gets a client of the library that is shut down afterwards. Cost: one loopback connection and one selector thread for each request in flight.

--- a/sidecar/src/main/java/org/shallothold/sidecar/SidecarProcess.java
+++ b/sidecar/src/main/java/org/shallothold/sidecar/SidecarProcess.java
@@ -24,6 +24,7 @@
 import org.shallothold.core.queue.SchedulingPolicy;
 import org.shallothold.runtime.ProcessIdentity;
 import org.shallothold.runtime.duty.Duty;
+import org.shallothold.runtime.http.SingleUseHttpClient;
 import org.shallothold.runtime.logging.AuditOutput;
 import org.shallothold.runtime.logging.LogContext;
 import org.shallothold.runtime.metrics.Metrics;
@@ -96,7 +97,9 @@
     LogContext.put("process", identity.processId());
     LogContext.put("incarnation", identity.incarnationText());
     AuditOutput auditOutput = AuditOutput.to(System.out, identity.processId());
-    HttpClient client = HttpClients.create(settings.backend().connectTimeoutMillis(), http);
+    HttpClient platformClient = HttpClients.create(settings.backend().connectTimeoutMillis(), http);
+    SingleUseHttpClient client =
+        HttpClients.createSingleUse(settings.backend().connectTimeoutMillis(), http);
     AtomicReference<Consumer<SidecarEvent>> owner = new AtomicReference<>(event -> {});
     duty = Duty.start("sidecar", RING_CAPACITY, event -> owner.get().accept(event));
     SidecarController controller =
@@ -115,7 +118,7 @@
     sync =
         ConfigurationSync.start(
             identity,
-            HttpConfigurationSource.of(settings.platform(), client),
+            HttpConfigurationSource.of(settings.platform(), platformClient),
             auditOutput,
             metrics,
             SyncOptions.DEFAULT);
@@ -214,7 +217,7 @@
     controller.handle(event);
   }
 
-  private void watch(SidecarSettings settings, HttpClient client) {
+  private void watch(SidecarSettings settings, SingleUseHttpClient client) {
     sync.onChange(this::configurationChanged);
     configurationChanged(sync.current());
     sync.onMembers(
--- a/sidecar/src/main/java/org/shallothold/sidecar/backend/EngineCommander.java
+++ b/sidecar/src/main/java/org/shallothold/sidecar/backend/EngineCommander.java
@@ -4,7 +4,6 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
 import java.net.URI;
-import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.time.Duration;
@@ -16,6 +15,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongConsumer;
 import org.jspecify.annotations.Nullable;
+import org.shallothold.runtime.http.SingleUseHttpClient;
 
 /**
  * Tells the engine which models to load, with the sidecar's fencing number. Has its own thread,
@@ -31,7 +31,7 @@
   private static final int MAX_RAISES = 3;
 
   private final URI base;
-  private final HttpClient client;
+  private final SingleUseHttpClient client;
   private final FencingNumber number;
   private final LongConsumer onFenced;
   private final BlockingQueue<Wanted> wanted = new LinkedBlockingQueue<>();
@@ -45,7 +45,7 @@
   private record Wanted(List<String> models, boolean afresh) {}
 
   private EngineCommander(
-      URI base, HttpClient client, FencingNumber number, LongConsumer onFenced) {
+      URI base, SingleUseHttpClient client, FencingNumber number, LongConsumer onFenced) {
     this.base = base;
     this.client = client;
     this.number = number;
@@ -61,7 +61,7 @@
    * @param onFenced called at most once, with the higher number, after which no command is sent
    */
   public static EngineCommander start(
-      URI base, HttpClient client, long startMillis, LongConsumer onFenced) {
+      URI base, SingleUseHttpClient client, long startMillis, LongConsumer onFenced) {
     EngineCommander commander =
         new EngineCommander(base, client, FencingNumber.startedAt(startMillis), onFenced);
     commander.thread.start();
--- a/sidecar/src/main/java/org/shallothold/sidecar/backend/EngineLoadReader.java
+++ b/sidecar/src/main/java/org/shallothold/sidecar/backend/EngineLoadReader.java
@@ -4,12 +4,12 @@
 import java.io.IOException;
 import java.lang.System.Logger;
 import java.net.URI;
-import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.time.Duration;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.IntConsumer;
+import org.shallothold.runtime.http.SingleUseHttpClient;
 
 /** Reads the engine's own load report. May be shared between threads; doesn't block. */
 public final class EngineLoadReader {
@@ -20,13 +20,14 @@
   private static final int UNKNOWN = -1;
 
   private final URI url;
-  private final HttpClient client;
+  private final SingleUseHttpClient client;
   private final IntConsumer onLoad;
   private final Runnable onReturn;
   private final AtomicBoolean reading = new AtomicBoolean();
   private final AtomicBoolean reachable = new AtomicBoolean(true);
 
-  private EngineLoadReader(URI url, HttpClient client, IntConsumer onLoad, Runnable onReturn) {
+  private EngineLoadReader(
+      URI url, SingleUseHttpClient client, IntConsumer onLoad, Runnable onReturn) {
     this.url = url;
     this.client = client;
     this.onLoad = onLoad;
@@ -40,7 +41,7 @@
    * @param onReturn called when the engine can be read again after it could not
    */
   public static EngineLoadReader of(
-      URI base, HttpClient client, IntConsumer onLoad, Runnable onReturn) {
+      URI base, SingleUseHttpClient client, IntConsumer onLoad, Runnable onReturn) {
     return new EngineLoadReader(base.resolve("load"), client, onLoad, onReturn);
   }
 
--- a/sidecar/src/main/java/org/shallothold/sidecar/backend/HttpBackend.java
+++ b/sidecar/src/main/java/org/shallothold/sidecar/backend/HttpBackend.java
@@ -8,7 +8,6 @@
 import com.google.protobuf.ByteString;
 import java.io.IOException;
 import java.net.URI;
-import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.net.http.HttpResponse.BodySubscribers;
@@ -22,6 +21,7 @@
 import java.util.concurrent.atomic.AtomicReference;
 import org.jspecify.annotations.Nullable;
 import org.shallothold.core.verdict.ReasonCode;
+import org.shallothold.runtime.http.SingleUseHttpClient;
 import org.shallothold.wire.proto.Header;
 import org.shallothold.wire.proto.ServiceCall;
 
@@ -49,10 +49,10 @@
           "upgrade");
 
   private final URI base;
-  private final HttpClient client;
+  private final SingleUseHttpClient client;
   private final Executor executor;
 
-  private HttpBackend(URI base, HttpClient client, Executor executor) {
+  private HttpBackend(URI base, SingleUseHttpClient client, Executor executor) {
     this.base = base;
     this.client = client;
     this.executor = executor;
@@ -63,7 +63,7 @@
    *
    * @param executor builds request bodies, which may be large
    */
-  public static HttpBackend of(URI base, HttpClient client, Executor executor) {
+  public static HttpBackend of(URI base, SingleUseHttpClient client, Executor executor) {
     return new HttpBackend(base, client, executor);
   }
 
@@ -194,7 +194,7 @@
     }
 
     <T> void send(
-        HttpClient client,
+        SingleUseHttpClient client,
         HttpRequest request,
         HttpResponse.BodyHandler<T> handler,
         java.util.function.Consumer<HttpResponse<T>> onResponse) {
--- a/sidecar/src/main/java/org/shallothold/sidecar/backend/HttpClients.java
+++ b/sidecar/src/main/java/org/shallothold/sidecar/backend/HttpClients.java
@@ -3,6 +3,7 @@
 import java.net.http.HttpClient;
 import java.time.Duration;
 import java.util.concurrent.Executor;
+import org.shallothold.runtime.http.SingleUseHttpClient;
 
 /** Makes the HTTP clients of the process, all with the same rules. */
 public final class HttpClients {
@@ -32,4 +33,13 @@
         .executor(executor)
         .build();
   }
+
+  /**
+   * Returns a client for the backend server, whose responses name no request.
+   *
+   * @param executor runs what the client does; its tasks don't block
+   */
+  public static SingleUseHttpClient createSingleUse(long connectTimeoutMillis, Executor executor) {
+    return SingleUseHttpClient.of(() -> create(connectTimeoutMillis, executor));
+  }
 }
