Read the platform on a connection for each request

A late second response of the product's own platform was taken for the response to the next request on the kept connection: the new test of HttpConfigurationSource got the entries of the first page again instead of an empty list. HttpConfigurationSource now takes the client that uses a connection once; tests that create one pass it. The keep-alive time of the sidecar's clients is dropped, since they keep no connection.

--- a/command/src/main/java/org/shallothold/command/config/Timeline.java
+++ b/command/src/main/java/org/shallothold/command/config/Timeline.java
@@ -13,6 +13,7 @@
 import org.shallothold.core.config.ConfigurationEntry.Content.SnapshotContent;
 import org.shallothold.core.config.ConfigurationHistory;
 import org.shallothold.core.config.PatchOutcome;
+import org.shallothold.runtime.http.SingleUseHttpClient;
 import org.shallothold.runtime.platform.HttpConfigurationSource;
 import org.shallothold.runtime.sync.WireEntries;
 import org.shallothold.wire.proto.ConfigurationRequest;
@@ -68,22 +69,18 @@
   }
 
   private void readPlatform(URI platform, long earliest) {
-    HttpClient client = HttpClient.newHttpClient();
-    try {
-      HttpConfigurationSource source = HttpConfigurationSource.of(platform, client);
-      source
-          .snapshot()
-          .filter(
-              entry ->
-                  entry.content() instanceof SnapshotContent snapshot
-                      && snapshot.configuration().version().number() <= earliest)
-          .ifPresent(entry -> apply(entry, history::apply));
-      boolean progress = true;
-      while (progress) {
-        progress = applyAll(source.entriesAfter(history.lastPosition(), 0), history::apply);
-      }
-    } finally {
-      client.shutdownNow();
+    HttpConfigurationSource source =
+        HttpConfigurationSource.of(platform, SingleUseHttpClient.of(HttpClient::newHttpClient));
+    source
+        .snapshot()
+        .filter(
+            entry ->
+                entry.content() instanceof SnapshotContent snapshot
+                    && snapshot.configuration().version().number() <= earliest)
+        .ifPresent(entry -> apply(entry, history::apply));
+    boolean progress = true;
+    while (progress) {
+      progress = applyAll(source.entriesAfter(history.lastPosition(), 0), history::apply);
     }
   }
 
--- a/command/src/test/java/org/shallothold/command/TestProcess.java
+++ b/command/src/test/java/org/shallothold/command/TestProcess.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.shallothold.runtime.ProcessIdentity;
+import org.shallothold.runtime.http.SingleUseHttpClient;
 import org.shallothold.runtime.logging.AuditOutput;
 import org.shallothold.runtime.metrics.Metrics;
 import org.shallothold.runtime.operator.OperatorEndpoint;
@@ -32,7 +33,6 @@
 final class TestProcess implements AutoCloseable {
 
   private final EventLoopGroup group = new NioEventLoopGroup(1);
-  private final HttpClient client = HttpClient.newHttpClient();
   private final AuditOutput audit;
   private final ConfigurationSync sync;
   private final OperatorEndpoint endpoint;
@@ -44,7 +44,8 @@
     sync =
         ConfigurationSync.start(
             identity,
-            HttpConfigurationSource.of(URI.create(platform), client),
+            HttpConfigurationSource.of(
+                URI.create(platform), SingleUseHttpClient.of(HttpClient::newHttpClient)),
             audit,
             Metrics.create(),
             SyncOptions.DEFAULT);
@@ -110,7 +111,6 @@
   public void close() {
     server.close();
     sync.close();
-    client.shutdownNow();
     group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
   }
 }
--- a/gateway/src/main/java/org/shallothold/gateway/Gateway.java
+++ b/gateway/src/main/java/org/shallothold/gateway/Gateway.java
@@ -17,6 +17,7 @@
 import org.shallothold.gateway.request.RequestMetrics;
 import org.shallothold.gateway.request.RequestRouter;
 import org.shallothold.runtime.ProcessIdentity;
+import org.shallothold.runtime.http.SingleUseHttpClient;
 import org.shallothold.runtime.logging.AuditOutput;
 import org.shallothold.runtime.metrics.Metrics;
 import org.shallothold.runtime.operator.OperatorEndpoint;
@@ -86,7 +87,8 @@
         audit,
         HttpConfigurationSource.of(
             settings.platformUrl(),
-            HttpClient.newBuilder().connectTimeout(PLATFORM_CONNECT_TIMEOUT).build()));
+            SingleUseHttpClient.of(
+                () -> HttpClient.newBuilder().connectTimeout(PLATFORM_CONNECT_TIMEOUT).build())));
   }
 
   /** Starts a gateway with the given source of the configuration; tests supply their own. */
--- a/runtime/src/main/java/org/shallothold/runtime/platform/HttpConfigurationSource.java
+++ b/runtime/src/main/java/org/shallothold/runtime/platform/HttpConfigurationSource.java
@@ -4,7 +4,6 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
 import java.net.URI;
-import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.time.Duration;
@@ -14,6 +13,7 @@
 import org.shallothold.core.config.ConfigurationEntry;
 import org.shallothold.core.membership.Member;
 import org.shallothold.core.membership.MembershipView;
+import org.shallothold.runtime.http.SingleUseHttpClient;
 
 /** Reads the platform over HTTP; the paths are in docs/design.md, section 18. */
 public final class HttpConfigurationSource implements ConfigurationSource {
@@ -22,15 +22,15 @@
   private static final ObjectMapper MAPPER = new ObjectMapper();
 
   private final URI base;
-  private final HttpClient client;
+  private final SingleUseHttpClient client;
 
-  private HttpConfigurationSource(URI base, HttpClient client) {
+  private HttpConfigurationSource(URI base, SingleUseHttpClient client) {
     this.base = base;
     this.client = client;
   }
 
   /** Returns a source that reads from a base address, as {@code http://127.0.0.1:7100/}. */
-  public static HttpConfigurationSource of(URI base, HttpClient client) {
+  public static HttpConfigurationSource of(URI base, SingleUseHttpClient client) {
     return new HttpConfigurationSource(base, client);
   }
 
--- a/runtime/src/test/java/org/shallothold/runtime/platform/HttpConfigurationSourceTest.java
+++ b/runtime/src/test/java/org/shallothold/runtime/platform/HttpConfigurationSourceTest.java
@@ -1,12 +1,20 @@
 package org.shallothold.runtime.platform;
 
+import static java.nio.charset.StandardCharsets.ISO_8859_1;
 import static java.nio.charset.StandardCharsets.UTF_8;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.BufferedReader;
 import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.URI;
 import java.net.http.HttpClient;
+import java.util.Base64;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -18,12 +26,13 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.shallothold.core.config.ConfigurationEntry;
 import org.shallothold.core.membership.Member;
+import org.shallothold.runtime.http.SingleUseHttpClient;
 
 /** Guards the contract with the platform's HTTP protocol. */
 class HttpConfigurationSourceTest {
 
   private final FakePlatform platform = new FakePlatform();
-  private final HttpClient client = HttpClient.newHttpClient();
+  private final SingleUseHttpClient client = SingleUseHttpClient.of(HttpClient::newHttpClient);
 
   @SuppressWarnings("NullAway.Init")
   private FakePlatform.Server server;
@@ -40,7 +49,6 @@
   @AfterEach
   void stop() {
     server.close();
-    client.shutdownNow();
   }
 
   private List<Long> positions(long after) {
@@ -110,4 +118,57 @@
     assertThrows(PlatformException.class, () -> source.snapshot());
     assertThrows(PlatformException.class, () -> source.members());
   }
+
+  /**
+   * Guards against a late second response on a kept connection that is taken for the response to
+   * the next request, and shifts all later ones.
+   */
+  @Test
+  void lateSecondResponseIsNotTakenForTheNextOne() throws IOException {
+    String body = Base64.getEncoder().encodeToString(PatchTexts.setEngine(0, 1));
+    String entry =
+        "{\"position\":1,\"kind\":\"%s\",\"body\":\"%s\"}".formatted(EntryCodec.PATCH, body);
+    try (ServerSocket listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+      Thread.ofVirtual().start(() -> respondAgain(listener, entry));
+      ConfigurationSource repeating =
+          HttpConfigurationSource.of(
+              URI.create("http://127.0.0.1:" + listener.getLocalPort() + "/"), client);
+      assertEquals(1, repeating.entriesAfter(0, 0).size());
+      assertEquals(List.of(), repeating.entriesAfter(1, 0));
+    }
+  }
+
+  /** Responds to each request, and before that once more to the former one on the connection. */
+  private static void respondAgain(ServerSocket listener, String entry) {
+    try {
+      while (true) {
+        Socket socket = listener.accept();
+        Thread.ofVirtual().start(() -> respondAgain(socket, entry));
+      }
+    } catch (IOException e) {
+      // The listener is closed at the end of the test.
+    }
+  }
+
+  private static void respondAgain(Socket socket, String entry) {
+    try (socket) {
+      BufferedReader in =
+          new BufferedReader(new InputStreamReader(socket.getInputStream(), ISO_8859_1));
+      String former = "";
+      String line = in.readLine();
+      while (line != null) {
+        String entries = line.contains("after=0") ? entry : "";
+        while (line != null && !line.isEmpty()) {
+          line = in.readLine();
+        }
+        String body = "{\"entries\":[" + entries + "]}";
+        String response = "HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
+        socket.getOutputStream().write((former + response).getBytes(ISO_8859_1));
+        former = response;
+        line = in.readLine();
+      }
+    } catch (IOException e) {
+      // The client has closed the connection.
+    }
+  }
 }
--- a/sidecar/src/main/java/org/shallothold/sidecar/SidecarProcess.java
+++ b/sidecar/src/main/java/org/shallothold/sidecar/SidecarProcess.java
@@ -2,7 +2,6 @@
 
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
-import java.net.http.HttpClient;
 import java.security.SecureRandom;
 import java.time.Duration;
 import java.util.List;
@@ -97,7 +96,6 @@
     LogContext.put("process", identity.processId());
     LogContext.put("incarnation", identity.incarnationText());
     AuditOutput auditOutput = AuditOutput.to(System.out, identity.processId());
-    HttpClient platformClient = HttpClients.create(settings.backend().connectTimeoutMillis(), http);
     SingleUseHttpClient client =
         HttpClients.createSingleUse(settings.backend().connectTimeoutMillis(), http);
     AtomicReference<Consumer<SidecarEvent>> owner = new AtomicReference<>(event -> {});
@@ -118,7 +116,7 @@
     sync =
         ConfigurationSync.start(
             identity,
-            HttpConfigurationSource.of(settings.platform(), platformClient),
+            HttpConfigurationSource.of(settings.platform(), client),
             auditOutput,
             metrics,
             SyncOptions.DEFAULT);
--- a/sidecar/src/main/java/org/shallothold/sidecar/backend/HttpClients.java
+++ b/sidecar/src/main/java/org/shallothold/sidecar/backend/HttpClients.java
@@ -10,22 +10,13 @@
 
   static {
     // The client repeats some requests by itself after a failure, such as a GET on a connection
-    // that
-    // the server has closed; an order must not be repeated. The properties are read once per JVM.
+    // that the server has closed; an order must not be repeated. The property is read once per JVM.
     System.setProperty("jdk.httpclient.redirects.retrylimit", "1");
-    // Idle connections are dropped before a backend server does so, since a request sent on a
-    // connection that is just being closed fails without a trace of whether it ran.
-    System.setProperty("jdk.httpclient.keepalive.timeout", "2");
   }
 
   private HttpClients() {}
 
-  /**
-   * Returns a client.
-   *
-   * @param executor runs what the client does; its tasks don't block
-   */
-  public static HttpClient create(long connectTimeoutMillis, Executor executor) {
+  private static HttpClient create(long connectTimeoutMillis, Executor executor) {
     return HttpClient.newBuilder()
         .version(HttpClient.Version.HTTP_1_1)
         .connectTimeout(Duration.ofMillis(connectTimeoutMillis))
@@ -35,7 +26,7 @@
   }
 
   /**
-   * Returns a client for the backend server, whose responses name no request.
+   * Returns a client for the backend server and the platform, whose responses name no request.
    *
    * @param executor runs what the client does; its tasks don't block
    */
