Wait until a closed scripted server refuses connections

Cause: closing a ServerSocket while a thread accepts leaves the operating system completing connections for a moment, so the order was written and may have run. The test now waits for the refusal that it is about; what it checks is unchanged.

--- a/gateway/src/test/java/org/shallothold/gateway/forward/ForwardContractTest.java
+++ b/gateway/src/test/java/org/shallothold/gateway/forward/ForwardContractTest.java
@@ -171,6 +171,7 @@
     void orderIsSentToAnotherServerIfFirstIsUnreachable() throws IOException {
       try (ForwardFixture fixture = ForwardFixture.withServers(GOOD, GOOD)) {
         fixture.first().close();
+        fixture.first().awaitRefusal();
         assertTrue(fixture.call("/once/x", "").endsWith("whole"));
       }
     }
--- a/gateway/src/test/java/org/shallothold/gateway/forward/ScriptedServer.java
+++ b/gateway/src/test/java/org/shallothold/gateway/forward/ScriptedServer.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
+import java.net.ConnectException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -19,6 +20,9 @@
 /** A backend server whose script writes the bytes of each response. */
 final class ScriptedServer implements AutoCloseable {
 
+  private static final int MAX_REFUSAL_CHECKS = 500;
+  private static final Duration REFUSAL_CHECK_INTERVAL = Duration.ofMillis(10);
+
   private final String id;
   private final Script script;
   private final int port;
@@ -136,6 +140,22 @@
     Thread.ofVirtual().start(() -> restart(downTime));
   }
 
+  /**
+   * Waits until the closed server's port refuses connections: the operating system completes
+   * connections until the thread that accepts them has ended.
+   */
+  void awaitRefusal() throws IOException {
+    for (int i = 0; i < MAX_REFUSAL_CHECKS; i++) {
+      try {
+        new Socket(InetAddress.getLoopbackAddress(), port).close();
+        pause(REFUSAL_CHECK_INTERVAL);
+      } catch (ConnectException e) {
+        return;
+      }
+    }
+    throw new IOException("port " + port + " still accepts connections");
+  }
+
   private void closeConnections() throws IOException {
     for (Socket connection : connections) {
       connection.close();
