Send nothing new to the servers of an evacuated failure domain

Change: the topic of the configuration is read with the prefix of all operators' keys; servers in evacuated domains get no new requests, and callers are refused at once if a service has no other servers.

--- a/core/src/main/java/org/shallothold/core/placement/PlacementPolicy.java
+++ b/core/src/main/java/org/shallothold/core/placement/PlacementPolicy.java
@@ -27,7 +27,7 @@
   /** Returns the servers that accept new work, in an order that all gateways share. */
   static List<TrackedServer> inService(Collection<TrackedServer> servers) {
     return servers.stream()
-        .filter(server -> !server.isLeaving())
+        .filter(TrackedServer::acceptsNewWork)
         .sorted(
             Comparator.comparingLong(TrackedServer::idHash)
                 .thenComparing(server -> server.entry().id()))
--- a/core/src/main/java/org/shallothold/core/placement/TrackedServer.java
+++ b/core/src/main/java/org/shallothold/core/placement/TrackedServer.java
@@ -68,6 +68,7 @@
   private long suspendedUntilMillis = Long.MIN_VALUE / 2;
   private long lastPauseSampleMillis = Long.MIN_VALUE / 2;
   private boolean announcedLeaving;
+  private boolean evacuated;
   private long closedUntilMillis = Long.MIN_VALUE / 2;
 
   /**
@@ -278,6 +279,21 @@
     return announcedLeaving || entry.leaving();
   }
 
+  /** Sets whether the operators evacuate the server's failure domain. */
+  public void setEvacuated(boolean evacuated) {
+    this.evacuated = evacuated;
+  }
+
+  /** Returns whether the operators evacuate the server's failure domain. */
+  public boolean isEvacuated() {
+    return evacuated;
+  }
+
+  /** Returns whether the server may get new requests: it neither leaves nor is evacuated. */
+  public boolean acceptsNewWork() {
+    return !isLeaving() && !evacuated;
+  }
+
   /** Records that the server asked this gateway to send it nothing until the given time. */
   public void recordClosedUntil(long millis) {
     closedUntilMillis = Math.max(closedUntilMillis, millis);
--- a/core/src/main/java/org/shallothold/core/verdict/ReasonCode.java
+++ b/core/src/main/java/org/shallothold/core/verdict/ReasonCode.java
@@ -35,6 +35,8 @@
   DEADLINE,
   /** No available backend server could take the request. */
   NO_SERVER,
+  /** The operators evacuate the failure domains of all servers of the service. */
+  FAILURE_DOMAINS_EVACUATED,
   /** Every available backend server gets as many requests as it takes from all gateways. */
   SERVER_RATE_LIMIT,
   /** Backend servers ended on requests with a part of the prompt. */
--- a/core/src/test/java/org/shallothold/core/placement/PlainPlacementPolicyTest.java
+++ b/core/src/test/java/org/shallothold/core/placement/PlainPlacementPolicyTest.java
@@ -57,6 +57,15 @@
     assertTrue(policy.choose(CALL, List.of(server("x", "north", true)), s -> false, 0).isEmpty());
   }
 
+  /** Guards against new work for a server whose failure domain the operators evacuate. */
+  @Test
+  void choosesNoEvacuatedServer() {
+    near.setEvacuated(true);
+    assertEquals(far, choose(near, far));
+    near.setEvacuated(false);
+    assertEquals(near, choose(near, far));
+  }
+
   /** Guards against refusals when all servers were recently unreachable. */
   @Test
   void choosesAnUnreachableServerWhenThereIsNoOther() {
--- a/experiment/src/main/java/org/shallothold/experiment/rate/StatedRateRun.java
+++ b/experiment/src/main/java/org/shallothold/experiment/rate/StatedRateRun.java
@@ -192,6 +192,11 @@
               CallerLimits.DEFAULT));
     }
 
+    @Override
+    public Optional<String> evacuatedDomain(PublishedItem item) {
+      return Optional.empty();
+    }
+
     @Override
     public Optional<ServerEntry> server(PublishedItem item) {
       int index = Integer.parseInt(item.key().substring("engine-".length()));
--- a/gateway/src/main/java/org/shallothold/gateway/forward/ForwardGauges.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/ForwardGauges.java
@@ -187,6 +187,9 @@
     if (server.isLeaving()) {
       return "leaving";
     }
+    if (server.isEvacuated()) {
+      return "evacuated";
+    }
     return server.isSuspended(nowMillis) ? "unreachable" : "ready";
   }
 }
--- a/gateway/src/main/java/org/shallothold/gateway/forward/RoutingState.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/RoutingState.java
@@ -14,6 +14,8 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
+import java.util.stream.Collectors;
 import org.jspecify.annotations.Nullable;
 import org.shallothold.core.membership.ServerEntry;
 import org.shallothold.core.placement.TrackedServer;
@@ -74,6 +76,7 @@
   private Consumer<String> rateChangeListener = serverId -> {};
   private @Nullable RouteConfiguration configuration;
   private long configurationRevision;
+  private Set<String> evacuatedDomains = Set.of();
 
   /**
    * A server's request for no further requests from this gateway.
@@ -120,6 +123,11 @@
     return servers.values();
   }
 
+  /** Returns the failure domains that the operators evacuate. */
+  Set<String> evacuatedDomains() {
+    return evacuatedDomains;
+  }
+
   /** Returns whether a configuration and a list of servers, which may be empty, were received. */
   boolean isLoaded() {
     return configuration != null && asOf(PublishedTopic.SERVERS) > 0;
@@ -417,7 +425,10 @@
 
   private void apply(PublishedTopic topic, String source) {
     switch (topic) {
-      case CONFIGURATION -> applyConfiguration(source);
+      case CONFIGURATION -> {
+        applyConfiguration(source);
+        applyEvacuations(source);
+      }
       case SERVERS -> applyServers(source);
     }
   }
@@ -432,6 +443,42 @@
     }
   }
 
+  private void applyEvacuations(String source) {
+    Set<String> evacuated =
+        publishedState(PublishedTopic.CONFIGURATION).items().stream()
+            .flatMap(item -> decoder.evacuatedDomain(item).stream())
+            .collect(Collectors.toUnmodifiableSet());
+    Set<String> former = evacuatedDomains;
+    if (evacuated.equals(former)) {
+      return;
+    }
+    evacuatedDomains = evacuated;
+    servers.values().forEach(this::applyEvacuation);
+    evacuated.stream()
+        .filter(domain -> !former.contains(domain))
+        .forEach(domain -> logEvacuation("evacuation_begun", domain, source));
+    former.stream()
+        .filter(domain -> !evacuated.contains(domain))
+        .forEach(domain -> logEvacuation("evacuation_ended", domain, source));
+  }
+
+  private void logEvacuation(String event, String domain, String source) {
+    log.add(
+        LogLine.of(event)
+            .with("failure_domain", domain)
+            .with("servers", servers.values().stream().filter(isIn(domain)).count())
+            .with("revision", changedAt(PublishedTopic.CONFIGURATION))
+            .with("source", source));
+  }
+
+  private static Predicate<TrackedServer> isIn(String domain) {
+    return server -> server.entry().failureDomain().equals(domain);
+  }
+
+  private void applyEvacuation(TrackedServer server) {
+    server.setEvacuated(evacuatedDomains.contains(server.entry().failureDomain()));
+  }
+
   private void activate(RouteConfiguration decoded, String source) {
     RouteConfiguration previousConfiguration = configuration;
     if (previousConfiguration != null && decoded.version() <= previousConfiguration.version()) {
@@ -499,6 +546,7 @@
       TrackedServer added = TrackedServer.of(entry);
       servers.put(entry.id(), added);
       applyLeaving(added);
+      applyEvacuation(added);
       applyBackoff(added);
       return;
     }
@@ -508,6 +556,7 @@
             || known.entry().startedMillis() != entry.startedMillis();
     known.updateEntry(entry);
     applyLeaving(known);
+    applyEvacuation(known);
     if (moved) {
       closePool(entry.id());
     }
--- a/gateway/src/main/java/org/shallothold/gateway/forward/ServiceQueue.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/ServiceQueue.java
@@ -1,6 +1,7 @@
 package org.shallothold.gateway.forward;
 
 import io.netty.channel.EventLoop;
+import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
@@ -265,13 +266,14 @@
   private boolean keepWaitingOrEnd(ForwardedRequest request, int requestsAhead, long nowMillis) {
     List<TrackedServer> limited =
         state.servers(service).stream()
-            .filter(server -> !server.isLeaving() && server.closedMillis(nowMillis) == 0)
+            .filter(server -> server.acceptsNewWork() && server.closedMillis(nowMillis) == 0)
             .filter(server -> !request.hasTried(server.entry().id()))
             .filter(server -> !rateLimits.admits(server))
             .toList();
     if (limited.isEmpty()) {
       waitingRequests.remove(request);
-      request.failRequest(ReasonCode.NO_SERVER);
+      request.failRequest(
+          allServersEvacuated() ? ReasonCode.FAILURE_DOMAINS_EVACUATED : ReasonCode.NO_SERVER);
       return false;
     }
     // The preferred server was asked for; any other can take the request too.
@@ -296,6 +298,11 @@
     };
   }
 
+  private boolean allServersEvacuated() {
+    Collection<TrackedServer> servers = state.servers(service);
+    return !servers.isEmpty() && servers.stream().allMatch(TrackedServer::isEvacuated);
+  }
+
   /**
    * Returns the time until the first server accepts requests again, in milliseconds; 0 if one
    * accepts them now or there is none.
--- a/gateway/src/main/java/org/shallothold/gateway/forward/port/PublishedDecoder.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/port/PublishedDecoder.java
@@ -14,6 +14,12 @@
   /** Returns the routing configuration of an item, or empty if the item holds no valid one. */
   Optional<RouteConfiguration> configuration(PublishedItem item);
 
+  /**
+   * Returns the failure domain whose evacuation an item of the configuration's topic asks for, or
+   * empty if it asks for none. The evacuation lasts until the item is removed.
+   */
+  Optional<String> evacuatedDomain(PublishedItem item);
+
   /** Returns the backend server of an item, or empty if the item describes no usable server. */
   Optional<ServerEntry> server(PublishedItem item);
 }
--- a/gateway/src/main/java/org/shallothold/gateway/forward/port/PublishedTopic.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/port/PublishedTopic.java
@@ -2,7 +2,7 @@
 
 /** Kinds of items that the platform publishes; each is read and watched on its own. */
 public enum PublishedTopic {
-  /** The configuration of routes, services and customers. */
+  /** The configuration of routes, services and customers, and the evacuated failure domains. */
   CONFIGURATION,
   /** The list of backend servers, one item per server. */
   SERVERS
--- a/gateway/src/main/java/org/shallothold/gateway/http/HttpErrors.java
+++ b/gateway/src/main/java/org/shallothold/gateway/http/HttpErrors.java
@@ -63,6 +63,7 @@
           PROMPT_PART_BLOCKED,
           DISPLACED,
           NO_SERVER,
+          FAILURE_DOMAINS_EVACUATED,
           SERVER_LEAVING,
           GATEWAY_LEAVING,
           MEMORY_FULL,
--- a/gateway/src/test/java/org/shallothold/gateway/forward/ForwardFixture.java
+++ b/gateway/src/test/java/org/shallothold/gateway/forward/ForwardFixture.java
@@ -17,7 +17,9 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.locks.LockSupport;
+import java.util.function.Consumer;
 import java.util.function.ToLongFunction;
+import java.util.stream.Stream;
 import org.jspecify.annotations.Nullable;
 import org.shallothold.core.membership.ServerEntry;
 import org.shallothold.core.memory.MemoryBudget;
@@ -38,6 +40,7 @@
 final class ForwardFixture implements AutoCloseable {
 
   private static final long ROUTE_TIMEOUT_MILLIS = 1_500;
+  private static final String EVACUATION_PREFIX = "evacuate/";
 
   private final List<ScriptedServer> servers = new ArrayList<>();
   private final List<Instance> gateways = new ArrayList<>();
@@ -265,26 +268,41 @@
   }
 
   private static void publish(Instance gateway, List<ScriptedServer> listedServers, long revision) {
-    CompletableFuture<Void> applied = new CompletableFuture<>();
-    gateway
-        .eventLoop()
-        .join()
-        .execute(
-            () -> {
-              PublishedSource.Listener publishedListener = gateway.listener().join();
-              publishedListener.itemsRead(
-                  PublishedTopic.CONFIGURATION,
-                  List.of(new PublishedItem("configuration", new byte[0], 1)),
-                  revision);
-              publishedListener.itemsRead(
-                  PublishedTopic.SERVERS,
-                  listedServers.stream()
-                      .map(server -> new PublishedItem(server.id(), new byte[0], revision))
-                      .toList(),
-                  revision);
-              applied.complete(null);
-            });
-    applied.join();
+    onEventLoop(
+        gateway,
+        listener -> {
+          listener.itemsRead(
+              PublishedTopic.CONFIGURATION,
+              List.of(new PublishedItem("configuration", new byte[0], 1)),
+              revision);
+          listener.itemsRead(
+              PublishedTopic.SERVERS,
+              listedServers.stream()
+                  .map(server -> new PublishedItem(server.id(), new byte[0], revision))
+                  .toList(),
+              revision);
+        });
+  }
+
+  /** Calls a gateway's listener on its event loop; returns when it has returned. */
+  private static void onEventLoop(Instance gateway, Consumer<PublishedSource.Listener> action) {
+    CompletableFuture.runAsync(
+            () -> action.accept(gateway.listener().join()), gateway.eventLoop().join())
+        .join();
+  }
+
+  /** Publishes the configuration and evacuated failure domains to one of the gateways. */
+  void publishEvacuations(int gateway, long revision, String... domains) {
+    Stream<String> keys =
+        Stream.concat(
+            Stream.of("configuration"), Stream.of(domains).map(EVACUATION_PREFIX::concat));
+    onEventLoop(
+        gateways.get(gateway),
+        listener ->
+            listener.itemsRead(
+                PublishedTopic.CONFIGURATION,
+                keys.map(key -> new PublishedItem(key, new byte[0], revision)).toList(),
+                revision));
   }
 
   /** Opens a connection as a caller. */
@@ -388,6 +406,13 @@
               CallerLimits.DEFAULT));
     }
 
+    @Override
+    public Optional<String> evacuatedDomain(PublishedItem item) {
+      return item.key().startsWith(EVACUATION_PREFIX)
+          ? Optional.of(item.key().substring(EVACUATION_PREFIX.length()))
+          : Optional.empty();
+    }
+
     @Override
     public Optional<ServerEntry> server(PublishedItem item) {
       return servers.stream()
--- a/gateway/src/test/java/org/shallothold/gateway/forward/ForwardGaugesTest.java
+++ b/gateway/src/test/java/org/shallothold/gateway/forward/ForwardGaugesTest.java
@@ -83,6 +83,11 @@
       return Optional.empty();
     }
 
+    @Override
+    public Optional<String> evacuatedDomain(PublishedItem item) {
+      return Optional.empty();
+    }
+
     @Override
     public Optional<ServerEntry> server(PublishedItem item) {
       return Optional.of(new ServerEntry(item.key(), "desk", "10.0.0.1", 80, "north", 6, false, 1));
--- a/gateway/src/test/java/org/shallothold/gateway/forward/RoutingStateTest.java
+++ b/gateway/src/test/java/org/shallothold/gateway/forward/RoutingStateTest.java
@@ -87,6 +87,11 @@
       return Optional.empty();
     }
 
+    @Override
+    public Optional<String> evacuatedDomain(PublishedItem item) {
+      return Optional.empty();
+    }
+
     @Override
     public Optional<ServerEntry> server(PublishedItem item) {
       return Optional.of(new ServerEntry(item.key(), "desk", "127.0.0.1", 9, "north", 6, false, 1));
