Leave engines the time that their running streams need to finish

Change: the share of an engine's time for prefills, a constant 0.85, is what its running streams leave, between 0.4 and 0.85. Their need follows from the tokens that are still expected, the time left and the measured decode step, over all gateways (OpenWork.decode_percent). In force for services with a route whose streams can't be resumed, once a decode step has been measured. Measured: PrefillPaceTest (new), 8 streams of 400 tokens with a deadline of 10 s on a fake engine under a burst of long prompts: not finished after 10 s at a prefill share of 0.84 with the constant; finished after 9.6 s at 0.68 now. DecodeDemandTest, EvacuationContractTest, ForwardContractTest pass.

--- a/core/src/main/java/org/shallothold/core/placement/EngineEstimator.java
+++ b/core/src/main/java/org/shallothold/core/placement/EngineEstimator.java
@@ -43,6 +43,7 @@
   private int tokensPerEvent = 1;
   private double transferMillisPerToken = RoutedService.NO_TRANSFER;
   private EngineTimings timings;
+  private boolean decodeStepMeasured;
 
   private EngineEstimator() {
     timings = merge();
@@ -78,6 +79,13 @@
     return timings;
   }
 
+  /**
+   * Returns whether the duration of a decode step has been measured, by this gateway or its peers.
+   */
+  public boolean hasMeasuredDecodeStep() {
+    return decodeStepMeasured;
+  }
+
   /**
    * Records the time to the first event of a request. It is ignored if the engine had a backlog or
    * if the prefill is too short to be measured.
@@ -145,6 +153,9 @@
   private EngineTimings merge() {
     List<EngineEstimate> estimates =
         Stream.concat(Stream.of(ownEstimate()), peerEstimates.values().stream()).toList();
+    decodeStepMeasured =
+        estimates.stream().mapToInt(estimate -> weight(estimate.decodeStepSamples())).sum()
+            >= MIN_SAMPLES;
     double decodeStepMillis =
         weightedMean(
             estimates,
--- a/core/src/main/java/org/shallothold/core/placement/EnginePlacementPolicy.java
+++ b/core/src/main/java/org/shallothold/core/placement/EnginePlacementPolicy.java
@@ -82,6 +82,7 @@
   private double peersPauseSensitiveLoad;
   private double peersLongPromptLoad;
   private @Nullable EngineSnapshot snapshot;
+  private boolean protectsStreams;
   private StreamCounts streamCounts = new StreamCounts(0, 0, 0, Long.MIN_VALUE / 2);
 
   /**
@@ -221,6 +222,33 @@
     peersPauseSensitiveLoad = load;
   }
 
+  /**
+   * Sets whether engines prefill only as much as lets their running streams finish before their
+   * deadlines. Has no effect until the duration of a decode step has been measured.
+   */
+  public void setProtectsStreams(boolean protectsStreams) {
+    this.protectsStreams = protectsStreams;
+  }
+
+  /**
+   * Returns the duration of a decode step by which running streams are protected, in milliseconds;
+   * 0 if they aren't.
+   */
+  public double protectedStepMillis() {
+    return protectsStreams && estimator.hasMeasuredDecodeStep()
+        ? estimator.timings().decodeStepMillis()
+        : 0;
+  }
+
+  /**
+   * Adapts the pace of prefills at the engines to their running streams. To be called also while no
+   * requests arrive.
+   */
+  public void updatePaces(Collection<TrackedServer> engines, long nowMillis) {
+    double stepMillis = protectedStepMillis();
+    engines.forEach(engine -> engine.updatePace(stepMillis, nowMillis));
+  }
+
   @Override
   public Optional<Placement> choose(
       RequestProfile profile,
@@ -272,6 +300,7 @@
     }
     List<TrackedServer> inService = PlacementPolicy.inService(servers);
     PlacementPolicy.updateRelativeSlowness(inService);
+    updatePaces(inService, nowMillis);
     updateStreamCounts(inService, nowMillis);
     // Unreachable engines keep their positions, so that gateways that reach them agree with those
     // that don't.
--- a/core/src/main/java/org/shallothold/core/placement/TrackedServer.java
+++ b/core/src/main/java/org/shallothold/core/placement/TrackedServer.java
@@ -29,12 +29,8 @@
   // In bursts the times to first events differ between servers by a factor of two to three without
   // a straggler. Engines known to be slow take at least four times as long.
   private static final double STRAGGLER_RATIO = 3;
-  // Fraction of its time for which an engine prefills prompts; the rest is for its running streams.
-  private static final double PREFILL_TIME_FRACTION = 0.85;
-  // Limit by which the paced backlog may exceed the prefill time of the prompts that wait for their
-  // first event: estimates that were too high must not keep work away from an engine that has
-  // finished its prefills.
-  private static final double MAX_PACED_EXCESS_MILLIS = 100;
+  // The needs of running streams change with each event, but little within this time.
+  private static final long PACE_INTERVAL_MILLIS = 100;
   // The sums over the peers are reused for the duration of one dispatch round.
   private static final long PEER_TOTALS_MAX_AGE_MILLIS = 20;
   // Simultaneous gaps of several streams carry the same information about their engine.
@@ -56,6 +52,10 @@
   private double sentPrefillMillis;
   private double pacedBacklogMillis;
   private long pacedBacklogUpdatedMillis;
+  private final DecodeDemand decodeDemand = DecodeDemand.none();
+  private double decodeStepMillis;
+  private double prefillShare = PrefillPace.MAX_SHARE;
+  private long paceUpdatedMillis = Long.MIN_VALUE / 2;
   private long lastReceivedMillis = Long.MIN_VALUE / 2;
   private int reportedRunning;
   private int reportedWaiting;
@@ -218,6 +218,10 @@
     openRequestsById.put(requestId, request.withFirstEvent());
     pendingPrefillMillis -= request.prefillMillis();
     double observedMillis = Math.max(1, nowMillis - request.sentMillis());
+    if (isPrefillSlowed()) {
+      // The engine can't have prefilled the prompt for longer than that.
+      addPacedBacklog(-Math.max(0, request.prefillMillis() - observedMillis), nowMillis);
+    }
     double ratio = observedMillis / Math.max(MIN_EXPECTED_MILLIS, expectedMillis);
     slowness += SLOWNESS_WEIGHT * (Math.clamp(ratio, MIN_SLOWNESS, MAX_SLOWNESS) - slowness);
   }
@@ -227,6 +231,7 @@
    * open.
    */
   public void recordEnd(long requestId) {
+    decodeDemand.remove(requestId);
     OpenRequest request = openRequestsById.remove(requestId);
     if (request == null) {
       return;
@@ -340,6 +345,7 @@
   /** Removes the open requests of a peer; does nothing if there are none. */
   public void removePeer(String peer) {
     peerLoads.remove(peer);
+    decodeDemand.removePeer(peer);
     peerTotals = PeerTotals.NONE;
   }
 
@@ -383,28 +389,79 @@
    * milliseconds.
    */
   public double backlogMillis(long nowMillis) {
-    double pendingMillis =
-        Math.max(0, pendingPrefillMillis) * REMAINING_PREFILL_FRACTION
-            + peerTotals(nowMillis).prefillMillis();
+    double pendingMillis = pendingMillis(nowMillis);
     return Math.max(
         pendingMillis,
-        Math.min(pacedBacklogMillis(nowMillis), pendingMillis + MAX_PACED_EXCESS_MILLIS));
+        Math.min(
+            pacedBacklogMillis(nowMillis),
+            pendingMillis + PrefillPace.maxExcessMillis(prefillShare)));
+  }
+
+  private double pendingMillis(long nowMillis) {
+    return Math.max(0, pendingPrefillMillis) * REMAINING_PREFILL_FRACTION
+        + peerTotals(nowMillis).prefillMillis();
   }
 
   private void addPacedBacklog(double prefillMillis, long nowMillis) {
-    pacedBacklogMillis = pacedBacklogMillis(nowMillis) + prefillMillis;
+    pacedBacklogMillis = Math.max(0, pacedBacklogMillis(nowMillis) + prefillMillis);
     pacedBacklogUpdatedMillis = nowMillis;
   }
 
   /**
-   * Returns the prefill time that is left if the engine prefills for a fixed fraction of its time.
-   * Prompts sent at this pace leave it the rest for the decode steps of its running streams.
+   * Returns the prefill time that is left if the engine prefills for its share of the time. Prompts
+   * sent at this pace leave it the rest for the decode steps of its running streams.
    */
   private double pacedBacklogMillis(long nowMillis) {
     return Math.max(
         0,
         pacedBacklogMillis
-            - PREFILL_TIME_FRACTION * (nowMillis - pacedBacklogUpdatedMillis) / relativeSlowness);
+            - prefillShare * (nowMillis - pacedBacklogUpdatedMillis) / relativeSlowness);
+  }
+
+  /** Returns the demand of the streams that run at the engine. */
+  public DecodeDemand decodeDemand() {
+    return decodeDemand;
+  }
+
+  /** Returns the share of the engine's time that this gateway's streams need, in [0, 1]. */
+  public double ownDecodeShare(long nowMillis) {
+    return decodeDemand.ownShare(decodeStepMillis, nowMillis);
+  }
+
+  /** Returns the share of its time for which the engine gets prompts to prefill. */
+  public double prefillShare() {
+    return prefillShare;
+  }
+
+  /** Returns whether the engine gets fewer prompts because its running streams need more time. */
+  public boolean isPrefillSlowed() {
+    return prefillShare < PrefillPace.MAX_SHARE;
+  }
+
+  /**
+   * Adapts the pace of prefills to what the running streams need.
+   *
+   * @param stepMillis duration of a decode step, in milliseconds; 0 if the pace is fixed
+   * @param nowMillis current time
+   */
+  void updatePace(double stepMillis, long nowMillis) {
+    if (nowMillis - paceUpdatedMillis < PACE_INTERVAL_MILLIS) {
+      return;
+    }
+    paceUpdatedMillis = nowMillis;
+    decodeStepMillis = stepMillis;
+    double changedShare = PrefillPace.share(decodeDemand.share(stepMillis, nowMillis));
+    if (changedShare != prefillShare) {
+      // Until now the backlog went down at the former share.
+      addPacedBacklog(0, nowMillis);
+      prefillShare = changedShare;
+    }
+    if (isPrefillSlowed()) {
+      pacedBacklogMillis =
+          Math.min(
+              pacedBacklogMillis,
+              pendingMillis(nowMillis) + PrefillPace.maxExcessMillis(prefillShare));
+    }
   }
 
   /**
--- a/core/src/main/java/org/shallothold/core/route/RouteConfiguration.java
+++ b/core/src/main/java/org/shallothold/core/route/RouteConfiguration.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Function;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
@@ -21,6 +22,7 @@
   private final Map<String, CustomerIdentity> customersByKey;
   private final CallerLimits limits;
   private final Map<String, List<Rank>> ranksByService;
+  private final Set<String> servicesWithStreamsThatRunOnce;
 
   private RouteConfiguration(
       long version,
@@ -35,6 +37,12 @@
     this.keysRequired = keysRequired;
     this.customersByKey = customersByKey;
     this.limits = limits;
+    this.servicesWithStreamsThatRunOnce =
+        routes().stream()
+            .filter(route -> route.kind() == CallKind.STREAM_ONCE)
+            .flatMap(route -> route.services().stream())
+            .map(ServiceShare::service)
+            .collect(Collectors.toUnmodifiableSet());
     List<CustomerIdentity> customers = keysRequired ? customersOfEachPriority() : List.of();
     this.ranksByService =
         routes().stream()
@@ -137,6 +145,11 @@
     return Optional.ofNullable(ranksByService.get(service)).map(List::getLast);
   }
 
+  /** Returns whether a route forwards streams to a service that can't be resumed. */
+  public boolean hasStreamsThatRunOnce(String service) {
+    return servicesWithStreamsThatRunOnce.contains(service);
+  }
+
   /**
    * Maps a rank to one of the priority levels that backend servers support, 0 being the most
    * urgent. The order of the ranks that requests for the service can have is kept. Several ranks
--- a/gateway/src/main/java/org/shallothold/gateway/forward/Attempt.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/Attempt.java
@@ -103,6 +103,7 @@
         placement.prefillMillis(),
         placement.pauseSensitive(),
         MonotonicClock.millis());
+    addDecodeDemand();
     forwarder.rateLimits().recordSend(server);
     recordPrefixReads(serverId);
     if (placement.prefillMillis() > 0) {
@@ -112,6 +113,15 @@
         forwarder.state().pool(server.entry()).send(backendRequest(serverId), requestId(), this);
   }
 
+  private void addDecodeDemand() {
+    Route matchedRoute = owner.route();
+    if (matchedRoute != null && matchedRoute.kind().streaming() && work.promptTokens() > 0) {
+      server
+          .decodeDemand()
+          .add(requestKey, owner.outputEstimate(matchedRoute), owner.deadlineMillis());
+    }
+  }
+
   private String requestId() {
     String id = owner.metadata().requestId();
     return id == null ? "" : id;
@@ -370,6 +380,27 @@
           (double) (nowMillis - sentMillis));
     }
     pauseSampler.recordEvents(events, server, estimator, nowMillis);
+    server.decodeDemand().recordProduced(requestKey, producedTokens(estimator));
+  }
+
+  /** Returns the tokens of the stream that have arrived, including those of earlier attempts. */
+  private int producedTokens(EngineEstimator estimator) {
+    long events = Math.max(eventsReceived, progress.lastEventId + 1);
+    return (int) Math.min(Integer.MAX_VALUE, events * (long) estimator.timings().tokensPerEvent());
+  }
+
+  /** Records the length of a stream that has finished or was cut by its deadline. */
+  void recordOutputLength() {
+    Route matchedRoute = owner.route();
+    if (matchedRoute == null || !streaming || eventsReceived == 0) {
+      return;
+    }
+    forwarder
+        .queue(service)
+        .estimator()
+        .ifPresent(
+            estimator ->
+                forwarder.outputLengths().record(matchedRoute.name(), producedTokens(estimator)));
   }
 
   /** Returns whether events between the last one forwarded and the given one are missing. */
@@ -427,6 +458,7 @@
     }
     server.recordSuccess();
     recordWholeAnswer();
+    recordOutputLength();
     countResult("stream_ended");
     completeRequest();
     beginStream(responseHead);
--- a/gateway/src/main/java/org/shallothold/gateway/forward/ForwardGauges.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/ForwardGauges.java
@@ -1,7 +1,9 @@
 package org.shallothold.gateway.forward;
 
 import io.prometheus.metrics.core.metrics.Gauge;
+import java.util.HashMap;
 import java.util.Locale;
+import java.util.Map;
 import org.shallothold.core.memory.MemoryBudget;
 import org.shallothold.core.placement.TrackedServer;
 import org.shallothold.core.rate.RateObservation;
@@ -22,6 +24,8 @@
   private final Gauge platformContact;
   private final Gauge backendServers;
   private final Gauge backlog;
+  private final Gauge slowedEngines;
+  private final Gauge lowestPrefillShare;
   private final Gauge backendConnections;
   private final Gauge waitingRequests;
   private final Gauge retries;
@@ -61,6 +65,16 @@
             "shallothold_backend_backlog_seconds",
             "Estimated time to read all prompts that wait at the servers of a service, summed up.",
             "service");
+    slowedEngines =
+        metrics.gauge(
+            "shallothold_slowed_engines",
+            "Engines that get fewer prompts so that their running streams finish in time.",
+            "service");
+    lowestPrefillShare =
+        metrics.gauge(
+            "shallothold_lowest_prefill_share",
+            "Smallest share of its time for which an engine of a service gets prompts to prefill.",
+            "service");
     backendConnections =
         metrics.gauge("shallothold_backend_connections", "Open connections to backend servers.");
     waitingRequests =
@@ -127,18 +141,25 @@
     }
     backendServers.clear();
     backlog.clear();
+    slowedEngines.clear();
+    lowestPrefillShare.clear();
     rateLimitedServers.clear();
     statedRate.clear();
+    Map<String, Double> lowestPrefillShares = new HashMap<>();
     for (TrackedServer server : state.allServers()) {
       String service = server.entry().service();
       backendServers.labelValues(service, availability(server, nowMillis)).inc();
       backlog.labelValues(service).inc(server.backlogMillis(nowMillis) / MILLIS_PER_SECOND);
+      slowedEngines.labelValues(service).inc(server.isPrefillSlowed() ? 1 : 0);
+      lowestPrefillShares.merge(service, server.prefillShare(), Math::min);
       double requestsPerSecond = state.statedRate(server.entry());
       if (requestsPerSecond < RateObservation.NO_LIMIT) {
         rateLimitedServers.labelValues(service).inc();
         statedRate.labelValues(service).inc(requestsPerSecond);
       }
     }
+    lowestPrefillShares.forEach(
+        (service, share) -> lowestPrefillShare.labelValues(service).set(share));
     backendConnections.set(state.connections());
   }
 
--- a/gateway/src/main/java/org/shallothold/gateway/forward/ForwardedRequest.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/ForwardedRequest.java
@@ -14,6 +14,7 @@
 import org.shallothold.core.crash.TrialAdmission;
 import org.shallothold.core.placement.DispatchQueue;
 import org.shallothold.core.placement.EngineAdmission;
+import org.shallothold.core.placement.OutputEstimate;
 import org.shallothold.core.placement.Placement;
 import org.shallothold.core.placement.RequestProfile;
 import org.shallothold.core.placement.TrackedServer;
@@ -227,6 +228,16 @@
         found.pauseTargetMillis());
   }
 
+  /** Returns the estimated length of the output; the route must be known. */
+  OutputEstimate outputEstimate(Route matchedRoute) {
+    return forwarder
+        .outputLengths()
+        .estimate(
+            matchedRoute.name(),
+            requestFacts.expectedOutputTokens(),
+            requestFacts.maxOutputTokens());
+  }
+
   private void selectServiceAndSubmit() {
     Route matchedRoute = route;
     if (matchedRoute == null) {
@@ -334,6 +345,11 @@
     return requestNumber;
   }
 
+  /** Returns the deadline, in milliseconds of the monotonic clock. */
+  long deadlineMillis() {
+    return deadlineMillis;
+  }
+
   /** Returns the time left until the deadline, in milliseconds; negative after it. */
   long remainingMillis() {
     return deadlineMillis - MonotonicClock.millis();
@@ -493,6 +509,7 @@
     Attempt current = currentAttempt;
     endWithoutResponse(HttpResponseStatus.GATEWAY_TIMEOUT, Verdict.notRun(ReasonCode.DEADLINE));
     if (current != null) {
+      current.recordOutputLength();
       current.recordSilence();
     }
   }
--- a/gateway/src/main/java/org/shallothold/gateway/forward/Forwarder.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/Forwarder.java
@@ -11,6 +11,7 @@
 import org.shallothold.core.memory.MemoryBudget;
 import org.shallothold.core.placement.EngineEstimator;
 import org.shallothold.core.placement.EnginePlacementPolicy;
+import org.shallothold.core.placement.OutputLengths;
 import org.shallothold.core.placement.PlacementPolicy;
 import org.shallothold.core.placement.PlainPlacementPolicy;
 import org.shallothold.core.placement.TrackedServer;
@@ -56,6 +57,8 @@
   private Runnable workChangeListener = () -> {};
   private long lastRequestNumber;
   private final ResponseTimes responseTimes = ResponseTimes.create();
+  private final OutputLengths outputLengths = OutputLengths.create();
+  private final PrefillPaceLog prefillPaceLog;
   private boolean leaving;
   private long endOfDrainMillis;
   private boolean refusingRequests;
@@ -78,6 +81,7 @@
     this.gatewayCount = gatewayCount;
     this.prefixReads = prefixReads;
     this.memory = MemoryBudget.of(options.bufferBytes());
+    this.prefillPaceLog = new PrefillPaceLog(state, log);
     this.rateLimits = new StatedRateLimits(state.statedRates(), log, metrics);
     rateLimits.setAnswerListener(this::permitAnswered);
     // Peers are told at once.
@@ -112,6 +116,8 @@
   void maintain() {
     serverEnds.maintain();
     promptParts.maintain();
+    queuesByService.values().forEach(ServiceQueue::updatePaces);
+    prefillPaceLog.maintain(queuesByService.keySet());
   }
 
   private void permitAnswered(String serverId, long requestNumber) {
@@ -192,6 +198,10 @@
     return responseTimes;
   }
 
+  OutputLengths outputLengths() {
+    return outputLengths;
+  }
+
   /** Ends all open requests at the end of the drain; returns their number. */
   int endOpenRequests() {
     List<ForwardedRequest> open = List.copyOf(openRequests);
--- a/gateway/src/main/java/org/shallothold/gateway/forward/ForwardingGateway.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/ForwardingGateway.java
@@ -51,6 +51,7 @@
   // Until then, the last responses are written.
   private static final double WRITE_FRACTION_OF_SHUTDOWN = 0.97;
   private static final double THOUSANDTHS_PER_ENGINE = 1_000;
+  private static final double PERCENT = 100;
   // Peers that were cut off for less than this learn that a limit ended also without requests.
   private static final long RATE_END_REPORT_MILLIS = 60_000;
   private static final String METRICS_PATH = "/metrics";
@@ -413,7 +414,9 @@
               .setRequests(load.openRequests())
               .setReadMillis((int) Math.round(load.prefillMillis()))
               .setTightStreams(load.pauseSensitiveStreams())
-              .setSentReadMillis(Math.round(server.sentPrefillMillis()));
+              .setSentReadMillis(Math.round(server.sentPrefillMillis()))
+              .setDecodePercent(
+                  (int) Math.round(server.ownDecodeShare(load.receivedMillis()) * PERCENT));
       if (leavingInstance != null) {
         work.setLeavingLife(leavingInstance);
       }
@@ -485,6 +488,9 @@
           peer,
           new TrackedServer.PeerLoad(
               work.getRequests(), work.getReadMillis(), work.getTightStreams(), nowMillis));
+      server
+          .decodeDemand()
+          .updatePeer(peer, work.getDecodePercent() / PERCENT, work.getRequests(), nowMillis);
       double tokenMillis =
           forwarder
               .queue(server.entry().service())
--- a/gateway/src/main/java/org/shallothold/gateway/forward/ServiceQueue.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/ServiceQueue.java
@@ -73,10 +73,20 @@
           .configuration()
           .flatMap(known -> known.service(service))
           .ifPresent(known -> engines.estimator().configure(known));
+      state
+          .configuration()
+          .ifPresent(known -> engines.setProtectsStreams(known.hasStreamsThatRunOnce(service)));
       engines.requestArrived(request.profile(), MonotonicClock.millis());
     }
   }
 
+  /** Adapts the pace of prefills to the running streams; does nothing for plain services. */
+  void updatePaces() {
+    if (policy instanceof EnginePlacementPolicy engines) {
+      engines.updatePaces(state.servers(service), MonotonicClock.millis());
+    }
+  }
+
   /** Returns the estimator of the engines' speed; empty for plain services. */
   Optional<EngineEstimator> estimator() {
     return policy instanceof EnginePlacementPolicy engines
--- a/wire/src/main/java/org/shallothold/wire/proto/OpenWork.java
+++ b/wire/src/main/java/org/shallothold/wire/proto/OpenWork.java
@@ -210,6 +210,22 @@
     return statedRate_ == null ? org.shallothold.wire.proto.StatedRate.getDefaultInstance() : statedRate_;
   }
 
+  public static final int DECODE_PERCENT_FIELD_NUMBER = 11;
+  private int decodePercent_ = 0;
+  /**
+   * <pre>
+   * Share of the engine's time that the sender's running streams need for decode steps so that they
+   * finish before their deadlines, in per cent; 0 if it isn't known.
+   * </pre>
+   *
+   * <code>int32 decode_percent = 11;</code>
+   * @return The decodePercent.
+   */
+  @java.lang.Override
+  public int getDecodePercent() {
+    return decodePercent_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -245,6 +261,9 @@
     if (((bitField0_ & 0x00000002) != 0)) {
       output.writeMessage(8, getStatedRate());
     }
+    if (decodePercent_ != 0) {
+      output.writeInt32(11, decodePercent_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -281,6 +300,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(8, getStatedRate());
     }
+    if (decodePercent_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt32Size(11, decodePercent_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -316,6 +339,8 @@
       if (!getStatedRate()
           .equals(other.getStatedRate())) return false;
     }
+    if (getDecodePercent()
+        != other.getDecodePercent()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -347,6 +372,8 @@
       hash = (37 * hash) + STATED_RATE_FIELD_NUMBER;
       hash = (53 * hash) + getStatedRate().hashCode();
     }
+    hash = (37 * hash) + DECODE_PERCENT_FIELD_NUMBER;
+    hash = (53 * hash) + getDecodePercent();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -499,6 +526,7 @@
         statedRateBuilder_.dispose();
         statedRateBuilder_ = null;
       }
+      decodePercent_ = 0;
       return this;
     }
 
@@ -558,6 +586,9 @@
             : statedRateBuilder_.build();
         to_bitField0_ |= 0x00000002;
       }
+      if (((from_bitField0_ & 0x00000080) != 0)) {
+        result.decodePercent_ = decodePercent_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -596,6 +627,9 @@
       if (other.hasStatedRate()) {
         mergeStatedRate(other.getStatedRate());
       }
+      if (other.getDecodePercent() != 0) {
+        setDecodePercent(other.getDecodePercent());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -659,6 +693,11 @@
               bitField0_ |= 0x00000040;
               break;
             } // case 66
+            case 88: {
+              decodePercent_ = input.readInt32();
+              bitField0_ |= 0x00000080;
+              break;
+            } // case 88
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1113,6 +1152,53 @@
       return statedRateBuilder_;
     }
 
+    private int decodePercent_ ;
+    /**
+     * <pre>
+     * Share of the engine's time that the sender's running streams need for decode steps so that they
+     * finish before their deadlines, in per cent; 0 if it isn't known.
+     * </pre>
+     *
+     * <code>int32 decode_percent = 11;</code>
+     * @return The decodePercent.
+     */
+    @java.lang.Override
+    public int getDecodePercent() {
+      return decodePercent_;
+    }
+    /**
+     * <pre>
+     * Share of the engine's time that the sender's running streams need for decode steps so that they
+     * finish before their deadlines, in per cent; 0 if it isn't known.
+     * </pre>
+     *
+     * <code>int32 decode_percent = 11;</code>
+     * @param value The decodePercent to set.
+     * @return This builder for chaining.
+     */
+    public Builder setDecodePercent(int value) {
+
+      decodePercent_ = value;
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Share of the engine's time that the sender's running streams need for decode steps so that they
+     * finish before their deadlines, in per cent; 0 if it isn't known.
+     * </pre>
+     *
+     * <code>int32 decode_percent = 11;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearDecodePercent() {
+      bitField0_ = (bitField0_ & ~0x00000080);
+      decodePercent_ = 0;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:shallothold.OpenWork)
   }
 
--- a/wire/src/main/java/org/shallothold/wire/proto/OpenWorkOrBuilder.java
+++ b/wire/src/main/java/org/shallothold/wire/proto/OpenWorkOrBuilder.java
@@ -99,4 +99,15 @@
    * <code>.shallothold.StatedRate stated_rate = 8;</code>
    */
   org.shallothold.wire.proto.StatedRateOrBuilder getStatedRateOrBuilder();
+
+  /**
+   * <pre>
+   * Share of the engine's time that the sender's running streams need for decode steps so that they
+   * finish before their deadlines, in per cent; 0 if it isn't known.
+   * </pre>
+   *
+   * <code>int32 decode_percent = 11;</code>
+   * @return The decodePercent.
+   */
+  int getDecodePercent();
 }
