Start no stream that can't finish, and let late requests wait

Cause: engines began streams whose deadlines cut them, and a request that would miss its latency target was refused at once although it could have been answered late. Change: in services whose streams are protected, a request whose expected output doesn't fit the time left at its engine's pace waits behind those that fit, and is refused with the cause cannot_finish when no engine could finish it. Others wait for half of the time until their callers abandon them, while they can finish. Requests so far back in the queue that no engine is chosen for them are refused after their longest wait. Measured: EngineAdmissionTest (7 new cases), DispatchQueueTest (1 new case) pass.

--- a/command/src/main/java/org/shallothold/command/logs/RequestStory.java
+++ b/command/src/main/java/org/shallothold/command/logs/RequestStory.java
@@ -206,6 +206,8 @@
     }
     return switch (code) {
       case "deadline" -> "no whole answer within the time allowed" + detail;
+      case "cannot_finish" ->
+          "its answer was too long for the time left, even on an engine without prompts to read";
       case "queue_full" -> "the engines had too much to read for it to be on time";
       case "no_server" -> "no backend server took it";
       case "server_rate_limit" ->
--- a/core/src/main/java/org/shallothold/core/placement/AdmissionDecision.java
+++ b/core/src/main/java/org/shallothold/core/placement/AdmissionDecision.java
@@ -1,5 +1,7 @@
 package org.shallothold.core.placement;
 
+import org.shallothold.core.verdict.ReasonCode;
+
 /** Outcome of admission control for a request that no engine processes yet. */
 public sealed interface AdmissionDecision {
 
@@ -13,6 +15,13 @@
    * The request is refused.
    *
    * @param retryAfterMillis time after which the caller should retry, in milliseconds
+   * @param cause reason for the caller
    */
-  record Refuse(long retryAfterMillis) implements AdmissionDecision {}
+  record Refuse(long retryAfterMillis, ReasonCode cause) implements AdmissionDecision {
+
+    /** Creates a refusal for lack of capacity. */
+    public Refuse(long retryAfterMillis) {
+      this(retryAfterMillis, ReasonCode.QUEUE_FULL);
+    }
+  }
 }
--- a/core/src/main/java/org/shallothold/core/placement/DispatchQueue.java
+++ b/core/src/main/java/org/shallothold/core/placement/DispatchQueue.java
@@ -25,6 +25,11 @@
 
     /** Returns the time of its arrival, in milliseconds of the monotonic clock. */
     long arrivedMillis();
+
+    /** Returns whether a busy engine can finish it before its deadline. */
+    default boolean canFinish(long nowMillis) {
+      return true;
+    }
   }
 
   /** Returns a queue without requests. */
@@ -63,17 +68,31 @@
   }
 
   /**
-   * Returns the requests in the order in which they are to be sent: requests that can still meet
-   * their latency target before overdue ones, then by rank, then by arrival.
+   * Returns the requests in the order in which they are to be sent: requests that busy engines can
+   * finish before those that they can't, then requests that can still meet their latency target
+   * before overdue ones, then by rank, then by arrival.
    */
   public List<R> inDispatchOrder(long nowMillis) {
-    return entries.stream().sorted(order(nowMillis)).toList();
+    return entries.stream()
+        .map(entry -> Position.of(entry, nowMillis))
+        .sorted(Position.order())
+        .map(Position::entry)
+        .toList();
   }
 
-  private static <R extends Entry> Comparator<R> order(long nowMillis) {
-    return Comparator.comparing((R entry) -> isOverdue(entry, nowMillis))
-        .thenComparing(entry -> entry.profile().rank())
-        .thenComparingLong(Entry::arrivedMillis);
+  /** A request with what decides its position at one time. */
+  private record Position<R extends Entry>(R entry, boolean canFinish, boolean overdue) {
+
+    private static <R extends Entry> Position<R> of(R entry, long nowMillis) {
+      return new Position<>(entry, entry.canFinish(nowMillis), isOverdue(entry, nowMillis));
+    }
+
+    private static <R extends Entry> Comparator<Position<R>> order() {
+      return Comparator.comparing((Position<R> position) -> !position.canFinish())
+          .thenComparing(Position::overdue)
+          .thenComparing(position -> position.entry().profile().rank())
+          .thenComparingLong(position -> position.entry().arrivedMillis());
+    }
   }
 
   private static boolean isOverdue(Entry entry, long nowMillis) {
--- a/core/src/main/java/org/shallothold/core/placement/OutputEstimate.java
+++ b/core/src/main/java/org/shallothold/core/placement/OutputEstimate.java
@@ -8,6 +8,9 @@
  */
 public record OutputEstimate(int expectedTokens, int maxTokens) {
 
+  /** Estimate for requests without an output. */
+  public static final OutputEstimate NONE = new OutputEstimate(0, 0);
+
   // Callers' estimates are right at the median only, and the lengths of a route's answers vary: an
   // answer that is longer than expected goes on for about half of the expected length.
   private static final double MIN_REMAINING_FRACTION = 0.5;
--- a/core/src/main/java/org/shallothold/core/placement/PrefillPace.java
+++ b/core/src/main/java/org/shallothold/core/placement/PrefillPace.java
@@ -22,6 +22,9 @@
 
   private PrefillPace() {}
 
+  /** Largest share of decode steps that an engine leaves to its running streams. */
+  public static final double MAX_DECODE_SHARE = 1 - MIN_SHARE;
+
   /**
    * Returns the share of prefills.
    *
--- a/core/src/main/java/org/shallothold/core/verdict/ReasonCode.java
+++ b/core/src/main/java/org/shallothold/core/verdict/ReasonCode.java
@@ -33,6 +33,8 @@
   DISPLACED,
   /** The request can't start before its deadline. */
   DEADLINE,
+  /** The engines can't finish the expected output before the deadline. */
+  CANNOT_FINISH,
   /** No available backend server could take the request. */
   NO_SERVER,
   /** The operators evacuate the failure domains of all servers of the service. */
--- a/core/src/test/java/org/shallothold/core/placement/DispatchQueueTest.java
+++ b/core/src/test/java/org/shallothold/core/placement/DispatchQueueTest.java
@@ -10,13 +10,22 @@
 /** The order in which waiting requests are sent. */
 class DispatchQueueTest {
 
-  private record Request(String name, Rank rank, long arrivedMillis)
+  private record Request(String name, Rank rank, long arrivedMillis, long lastStartMillis)
       implements DispatchQueue.Entry {
 
     Request(String name, int priority, long arrivedMillis) {
       this(name, Rank.of(priority), arrivedMillis);
     }
 
+    Request(String name, Rank rank, long arrivedMillis) {
+      this(name, rank, arrivedMillis, Long.MAX_VALUE);
+    }
+
+    @Override
+    public boolean canFinish(long nowMillis) {
+      return nowMillis <= lastStartMillis;
+    }
+
     @Override
     public RequestProfile profile() {
       return new RequestProfile(List.of(), 1_000, 50, rank, 500, 300);
@@ -61,6 +70,18 @@
     assertEquals(List.of("on time", "overdue"), order(600));
   }
 
+  /**
+   * Guards against streams that can't finish before their deadlines taking the engines' time from
+   * those that can, in a burst of long prompts.
+   */
+  @Test
+  void requestsThatCannotFinishAreSentLast() {
+    queue.add(new Request("too late", Rank.of(0), 0, 50));
+    queue.add(new Request("overdue", 2, 0));
+    queue.add(new Request("on time", 2, 400));
+    assertEquals(List.of("on time", "overdue", "too late"), order(600));
+  }
+
   @Test
   void requestsOfEqualRankKeepTheirArrivalOrder() {
     queue.add(new Request("second", 1, 20));
--- a/core/src/test/java/org/shallothold/core/placement/EngineAdmissionTest.java
+++ b/core/src/test/java/org/shallothold/core/placement/EngineAdmissionTest.java
@@ -9,6 +9,7 @@
 import org.junit.jupiter.api.Test;
 import org.shallothold.core.membership.ServerEntry;
 import org.shallothold.core.route.Rank;
+import org.shallothold.core.verdict.ReasonCode;
 
 /** Which requests are sent, wait or are refused during a burst of long prompts. */
 class EngineAdmissionTest {
@@ -52,7 +53,7 @@
       double queuedAheadMillis,
       boolean urgent) {
     return EngineAdmission.decide(
-        new EngineAdmission.AdmissionRequest(profile, waitedMillis, remainingMillis, false),
+        new EngineAdmission.AdmissionRequest(profile, waitedMillis, remainingMillis, false, 0),
         engineWithBacklog(backlogMillis),
         queuedAheadMillis,
         urgent);
@@ -138,7 +139,7 @@
     @Test
     void isSentAtOnceAfterItsStreamBrokeOff() {
       EngineAdmission.AdmissionRequest interrupted =
-          new EngineAdmission.AdmissionRequest(LONG_PROMPT, 2_000, 6_000, true);
+          new EngineAdmission.AdmissionRequest(LONG_PROMPT, 2_000, 6_000, true, 0);
       assertInstanceOf(
           AdmissionDecision.Send.class,
           EngineAdmission.decide(interrupted, engineWithBacklog(900), 3_000, false));
@@ -153,7 +154,7 @@
       RequestProfile shortPausePrompt =
           new RequestProfile(List.of(), 1_450, 170, Rank.of(0), 300, 200);
       EngineAdmission.AdmissionRequest request =
-          new EngineAdmission.AdmissionRequest(shortPausePrompt, 0, 10_000, false);
+          new EngineAdmission.AdmissionRequest(shortPausePrompt, 0, 10_000, false, 0);
       assertInstanceOf(
           AdmissionDecision.Send.class,
           EngineAdmission.decide(request, reservedEngine(shortPausePrompt, 80), 0, true));
@@ -171,6 +172,94 @@
     }
   }
 
+  /** Requests of a service whose streams are protected, while engines are busy with prefills. */
+  @Nested
+  class BurstOfLongPromptsOverRunningStreams {
+
+    private static AdmissionDecision decide(
+        long waitedMillis,
+        long remainingMillis,
+        double decodeMillis,
+        double backlogMillis,
+        double queuedAheadMillis,
+        boolean urgent) {
+      return EngineAdmission.decide(
+          new EngineAdmission.AdmissionRequest(
+              LONG_PROMPT, waitedMillis, remainingMillis, false, decodeMillis),
+          engineWithBacklog(backlogMillis),
+          queuedAheadMillis,
+          urgent);
+    }
+
+    /** Guards against starting streams whose work is lost because their deadlines cut them. */
+    @Test
+    void streamThatCannotFinishAtTheEnginesPaceIsNotStarted() {
+      assertInstanceOf(AdmissionDecision.Send.class, decide(0, 8_000, 3_400, 90, 0, false));
+      assertInstanceOf(AdmissionDecision.Wait.class, decide(0, 5_000, 3_400, 90, 0, false));
+    }
+
+    /** Guards against callers that wait in vain for an answer that can't come in time. */
+    @Test
+    void streamThatNoEngineCanFinishIsRefusedEarly() {
+      AdmissionDecision.Refuse refuse =
+          assertInstanceOf(
+              AdmissionDecision.Refuse.class, decide(0, 3_000, 3_400, 90, 2_000, false));
+      assertEquals(ReasonCode.CANNOT_FINISH, refuse.cause());
+      assertEquals(900, refuse.retryAfterMillis());
+    }
+
+    /** Guards against refusing a stream by a wrong estimate while engines have time. */
+    @Test
+    void streamIsStartedOnAnEngineThatIsHardlyBusy() {
+      assertInstanceOf(AdmissionDecision.Send.class, decide(0, 3_000, 3_400, 30, 0, false));
+    }
+
+    /** Guards against refusals of requests that could still be answered late. */
+    @Test
+    void requestThatMissesItsLatencyTargetWaitsWhileItCanFinish() {
+      assertInstanceOf(AdmissionDecision.Wait.class, decide(0, 10_000, 840, 400, 1_800, false));
+      assertInstanceOf(AdmissionDecision.Wait.class, decide(1_600, 8_400, 840, 90, 0, false));
+    }
+
+    /** Guards against a wait after which the caller has abandoned the request. */
+    @Test
+    void requestIsRefusedEarlyWhenItsTurnComesTooLate() {
+      assertEquals(
+          ReasonCode.QUEUE_FULL,
+          assertInstanceOf(
+                  AdmissionDecision.Refuse.class, decide(0, 10_000, 840, 400, 4_000, false))
+              .cause());
+      assertInstanceOf(AdmissionDecision.Refuse.class, decide(3_300, 6_700, 840, 90, 0, false));
+      assertInstanceOf(AdmissionDecision.Refuse.class, decide(0, 2_600, 840, 400, 1_800, true));
+    }
+
+    /** Guards against retry times after which too little time is left. */
+    @Test
+    void retryTimeIsAtMostAThirdOfTheRemainingTime() {
+      for (long remainingMillis = 100; remainingMillis < 4_000; remainingMillis += 100) {
+        AdmissionDecision.Refuse refuse =
+            assertInstanceOf(
+                AdmissionDecision.Refuse.class,
+                decide(0, remainingMillis, 4_000, 300, 4_000, true));
+        assertTrue(refuse.retryAfterMillis() <= remainingMillis / 3);
+      }
+    }
+
+    /** Guards against requests at the back of a long queue that nobody refuses. */
+    @Test
+    void requestAtTheBackIsRefusedAfterItsLongestWait() {
+      assertTrue(EngineAdmission.afterLongestWait(waiting(3_300, 840), 500).isPresent());
+      assertTrue(EngineAdmission.afterLongestWait(waiting(3_000, 840), 500).isEmpty());
+      assertTrue(EngineAdmission.afterLongestWait(waiting(3_300, 0), 500).isEmpty());
+    }
+
+    private static EngineAdmission.AdmissionRequest waiting(
+        long waitedMillis, double decodeMillis) {
+      return new EngineAdmission.AdmissionRequest(
+          LONG_PROMPT, waitedMillis, 10_000 - waitedMillis, false, decodeMillis);
+    }
+  }
+
   @Test
   void retryTimeIsTheExpectedWait() {
     AdmissionDecision.Refuse refuse =
--- a/gateway/src/main/java/org/shallothold/gateway/forward/Attempt.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/Attempt.java
@@ -116,9 +116,7 @@
   private void addDecodeDemand() {
     Route matchedRoute = owner.route();
     if (matchedRoute != null && matchedRoute.kind().streaming() && work.promptTokens() > 0) {
-      server
-          .decodeDemand()
-          .add(requestKey, owner.outputEstimate(matchedRoute), owner.deadlineMillis());
+      server.decodeDemand().add(requestKey, owner.outputEstimate(), owner.deadlineMillis());
     }
   }
 
--- a/gateway/src/main/java/org/shallothold/gateway/forward/ForwardedRequest.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/ForwardedRequest.java
@@ -16,6 +16,7 @@
 import org.shallothold.core.placement.EngineAdmission;
 import org.shallothold.core.placement.OutputEstimate;
 import org.shallothold.core.placement.Placement;
+import org.shallothold.core.placement.PrefillPace;
 import org.shallothold.core.placement.RequestProfile;
 import org.shallothold.core.placement.TrackedServer;
 import org.shallothold.core.rate.RateObservation;
@@ -71,6 +72,7 @@
   private @Nullable Route route;
   private @Nullable CustomerIdentity customer;
   private RequestProfile work = RequestProfile.ofPlainService(Rank.of(0), 0);
+  private OutputEstimate outputEstimate = OutputEstimate.NONE;
   private List<Long> sharedPartIds = List.of();
   private long deadlineMillis;
   private @Nullable Attempt currentAttempt;
@@ -215,6 +217,11 @@
     if (requestFacts.promptTokens() == 0) {
       return RequestProfile.ofPlainService(rank, found.latencyTargetMillis());
     }
+    outputEstimate =
+        forwarder
+            .outputLengths()
+            .estimate(
+                found.name(), requestFacts.expectedOutputTokens(), requestFacts.maxOutputTokens());
     int outputTokens =
         requestFacts.expectedOutputTokens() > 0
             ? requestFacts.expectedOutputTokens()
@@ -228,14 +235,9 @@
         found.pauseTargetMillis());
   }
 
-  /** Returns the estimated length of the output; the route must be known. */
-  OutputEstimate outputEstimate(Route matchedRoute) {
-    return forwarder
-        .outputLengths()
-        .estimate(
-            matchedRoute.name(),
-            requestFacts.expectedOutputTokens(),
-            requestFacts.maxOutputTokens());
+  /** Returns the estimated length of the output; 0 for plain services. */
+  OutputEstimate outputEstimate() {
+    return outputEstimate;
   }
 
   private void selectServiceAndSubmit() {
@@ -266,7 +268,24 @@
   /** Returns what engine admission needs to know about the request. */
   EngineAdmission.AdmissionRequest applicant(long nowMillis) {
     return new EngineAdmission.AdmissionRequest(
-        work, nowMillis - arrivedMillis, remainingMillis(), progress.possibleRuns > 0);
+        work,
+        nowMillis - arrivedMillis,
+        remainingMillis(),
+        progress.possibleRuns > 0,
+        decodeMillis());
+  }
+
+  /** Returns the expected time for the decode steps of the output; 0 if it doesn't matter. */
+  private double decodeMillis() {
+    String service = queuedService;
+    return service == null
+        ? EngineAdmission.AdmissionRequest.ANY_DECODE_TIME
+        : outputEstimate.expectedTokens() * forwarder.queue(service).protectedStepMillis();
+  }
+
+  @Override
+  public boolean canFinish(long nowMillis) {
+    return decodeMillis() / PrefillPace.MAX_DECODE_SHARE <= deadlineMillis - nowMillis;
   }
 
   /** Returns whether an earlier attempt chose the server. */
@@ -282,15 +301,21 @@
   }
 
   /**
-   * Refuses the request, which was not run, because the prefill backlog of the engines is too long.
+   * Refuses the request, which was not run, because the engines are too busy.
    *
    * @param retryAfterMillis time after which the caller should try again, in milliseconds
+   * @param cause whether the prefill backlog is too long, or the output for the time left
    */
-  void refuseOverloaded(long retryAfterMillis) {
+  void refuseOverloaded(long retryAfterMillis, ReasonCode cause) {
+    if (cause == ReasonCode.CANNOT_FINISH) {
+      trace
+          .addLine("output_too_long")
+          .with("expected_tokens", outputEstimate.expectedTokens())
+          .with("decode_millis", Math.round(decodeMillis()))
+          .with("remaining_millis", remainingMillis());
+    }
     queuedService = null;
-    refuse(
-        HttpResponseStatus.SERVICE_UNAVAILABLE,
-        Verdict.notRun(ReasonCode.QUEUE_FULL, retryAfterMillis));
+    refuse(HttpResponseStatus.SERVICE_UNAVAILABLE, Verdict.notRun(cause, retryAfterMillis));
   }
 
   /** Returns the ids of the prompt parts that the request shares with others. */
--- a/gateway/src/main/java/org/shallothold/gateway/forward/ServiceQueue.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/ServiceQueue.java
@@ -80,6 +80,14 @@
     }
   }
 
+  /**
+   * Returns the duration of a decode step by which running streams are protected, in milliseconds;
+   * 0 if they aren't.
+   */
+  double protectedStepMillis() {
+    return policy instanceof EnginePlacementPolicy engines ? engines.protectedStepMillis() : 0;
+  }
+
   /** Adapts the pace of prefills to the running streams; does nothing for plain services. */
   void updatePaces() {
     if (policy instanceof EnginePlacementPolicy engines) {
@@ -193,7 +201,8 @@
     long engineCount = Math.max(1, state.servers(service).size());
     for (ForwardedRequest request : candidates) {
       if (decidedRequests == MAX_REQUESTS_PER_DISPATCH) {
-        break;
+        refuseAfterLongestWait(request, queuedPrefillMillis, nowMillis);
+        continue;
       }
       if (!waitingRequests.contains(request)) {
         // Sent or ended by a nested call, when the request before it failed at once.
@@ -233,13 +242,26 @@
                 placement.prefillMillis() * gatewayCount.getAsInt() / engineCount;
         case AdmissionDecision.Refuse refuse -> {
           waitingRequests.remove(request);
-          request.refuseOverloaded(refuse.retryAfterMillis());
+          request.refuseOverloaded(refuse.retryAfterMillis(), refuse.cause());
         }
       }
     }
     scheduleDispatch();
   }
 
+  /** Refuses a request at the back of the queue if it has waited for as long as it may. */
+  private void refuseAfterLongestWait(
+      ForwardedRequest request, double queuedPrefillMillis, long nowMillis) {
+    if (waitingRequests.contains(request)) {
+      EngineAdmission.afterLongestWait(request.applicant(nowMillis), queuedPrefillMillis)
+          .ifPresent(
+              refuse -> {
+                waitingRequests.remove(request);
+                request.refuseOverloaded(refuse.retryAfterMillis(), refuse.cause());
+              });
+    }
+  }
+
   private void scheduleDispatch() {
     if (dispatchScheduled || waitingRequests.isEmpty()) {
       return;
--- a/gateway/src/main/java/org/shallothold/gateway/http/HttpErrors.java
+++ b/gateway/src/main/java/org/shallothold/gateway/http/HttpErrors.java
@@ -59,6 +59,7 @@
       case INTERNAL -> 500;
       case CONNECTION_LOST, BACKEND_FAILED -> 502;
       case QUEUE_FULL,
+          CANNOT_FINISH,
           SERVER_RATE_LIMIT,
           PROMPT_PART_BLOCKED,
           DISPLACED,
