--- a/gateway/src/test/java/org/shallothold/gateway/forward/ForwardFixture.java
+++ b/gateway/src/test/java/org/shallothold/gateway/forward/ForwardFixture.java
@@ -45,6 +45,8 @@
   private final List<ScriptedServer> servers = new ArrayList<>();
   private final List<Instance> gateways = new ArrayList<>();
   private final @Nullable InetSocketAddress seedAddress;
+  private RoutedService service =
+      new RoutedService("desk", 10, false, 0, 1, RoutedService.NO_TRANSFER);
 
   private ForwardFixture(Limits limits) {
     seedAddress = null;
@@ -173,6 +175,18 @@
     return fixture;
   }
 
+  /** Starts gateways and two model engines with events of 4 tokens, and publishes these to all. */
+  static ForwardFixture withEngines(
+      int gatewayCount, ScriptedServer.Script first, ScriptedServer.Script second)
+      throws IOException {
+    ForwardFixture fixture = new ForwardFixture(gatewayCount);
+    fixture.service = new RoutedService("desk", 10, true, 500_000, 4, RoutedService.NO_TRANSFER);
+    fixture.servers.add(ScriptedServer.start("first", first));
+    fixture.servers.add(ScriptedServer.start("second", second));
+    fixture.publish();
+    return fixture;
+  }
+
   /** Starts gateways that exchange their state and servers, and publishes these to all. */
   static ForwardFixture withGateways(int gatewayCount, List<ScriptedServer> startedServers)
       throws IOException {
@@ -400,7 +414,7 @@
                   route("/stream-once/", CallKind.STREAM_ONCE),
                   route("/stream/", CallKind.STREAM_RESUMABLE),
                   route("/private/", CallKind.REPEATABLE)),
-              List.of(new RoutedService("desk", 10, false, 0, 1, RoutedService.NO_TRANSFER)),
+              List.of(service),
               true,
               Map.of("good", new CustomerIdentity("mill", CustomerIdentity.NO_PRIORITY)),
               CallerLimits.DEFAULT));
--- a/gateway/src/test/java/org/shallothold/gateway/forward/TestTranslation.java
+++ b/gateway/src/test/java/org/shallothold/gateway/forward/TestTranslation.java
@@ -28,8 +28,8 @@
         headers.getInt("X-After", -1),
         promptParts(headers.get("X-Parts", "")),
         headers.getInt("X-Tokens", 0),
-        0,
-        0);
+        headers.getInt("X-Max-Output", 0),
+        headers.getInt("X-Output", 0));
   }
 
   /** Returns a part of 100 tokens for each of the comma-separated names. */
