--- a/core/src/main/java/org/shallothold/core/rate/HeldRequestAdmission.java
+++ b/core/src/main/java/org/shallothold/core/rate/HeldRequestAdmission.java
@@ -13,6 +13,9 @@
   private static final double MIN_RETRY_AFTER_MILLIS = 300;
   private static final double MILLIS_PER_SECOND = 1_000;
 
+  /** End of the limits of servers that don't say how long they apply. */
+  public static final long UNKNOWN_END = Long.MAX_VALUE;
+
   private HeldRequestAdmission() {}
 
   /**
@@ -25,15 +28,29 @@
   public record HeldRequest(long waitedMillis, long remainingMillis, int requestsAhead) {}
 
   /**
-   * Returns the decision for a request.
+   * Returns the decision for a request while the servers' limits have no known end.
    *
    * @param requestsPerSecond rate at which this gateway is expected to get permits
    */
   public static AdmissionDecision decide(HeldRequest request, double requestsPerSecond) {
+    return decide(request, requestsPerSecond, UNKNOWN_END);
+  }
+
+  /**
+   * Returns the decision for a request.
+   *
+   * @param requestsPerSecond rate at which this gateway is expected to get permits
+   * @param limitEndsInMillis time until the limit of a server ends, in milliseconds; {@link
+   *     #UNKNOWN_END} if it isn't known
+   */
+  public static AdmissionDecision decide(
+      HeldRequest request, double requestsPerSecond, long limitEndsInMillis) {
     double expectedWaitMillis =
-        (request.requestsAhead() + 1)
-            * MILLIS_PER_SECOND
-            / Math.max(PermitIssuer.MIN_REQUESTS_PER_SECOND, requestsPerSecond);
+        Math.min(
+            (double) limitEndsInMillis,
+            (request.requestsAhead() + 1)
+                * MILLIS_PER_SECOND
+                / Math.max(PermitIssuer.MIN_REQUESTS_PER_SECOND, requestsPerSecond));
     double maxWaitMillis = MAX_WAIT_FRACTION * (request.waitedMillis() + request.remainingMillis());
     // The request that is first in the queue waits its time out: its permit may come any moment.
     boolean reachesTurn =
--- a/core/src/main/java/org/shallothold/core/rate/PermitHolder.java
+++ b/core/src/main/java/org/shallothold/core/rate/PermitHolder.java
@@ -15,15 +15,19 @@
  */
 public final class PermitHolder {
 
-  // Permits that are used late add to those of the time in which they are used.
-  private static final long MAX_UNUSED_MILLIS = 700;
-  // From the question to the use. An interrupted connection can deliver answers late, all at once.
-  private static final long MAX_AGE_MILLIS = 1_500;
+  // Longest time for which a question matters.
+  private static final long MAX_AGE_MILLIS = PermitTerms.forStatedRate().maxAgeMillis();
   // Coordinators answer at once. A request waits no longer for one that is frozen or gone.
   private static final long ANSWER_TIMEOUT_MILLIS = 40;
   private static final long REPEAT_INTERVAL_MILLIS = 100;
+  // Servers whose coordinators are asked for one request within the time above. With many limited
+  // servers, a request would else ask for each of them.
+  private static final int MAX_QUESTIONS_PER_REQUEST = 2;
+  private static final long FIRST_PAUSE_MILLIS = 20;
 
   private final Map<String, ServerPermits> permitsByServer = new HashMap<>();
+  // Times of the latest questions for each request, the oldest request first.
+  private final Map<Long, Deque<Long>> questionMillisByRequest = new LinkedHashMap<>();
 
   private PermitHolder() {}
 
@@ -52,11 +56,20 @@
     private final Deque<Long> expiryMillis = new ArrayDeque<>();
     // By request number, the oldest question first.
     private final Map<Long, Question> questions = new LinkedHashMap<>();
+    private long pausedUntilMillis = Long.MIN_VALUE / 2;
+    private long pauseMillis;
 
     private ServerPermits(long instanceStartMillis) {
       this.instanceStartMillis = instanceStartMillis;
     }
 
+    private void recordDenial(PermitTerms terms, long nowMillis) {
+      if (nowMillis >= pausedUntilMillis && terms.maxPauseMillis() > 0) {
+        pauseMillis = Math.clamp(2 * pauseMillis, FIRST_PAUSE_MILLIS, terms.maxPauseMillis());
+        pausedUntilMillis = nowMillis + pauseMillis;
+      }
+    }
+
     private void dropExpired(long nowMillis) {
       expiryMillis.removeIf(expiry -> expiry < nowMillis);
       Iterator<Question> oldest = questions.values().iterator();
@@ -80,13 +93,24 @@
     }
     Question question = permits.questions.get(requestNumber);
     if (question == null || nowMillis - question.askedMillis() >= REPEAT_INTERVAL_MILLIS) {
-      return State.SHOULD_ASK;
+      boolean mayAsk =
+          nowMillis >= permits.pausedUntilMillis && questionsLeft(requestNumber, nowMillis) > 0;
+      return mayAsk ? State.SHOULD_ASK : State.DENIED;
     }
     boolean mayBeAnswered =
         !question.answered() && nowMillis - question.askedMillis() < ANSWER_TIMEOUT_MILLIS;
     return mayBeAnswered ? State.AWAITS_ANSWER : State.DENIED;
   }
 
+  private int questionsLeft(long requestNumber, long nowMillis) {
+    Deque<Long> asked = questionMillisByRequest.get(requestNumber);
+    if (asked == null) {
+      return MAX_QUESTIONS_PER_REQUEST;
+    }
+    asked.removeIf(millis -> nowMillis - millis >= REPEAT_INTERVAL_MILLIS);
+    return MAX_QUESTIONS_PER_REQUEST - asked.size();
+  }
+
   /** Returns whether there is a permit for a server. */
   public boolean hasPermit(String serverId, long instanceStartMillis, long nowMillis) {
     ServerPermits permits = permits(serverId, instanceStartMillis);
@@ -100,6 +124,40 @@
     Map<Long, Question> questions = permits(serverId, instanceStartMillis).questions;
     questions.remove(requestNumber);
     questions.put(requestNumber, new Question(nowMillis, false));
+    Iterator<Deque<Long>> oldest = questionMillisByRequest.values().iterator();
+    while (oldest.hasNext() && isOutdated(oldest.next(), nowMillis)) {
+      oldest.remove();
+    }
+    questionMillisByRequest
+        .computeIfAbsent(requestNumber, number -> new ArrayDeque<>())
+        .addLast(nowMillis);
+  }
+
+  private static boolean isOutdated(Deque<Long> asked, long nowMillis) {
+    return asked.isEmpty() || nowMillis - asked.getLast() >= REPEAT_INTERVAL_MILLIS;
+  }
+
+  /**
+   * Records the answer to a question about a server that states a rate.
+   *
+   * @param granted whether it is a permit
+   * @param askedMillis time of the question
+   */
+  public void recordAnswer(
+      String serverId,
+      long instanceStartMillis,
+      long requestNumber,
+      boolean granted,
+      long askedMillis,
+      long nowMillis) {
+    recordAnswer(
+        serverId,
+        instanceStartMillis,
+        requestNumber,
+        granted,
+        askedMillis,
+        PermitTerms.forStatedRate(),
+        nowMillis);
   }
 
   /**
@@ -107,6 +165,7 @@
    *
    * @param granted whether it is a permit
    * @param askedMillis time of the question
+   * @param terms terms of the server's permits
    */
   public void recordAnswer(
       String serverId,
@@ -114,14 +173,20 @@
       long requestNumber,
       boolean granted,
       long askedMillis,
+      PermitTerms terms,
       long nowMillis) {
     ServerPermits permits = permits(serverId, instanceStartMillis);
     permits.questions.computeIfPresent(
         requestNumber, (number, question) -> new Question(question.askedMillis(), true));
-    long expiry = Math.min(nowMillis + MAX_UNUSED_MILLIS, askedMillis + MAX_AGE_MILLIS);
+    long expiry = Math.min(nowMillis + terms.maxUnusedMillis(), askedMillis + terms.maxAgeMillis());
     if (granted && expiry >= nowMillis) {
       permits.expiryMillis.addLast(expiry);
     }
+    if (granted) {
+      permits.pauseMillis = 0;
+    } else {
+      permits.recordDenial(terms, nowMillis);
+    }
   }
 
   /**
@@ -143,6 +208,11 @@
     return permitsByServer.values().stream().mapToInt(permits -> permits.expiryMillis.size()).sum();
   }
 
+  /** Drops the permits for a server, which must not get requests at the rate of their issue. */
+  public void drop(String serverId) {
+    permitsByServer.remove(serverId);
+  }
+
   /** Keeps the state of the given servers only. */
   public void retain(Predicate<String> servers) {
     permitsByServer.keySet().removeIf(servers.negate());
--- a/experiment/src/main/java/org/shallothold/experiment/rate/StandinTranslation.java
+++ b/experiment/src/main/java/org/shallothold/experiment/rate/StandinTranslation.java
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.List;
+import org.shallothold.core.rate.ColdFigure;
 import org.shallothold.core.rate.RateStatement;
 import org.shallothold.gateway.forward.port.BackendRequestMetadata;
 import org.shallothold.gateway.forward.port.HeaderTranslation;
@@ -45,6 +46,7 @@
         false,
         0,
         rate == null ? RateStatement.unlimited() : RateStatement.parse(rate),
+        ColdFigure.absent(),
         -1);
   }
 
--- a/gateway/src/main/java/org/shallothold/gateway/forward/Attempt.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/Attempt.java
@@ -211,6 +211,7 @@
     forwarder
         .state()
         .recordRateStatement(server.entry(), responseFacts.rateStatement(), sentMillis);
+    forwarder.state().coldStarts().responseRead(server.entry(), responseFacts.coldFigure());
     if (responseFacts.retryAfterMillis() > 0) {
       forwarder
           .state()
--- a/gateway/src/main/java/org/shallothold/gateway/forward/ForwardGauges.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/ForwardGauges.java
@@ -28,6 +28,8 @@
   private final Gauge liveGateways;
   private final Gauge rateLimitedServers;
   private final Gauge statedRate;
+  private final Gauge coldServers;
+  private final Gauge coldRate;
   private final Gauge sendPermits;
   private final Gauge restrictedParts;
   private final Gauge partTrials;
@@ -81,6 +83,14 @@
             "shallothold_stated_rate_requests_per_second",
             "Sum of the rate limits that backend servers state for all gateways together.",
             "service");
+    coldServers =
+        metrics.gauge(
+            "shallothold_cold_servers", "Listed backend servers that are cold.", "service");
+    coldRate =
+        metrics.gauge(
+            "shallothold_cold_rate_requests_per_second",
+            "Sum of the rates at which all gateways may send to cold backend servers.",
+            "service");
     sendPermits =
         metrics.gauge(
             "shallothold_send_permits", "Permits for sends to servers that state a rate limit.");
@@ -129,6 +139,8 @@
     backlog.clear();
     rateLimitedServers.clear();
     statedRate.clear();
+    coldServers.clear();
+    coldRate.clear();
     for (TrackedServer server : state.allServers()) {
       String service = server.entry().service();
       backendServers.labelValues(service, availability(server, nowMillis)).inc();
@@ -138,6 +150,12 @@
         rateLimitedServers.labelValues(service).inc();
         statedRate.labelValues(service).inc(requestsPerSecond);
       }
+      double coldRequestsPerSecond =
+          state.coldStarts().requestsPerSecond(server.entry().id(), nowMillis);
+      if (coldRequestsPerSecond < RateObservation.NO_LIMIT) {
+        coldServers.labelValues(service).inc();
+        coldRate.labelValues(service).inc(coldRequestsPerSecond);
+      }
     }
     backendConnections.set(state.connections());
   }
--- a/gateway/src/main/java/org/shallothold/gateway/forward/ForwardMetrics.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/ForwardMetrics.java
@@ -17,6 +17,9 @@
   final Counter rateLimitedSends;
   final Counter requestsHeldForRate;
   final Counter misdirectedPermitRequests;
+  final Counter coldPhases;
+  final Counter coldSends;
+  final Counter requestsHeldForCold;
   final Counter additionalBytes;
   final Counter foreignBytes;
   final Counter buffersShed;
@@ -62,6 +65,19 @@
         metrics.counter(
             "shallothold_misdirected_permit_requests_total",
             "Requests for send permits that reached a gateway that does not coordinate the server.");
+    coldPhases =
+        metrics.counter(
+            "shallothold_cold_phases_total",
+            "Times that a backend server became cold, by this gateway's knowledge.",
+            "service");
+    coldSends =
+        metrics.counter(
+            "shallothold_cold_sends_total", "Sends to backend servers that are cold.", "service");
+    requestsHeldForCold =
+        metrics.counter(
+            "shallothold_requests_held_for_cold_total",
+            "Requests that did not go to the chosen server because it is cold.",
+            "service");
     additionalBytes =
         metrics.counter(
             "shallothold_additional_bytes_connections_total",
--- a/gateway/src/main/java/org/shallothold/gateway/forward/ForwardedRequest.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/ForwardedRequest.java
@@ -349,10 +349,10 @@
     }
     heldForRate = true;
     forwarder.rateLimits().recordHeld(server);
-    trace
-        .addLine("server_over_rate")
-        .with("server", server.entry().id())
-        .with("stated_rate", statedRateText(server));
+    forwarder
+        .rateLimits()
+        .describe(
+            trace.addLine("server_over_rate").with("server", server.entry().id()), server.entry());
   }
 
   String statedRateText(TrackedServer server) {
--- a/gateway/src/main/java/org/shallothold/gateway/forward/ForwardingGateway.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/ForwardingGateway.java
@@ -25,6 +25,7 @@
 import org.shallothold.runtime.logging.LogLine;
 import org.shallothold.runtime.logging.StructuredLog;
 import org.shallothold.wire.connection.Transport;
+import org.shallothold.wire.proto.ColdState;
 import org.shallothold.wire.proto.CrashEvidence;
 import org.shallothold.wire.proto.EngineSpeed;
 import org.shallothold.wire.proto.FleetNews;
@@ -424,6 +425,10 @@
           && (rate.isLimited() || nowMillis - rate.observedMillis() <= RATE_END_REPORT_MILLIS)) {
         work.setStatedRate(StatedRateLimits.toProto(rate, nowMillis));
       }
+      ColdState cold = state.coldStarts().toProto(server.entry().id(), nowMillis);
+      if (cold != null) {
+        work.setCold(cold);
+      }
       return work.build();
     }
 
@@ -431,7 +436,8 @@
       return work.getRequests() > 0
           || work.getSentReadMillis() > 0
           || work.hasLeavingLife()
-          || work.hasStatedRate();
+          || work.hasStatedRate()
+          || work.hasCold();
     }
 
     private static PrefixRead toProto(PrefixReads.Read read) {
@@ -477,6 +483,9 @@
         state.recordRate(
             work.getServerId(), StatedRateLimits.fromProto(work.getStatedRate(), nowMillis), peer);
       }
+      if (work.hasCold()) {
+        state.coldStarts().reported(work.getServerId(), work.getCold(), peer);
+      }
       TrackedServer server = state.server(work.getServerId());
       if (server == null) {
         return;
@@ -542,10 +551,15 @@
       if (PromptPartQuarantine.isTrial(request)) {
         return forwarder.promptParts().answer(peer, request);
       }
-      state.recordRate(
-          request.getServerId(),
-          StatedRateLimits.fromProto(request.getStatedRate(), MonotonicClock.millis()),
-          peer);
+      if (request.hasStatedRate()) {
+        state.recordRate(
+            request.getServerId(),
+            StatedRateLimits.fromProto(request.getStatedRate(), MonotonicClock.millis()),
+            peer);
+      }
+      if (request.hasCold()) {
+        state.coldStarts().reported(request.getServerId(), request.getCold(), peer);
+      }
       return forwarder.rateLimits().answer(request);
     }
 
--- a/gateway/src/main/java/org/shallothold/gateway/forward/RoutingState.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/RoutingState.java
@@ -25,6 +25,7 @@
 import org.shallothold.core.rate.RateObservation;
 import org.shallothold.core.rate.RateStatement;
 import org.shallothold.core.rate.StatedRates;
+import org.shallothold.core.route.ColdStart;
 import org.shallothold.core.route.RouteConfiguration;
 import org.shallothold.core.route.RoutedService;
 import org.shallothold.gateway.forward.backend.BackendPool;
@@ -77,6 +78,8 @@
   private @Nullable RouteConfiguration configuration;
   private long configurationRevision;
   private Set<String> evacuatedDomains = Set.of();
+  private final ColdStarts coldStarts;
+  private boolean firstListApplied;
 
   /**
    * A server's request for no further requests from this gateway.
@@ -97,6 +100,7 @@
     this.decoder = decoder;
     this.translation = translation;
     this.log = log;
+    this.coldStarts = new ColdStarts(this::coldStart, this::server, log, metrics);
     for (PublishedTopic topic : PublishedTopic.values()) {
       publishedStates.put(topic, PublishedState.empty());
       contacts.put(topic, PlatformContact.create());
@@ -362,6 +366,11 @@
     rateChangeListener.accept(serverId);
   }
 
+  /** Returns the servers that are cold. */
+  ColdStarts coldStarts() {
+    return coldStarts;
+  }
+
   /** Returns the known rate limits of all servers. */
   StatedRates statedRates() {
     return statedRates;
@@ -386,6 +395,7 @@
     long nowMillis = MonotonicClock.millis();
     backoffs.values().removeIf(backoff -> backoff.untilMillis() <= nowMillis);
     pools.values().forEach(BackendPool::closeExpired);
+    coldStarts.maintain();
   }
 
   private void dropExpiredItems() {
@@ -459,7 +469,14 @@
         .forEach(domain -> logEvacuation("evacuation_begun", domain, source));
     former.stream()
         .filter(domain -> !evacuated.contains(domain))
-        .forEach(domain -> logEvacuation("evacuation_ended", domain, source));
+        .forEach(
+            domain -> {
+              logEvacuation("evacuation_ended", domain, source);
+              coldStarts.evacuationEnded(
+                  domain,
+                  asOf(PublishedTopic.CONFIGURATION),
+                  servers.values().stream().filter(isIn(domain)).toList());
+            });
   }
 
   private void logEvacuation(String event, String domain, String source) {
@@ -503,6 +520,7 @@
               entry -> {
                 listed.add(entry.id());
                 putServer(entry, source);
+                coldStarts.entryRead(entry, item.revision(), () -> decoder.coldFigure(item));
               });
     }
     for (String id : List.copyOf(servers.keySet())) {
@@ -510,6 +528,7 @@
         removeServer(id, source);
       }
     }
+    firstListApplied = true;
     serversByService.clear();
     servers
         .values()
@@ -548,8 +567,12 @@
       applyLeaving(added);
       applyEvacuation(added);
       applyBackoff(added);
+      coldStarts.listed(entry, !firstListApplied);
       return;
     }
+    if (known.entry().startedMillis() != entry.startedMillis()) {
+      coldStarts.listed(entry, !firstListApplied);
+    }
     boolean moved =
         !known.entry().host().equals(entry.host())
             || known.entry().port() != entry.port()
@@ -590,6 +613,13 @@
     }
   }
 
+  private ColdStart coldStart(String service) {
+    return configuration()
+        .flatMap(known -> known.service(service))
+        .map(RoutedService::coldStart)
+        .orElse(ColdStart.NONE);
+  }
+
   private long cacheTokens(String service) {
     return configuration()
         .flatMap(known -> known.service(service))
--- a/gateway/src/main/java/org/shallothold/gateway/forward/ServiceQueue.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/ServiceQueue.java
@@ -258,8 +258,8 @@
   }
 
   /**
-   * Lets a request for which there is no server wait if servers would take it but for their stated
-   * rates, and ends it otherwise; returns whether it waits.
+   * Lets a request for which there is no server wait if servers would take it but for the rate at
+   * which they take requests, and ends it otherwise; returns whether it waits.
    *
    * @param requestsAhead requests ahead of it that wait for the same reason
    */
@@ -280,13 +280,18 @@
     rateLimits.admit(
         limited.get(ThreadLocalRandom.current().nextInt(limited.size())), request.number());
     double requestsPerSecond =
-        limited.stream().mapToDouble(server -> state.statedRate(server.entry())).sum()
-            / gatewayCount.getAsInt();
+        limited.stream().mapToDouble(rateLimits::requestsPerSecond).sum() / gatewayCount.getAsInt();
+    long limitEndsInMillis =
+        limited.stream()
+            .mapToLong(rateLimits::limitEndsInMillis)
+            .min()
+            .orElse(HeldRequestAdmission.UNKNOWN_END);
     AdmissionDecision decision =
         HeldRequestAdmission.decide(
             new HeldRequestAdmission.HeldRequest(
                 nowMillis - request.arrivedMillis(), request.remainingMillis(), requestsAhead),
-            requestsPerSecond);
+            requestsPerSecond,
+            limitEndsInMillis);
     return switch (decision) {
       case AdmissionDecision.Refuse refuse -> {
         waitingRequests.remove(request);
--- a/gateway/src/main/java/org/shallothold/gateway/forward/StatedRateLimits.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/StatedRateLimits.java
@@ -9,21 +9,24 @@
 import org.shallothold.core.membership.ServerEntry;
 import org.shallothold.core.placement.TrackedServer;
 import org.shallothold.core.rate.Coordinators;
+import org.shallothold.core.rate.HeldRequestAdmission;
 import org.shallothold.core.rate.PermitHolder;
 import org.shallothold.core.rate.PermitIssuer;
+import org.shallothold.core.rate.PermitTerms;
 import org.shallothold.core.rate.RateObservation;
 import org.shallothold.core.rate.StatedRates;
 import org.shallothold.runtime.logging.LogLine;
 import org.shallothold.runtime.logging.StructuredLog;
+import org.shallothold.wire.proto.ColdState;
 import org.shallothold.wire.proto.SendPermitAnswer;
 import org.shallothold.wire.proto.SendPermitRequest;
 import org.shallothold.wire.proto.StatedRate;
 
 /**
- * Keeps what all gateways together send to a server within the rate that the server states. Each
- * such server has a coordinator among the gateways, which issues a permit for each request; a
- * gateway sends a request only with a permit. Servers without a stated rate cause no work. Owned by
- * the event loop.
+ * Keeps what all gateways together send to a server within the rate that the server states, and the
+ * one that it tolerates while it is cold. Each such server has a coordinator among the gateways,
+ * which issues a permit for each request; a gateway sends a request only with a permit. Servers
+ * without such a rate cause no work. Owned by the event loop.
  */
 final class StatedRateLimits {
 
@@ -32,6 +35,7 @@
   private static final long SETTLE_MILLIS = 3_000;
 
   private final StatedRates rates;
+  private final ColdStarts coldStarts;
   private final StructuredLog log;
   private final ForwardMetrics metrics;
   private final PermitIssuer issuer = PermitIssuer.create();
@@ -69,8 +73,10 @@
     private int issued;
   }
 
-  StatedRateLimits(StatedRates rates, StructuredLog log, ForwardMetrics metrics) {
+  StatedRateLimits(
+      StatedRates rates, ColdStarts coldStarts, StructuredLog log, ForwardMetrics metrics) {
     this.rates = rates;
+    this.coldStarts = coldStarts;
     this.log = log;
     this.metrics = metrics;
   }
@@ -91,7 +97,12 @@
     issuer.gatewaysChanged(this::isCoordinator, MonotonicClock.millis() + SETTLE_MILLIS);
   }
 
-  /** Returns whether the server states no rate or there is a permit for it. */
+  /** Drops the permits for a server that became cold, which were issued at a higher rate. */
+  void becameCold(String serverId) {
+    holder.drop(serverId);
+  }
+
+  /** Returns whether the server needs no permit or there is one for it. */
   boolean admits(TrackedServer server) {
     ServerEntry entry = server.entry();
     return !isLimited(entry)
@@ -99,7 +110,43 @@
   }
 
   private boolean isLimited(ServerEntry server) {
-    return rates.requestsPerSecond(server.id(), server.startedMillis()) < RateObservation.NO_LIMIT;
+    return requestsPerSecond(server.id(), server.startedMillis(), MonotonicClock.millis())
+        < RateObservation.NO_LIMIT;
+  }
+
+  private double requestsPerSecond(String serverId, long instanceStartMillis, long nowMillis) {
+    return Math.min(
+        rates.requestsPerSecond(serverId, instanceStartMillis),
+        coldStarts.requestsPerSecond(serverId, nowMillis));
+  }
+
+  /**
+   * Returns the rate at which all gateways together may send to a server now, in requests per
+   * second; {@link RateObservation#NO_LIMIT} if there is no limit.
+   */
+  double requestsPerSecond(TrackedServer server) {
+    ServerEntry entry = server.entry();
+    return requestsPerSecond(entry.id(), entry.startedMillis(), MonotonicClock.millis());
+  }
+
+  /**
+   * Returns the time until the limit of a server ends, in milliseconds; {@link
+   * HeldRequestAdmission#UNKNOWN_END} if it isn't known.
+   */
+  long limitEndsInMillis(TrackedServer server) {
+    ServerEntry entry = server.entry();
+    boolean statesRate =
+        rates.requestsPerSecond(entry.id(), entry.startedMillis()) < RateObservation.NO_LIMIT;
+    return statesRate
+        ? HeldRequestAdmission.UNKNOWN_END
+        : coldStarts.remainingMillis(entry.id(), MonotonicClock.millis());
+  }
+
+  private PermitTerms terms(String serverId, long nowMillis) {
+    double coldRequestsPerSecond = coldStarts.requestsPerSecond(serverId, nowMillis);
+    return coldRequestsPerSecond < RateObservation.NO_LIMIT
+        ? PermitTerms.forStartingServer(coldRequestsPerSecond, gateways.live().size())
+        : PermitTerms.forStatedRate();
   }
 
   /**
@@ -125,32 +172,65 @@
   private Admission ask(ServerEntry server, long requestNumber, long nowMillis) {
     holder.recordQuestion(server.id(), server.startedMillis(), requestNumber, nowMillis);
     Optional<String> coordinator = coordinator(server.id());
-    RateObservation observation = rates.latest(server.id(), server.startedMillis());
-    if (coordinator.isEmpty() || observation == null) {
+    if (coordinator.isEmpty()) {
       return Admission.DENIED;
     }
     if (coordinator.get().equals(gateways.ownAddress())) {
       boolean granted = tryIssue(server.id(), server.startedMillis(), nowMillis);
       holder.recordAnswer(
-          server.id(), server.startedMillis(), requestNumber, granted, nowMillis, nowMillis);
+          server.id(),
+          server.startedMillis(),
+          requestNumber,
+          granted,
+          nowMillis,
+          terms(server.id(), nowMillis),
+          nowMillis);
       return granted ? Admission.ADMITTED : Admission.DENIED;
     }
-    boolean sent =
-        gateways.send(
-            coordinator.get(),
-            SendPermitRequest.newBuilder()
-                .setServerId(server.id())
-                .setStatedRate(toProto(observation, nowMillis))
-                .setRequestNumber(requestNumber)
-                .setAskedMillis(nowMillis)
-                .build());
+    boolean sent = gateways.send(coordinator.get(), question(server, requestNumber, nowMillis));
     return sent ? Admission.AWAITS_ANSWER : Admission.DENIED;
   }
 
+  private SendPermitRequest question(ServerEntry server, long requestNumber, long nowMillis) {
+    SendPermitRequest.Builder question =
+        SendPermitRequest.newBuilder()
+            .setServerId(server.id())
+            .setRequestNumber(requestNumber)
+            .setAskedMillis(nowMillis);
+    RateObservation observation = rates.latest(server.id(), server.startedMillis());
+    if (observation != null) {
+      question.setStatedRate(toProto(observation, nowMillis));
+    }
+    ColdState cold = coldStarts.toCoordinator(server.id(), nowMillis);
+    if (cold != null) {
+      // The coordinator may know another instance than the sender lists.
+      question.setCold(cold.toBuilder().setInstanceStart(server.startedMillis()));
+    }
+    return question.build();
+  }
+
+  /** Adds to a log line what limits the rate of a server. */
+  void describe(LogLine line, ServerEntry server) {
+    double statedRate = rates.requestsPerSecond(server.id(), server.startedMillis());
+    line.with("stated_rate", RateObservation.toText(statedRate));
+    long nowMillis = MonotonicClock.millis();
+    long coldMillis = coldStarts.remainingMillis(server.id(), nowMillis);
+    if (coldMillis > 0) {
+      line.with("cold_millis", coldMillis)
+          .with(
+              "cold_rate",
+              RateObservation.toText(coldStarts.requestsPerSecond(server.id(), nowMillis)));
+    }
+  }
+
   /** Records that a request was held: it was sent elsewhere, waits or is refused. */
   void recordHeld(TrackedServer server) {
-    usage(server.entry().id()).held++;
-    metrics.requestsHeldForRate.labelValues(server.entry().service()).inc();
+    ServerEntry entry = server.entry();
+    usage(entry.id()).held++;
+    if (rates.requestsPerSecond(entry.id(), entry.startedMillis()) < RateObservation.NO_LIMIT) {
+      metrics.requestsHeldForRate.labelValues(entry.service()).inc();
+    }
+    coldStarts.recordHeld(entry.id());
   }
 
   /** Uses up a permit for a request that is being sent. */
@@ -160,19 +240,25 @@
       return;
     }
     usage(entry.id()).sends++;
-    metrics.rateLimitedSends.labelValues(entry.service()).inc();
+    if (rates.requestsPerSecond(entry.id(), entry.startedMillis()) < RateObservation.NO_LIMIT) {
+      metrics.rateLimitedSends.labelValues(entry.service()).inc();
+    }
+    coldStarts.recordSend(entry.id());
     if (!holder.tryUse(entry.id(), entry.startedMillis(), MonotonicClock.millis())) {
       log.add(LogLine.of("sent_without_permit").with("server", entry.id()));
     }
   }
 
   /**
-   * Returns the answer to another gateway that asks for a permit. The rate that it stated was
+   * Returns the answer to another gateway that asks for a permit. What it stated of the server was
    * recorded before. It gets none unless this gateway is the coordinator: the gateways know of
    * different gateways then, and learn of the difference.
    */
   SendPermitAnswer answer(SendPermitRequest request) {
-    long instance = request.getStatedRate().getInstanceStart();
+    long instance =
+        request.hasStatedRate()
+            ? request.getStatedRate().getInstanceStart()
+            : request.getCold().getInstanceStart();
     boolean coordinates = isCoordinator(request.getServerId());
     if (!coordinates) {
       metrics.misdirectedPermitRequests.inc();
@@ -190,13 +276,15 @@
 
   /** Records a coordinator's answer. */
   void answerReceived(SendPermitAnswer answer) {
+    long nowMillis = MonotonicClock.millis();
     holder.recordAnswer(
         answer.getServerId(),
         answer.getInstanceStart(),
         answer.getRequestNumber(),
         answer.getGranted(),
         answer.getAskedMillis(),
-        MonotonicClock.millis());
+        terms(answer.getServerId(), nowMillis),
+        nowMillis);
     answerListener.answered(answer.getServerId(), answer.getRequestNumber());
   }
 
@@ -205,14 +293,20 @@
    * which issues the rest of the rate.
    */
   private boolean tryIssue(String serverId, long instanceStartMillis, long nowMillis) {
-    double requestsPerSecond = rates.requestsPerSecond(serverId, instanceStartMillis);
+    if (coldStarts.isHeldBack(serverId, nowMillis)) {
+      return false;
+    }
+    double requestsPerSecond = requestsPerSecond(serverId, instanceStartMillis, nowMillis);
     boolean issued =
         issuer.tryIssue(
             serverId,
             instanceStartMillis,
             requestsPerSecond * gateways.reachableFraction(),
             nowMillis);
-    usage(serverId).issued += issued ? 1 : 0;
+    if (issued) {
+      usage(serverId).issued++;
+      coldStarts.recordIssued(serverId);
+    }
     return issued;
   }
 
@@ -234,11 +328,13 @@
     Set<String> limitedServers = new HashSet<>();
     for (TrackedServer server : servers) {
       ServerEntry entry = server.entry();
+      if (isLimited(entry)) {
+        limitedServers.add(entry.id());
+      }
       RateObservation observation = rates.latest(entry.id(), entry.startedMillis());
       if (observation == null || !observation.isLimited()) {
         continue;
       }
-      limitedServers.add(entry.id());
       Usage usage = usage(entry.id());
       log.add(
           LogLine.of("server_rate_use")
--- a/gateway/src/main/java/org/shallothold/gateway/forward/port/PublishedDecoder.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/port/PublishedDecoder.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import org.shallothold.core.membership.ServerEntry;
 import org.shallothold.core.publish.PublishedItem;
+import org.shallothold.core.rate.ColdFigure;
 import org.shallothold.core.route.RouteConfiguration;
 
 /**
@@ -22,4 +23,9 @@
 
   /** Returns the backend server of an item, or empty if the item describes no usable server. */
   Optional<ServerEntry> server(PublishedItem item);
+
+  /** Returns how long the backend server of an item stays cold, by its entry. */
+  default ColdFigure coldFigure(PublishedItem item) {
+    return ColdFigure.absent();
+  }
 }
--- a/gateway/src/main/java/org/shallothold/gateway/forward/port/ResponseMetadata.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/port/ResponseMetadata.java
@@ -1,6 +1,7 @@
 package org.shallothold.gateway.forward.port;
 
 import org.jspecify.annotations.Nullable;
+import org.shallothold.core.rate.ColdFigure;
 import org.shallothold.core.rate.RateStatement;
 
 /**
@@ -17,6 +18,7 @@
  *     requests, in milliseconds; 0 if unspecified
  * @param rateStatement what the server states about the rate of requests that it takes from all
  *     gateways together
+ * @param coldFigure how long the server states that it stays cold
  * @param keepAliveMillis time after which the server closes the connection if it stays idle, in
  *     milliseconds; -1 if unspecified
  */
@@ -29,4 +31,5 @@
     boolean leaving,
     long retryAfterMillis,
     RateStatement rateStatement,
+    ColdFigure coldFigure,
     long keepAliveMillis) {}
--- a/gateway/src/test/java/org/shallothold/gateway/forward/ForwardFixture.java
+++ b/gateway/src/test/java/org/shallothold/gateway/forward/ForwardFixture.java
@@ -24,8 +24,10 @@
 import org.shallothold.core.membership.ServerEntry;
 import org.shallothold.core.memory.MemoryBudget;
 import org.shallothold.core.publish.PublishedItem;
+import org.shallothold.core.rate.ColdFigure;
 import org.shallothold.core.route.CallKind;
 import org.shallothold.core.route.CallerLimits;
+import org.shallothold.core.route.ColdStart;
 import org.shallothold.core.route.CustomerIdentity;
 import org.shallothold.core.route.Route;
 import org.shallothold.core.route.RouteConfiguration;
@@ -45,6 +47,8 @@
   private final List<ScriptedServer> servers = new ArrayList<>();
   private final List<Instance> gateways = new ArrayList<>();
   private final @Nullable InetSocketAddress seedAddress;
+  // Read by the event loops when the configuration is published.
+  private volatile ColdStart coldStart = ColdStart.NONE;
 
   private ForwardFixture(Limits limits) {
     seedAddress = null;
@@ -173,6 +177,65 @@
     return fixture;
   }
 
+  /**
+   * Starts gateways that exchange their state and two servers of a service whose servers start
+   * cold, and publishes both to all.
+   */
+  static ForwardFixture withColdStart(
+      int gatewayCount,
+      ColdStart coldStart,
+      ScriptedServer.Script first,
+      ScriptedServer.Script second)
+      throws IOException {
+    ForwardFixture fixture = new ForwardFixture(gatewayCount);
+    fixture.coldStart = coldStart;
+    fixture.servers.add(ScriptedServer.start("first", first));
+    fixture.servers.add(ScriptedServer.start("second", second));
+    fixture.publish();
+    return fixture;
+  }
+
+  /**
+   * Starts gateways as {@link #withColdStart}, but publishes only the second server; the first one
+   * starts with its first entry.
+   */
+  static ForwardFixture withLaterServer(
+      int gatewayCount,
+      ColdStart coldStart,
+      ScriptedServer.Script first,
+      ScriptedServer.Script second)
+      throws IOException {
+    ForwardFixture fixture = new ForwardFixture(gatewayCount);
+    fixture.coldStart = coldStart;
+    fixture.servers.add(ScriptedServer.start("first", first));
+    fixture.servers.add(ScriptedServer.start("second", second));
+    fixture.publish(List.of(fixture.second()), 1);
+    return fixture;
+  }
+
+  /**
+   * Publishes the entries of some servers to one of the gateways, as the platform.
+   *
+   * @param entries by server id, the figure in the entry that says how long the server stays cold;
+   *     empty if there is none
+   */
+  void publishServers(int gateway, long revision, Map<String, String> entries) {
+    onEventLoop(
+        gateways.get(gateway),
+        listener ->
+            listener.itemsRead(
+                PublishedTopic.SERVERS,
+                entries.entrySet().stream()
+                    .map(
+                        entry ->
+                            new PublishedItem(
+                                entry.getKey(),
+                                entry.getValue().getBytes(StandardCharsets.UTF_8),
+                                revision))
+                    .toList(),
+                revision));
+  }
+
   /** Starts gateways that exchange their state and servers, and publishes these to all. */
   static ForwardFixture withGateways(int gatewayCount, List<ScriptedServer> startedServers)
       throws IOException {
@@ -400,7 +463,8 @@
                   route("/stream-once/", CallKind.STREAM_ONCE),
                   route("/stream/", CallKind.STREAM_RESUMABLE),
                   route("/private/", CallKind.REPEATABLE)),
-              List.of(new RoutedService("desk", 10, false, 0, 1, RoutedService.NO_TRANSFER)),
+              List.of(
+                  new RoutedService("desk", 10, false, 0, 1, RoutedService.NO_TRANSFER, coldStart)),
               true,
               Map.of("good", new CustomerIdentity("mill", CustomerIdentity.NO_PRIORITY)),
               CallerLimits.DEFAULT));
@@ -413,6 +477,13 @@
           : Optional.empty();
     }
 
+    @Override
+    public ColdFigure coldFigure(PublishedItem item) {
+      return item.value().length == 0
+          ? ColdFigure.absent()
+          : ColdFigure.parse(new String(item.value(), StandardCharsets.UTF_8));
+    }
+
     @Override
     public Optional<ServerEntry> server(PublishedItem item) {
       return servers.stream()
--- a/gateway/src/test/java/org/shallothold/gateway/forward/TestTranslation.java
+++ b/gateway/src/test/java/org/shallothold/gateway/forward/TestTranslation.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import org.shallothold.core.hash.Hashing;
 import org.shallothold.core.placement.PromptPart;
+import org.shallothold.core.rate.ColdFigure;
 import org.shallothold.core.rate.RateStatement;
 import org.shallothold.gateway.forward.port.BackendRequestMetadata;
 import org.shallothold.gateway.forward.port.HeaderTranslation;
@@ -75,6 +76,7 @@
         headers.contains("X-Limit")
             ? RateStatement.parse(headers.get("X-Limit"))
             : RateStatement.unlimited(),
+        ColdFigure.parse(headers.get("X-Cold")),
         -1);
   }
 
--- a/wire/src/main/java/org/shallothold/wire/proto/OpenWork.java
+++ b/wire/src/main/java/org/shallothold/wire/proto/OpenWork.java
@@ -210,6 +210,82 @@
     return statedRate_ == null ? org.shallothold.wire.proto.StatedRate.getDefaultInstance() : statedRate_;
   }
 
+  public static final int COLD_FIELD_NUMBER = 9;
+  private org.shallothold.wire.proto.ColdState cold_;
+  /**
+   * <pre>
+   * Absent if the server isn't cold.
+   * </pre>
+   *
+   * <code>.shallothold.ColdState cold = 9;</code>
+   * @return Whether the cold field is set.
+   */
+  @java.lang.Override
+  public boolean hasCold() {
+    return ((bitField0_ & 0x00000004) != 0);
+  }
+  /**
+   * <pre>
+   * Absent if the server isn't cold.
+   * </pre>
+   *
+   * <code>.shallothold.ColdState cold = 9;</code>
+   * @return The cold.
+   */
+  @java.lang.Override
+  public org.shallothold.wire.proto.ColdState getCold() {
+    return cold_ == null ? org.shallothold.wire.proto.ColdState.getDefaultInstance() : cold_;
+  }
+  /**
+   * <pre>
+   * Absent if the server isn't cold.
+   * </pre>
+   *
+   * <code>.shallothold.ColdState cold = 9;</code>
+   */
+  @java.lang.Override
+  public org.shallothold.wire.proto.ColdStateOrBuilder getColdOrBuilder() {
+    return cold_ == null ? org.shallothold.wire.proto.ColdState.getDefaultInstance() : cold_;
+  }
+
+  public static final int RAMP_UP_FIELD_NUMBER = 10;
+  private org.shallothold.wire.proto.RampUpState rampUp_;
+  /**
+   * <pre>
+   * Absent if the server did not start or recover lately.
+   * </pre>
+   *
+   * <code>.shallothold.RampUpState ramp_up = 10;</code>
+   * @return Whether the rampUp field is set.
+   */
+  @java.lang.Override
+  public boolean hasRampUp() {
+    return ((bitField0_ & 0x00000008) != 0);
+  }
+  /**
+   * <pre>
+   * Absent if the server did not start or recover lately.
+   * </pre>
+   *
+   * <code>.shallothold.RampUpState ramp_up = 10;</code>
+   * @return The rampUp.
+   */
+  @java.lang.Override
+  public org.shallothold.wire.proto.RampUpState getRampUp() {
+    return rampUp_ == null ? org.shallothold.wire.proto.RampUpState.getDefaultInstance() : rampUp_;
+  }
+  /**
+   * <pre>
+   * Absent if the server did not start or recover lately.
+   * </pre>
+   *
+   * <code>.shallothold.RampUpState ramp_up = 10;</code>
+   */
+  @java.lang.Override
+  public org.shallothold.wire.proto.RampUpStateOrBuilder getRampUpOrBuilder() {
+    return rampUp_ == null ? org.shallothold.wire.proto.RampUpState.getDefaultInstance() : rampUp_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -245,6 +321,12 @@
     if (((bitField0_ & 0x00000002) != 0)) {
       output.writeMessage(8, getStatedRate());
     }
+    if (((bitField0_ & 0x00000004) != 0)) {
+      output.writeMessage(9, getCold());
+    }
+    if (((bitField0_ & 0x00000008) != 0)) {
+      output.writeMessage(10, getRampUp());
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -281,6 +363,14 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(8, getStatedRate());
     }
+    if (((bitField0_ & 0x00000004) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(9, getCold());
+    }
+    if (((bitField0_ & 0x00000008) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(10, getRampUp());
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -316,6 +406,16 @@
       if (!getStatedRate()
           .equals(other.getStatedRate())) return false;
     }
+    if (hasCold() != other.hasCold()) return false;
+    if (hasCold()) {
+      if (!getCold()
+          .equals(other.getCold())) return false;
+    }
+    if (hasRampUp() != other.hasRampUp()) return false;
+    if (hasRampUp()) {
+      if (!getRampUp()
+          .equals(other.getRampUp())) return false;
+    }
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -347,6 +447,14 @@
       hash = (37 * hash) + STATED_RATE_FIELD_NUMBER;
       hash = (53 * hash) + getStatedRate().hashCode();
     }
+    if (hasCold()) {
+      hash = (37 * hash) + COLD_FIELD_NUMBER;
+      hash = (53 * hash) + getCold().hashCode();
+    }
+    if (hasRampUp()) {
+      hash = (37 * hash) + RAMP_UP_FIELD_NUMBER;
+      hash = (53 * hash) + getRampUp().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -482,6 +590,8 @@
       if (com.google.protobuf.GeneratedMessage
               .alwaysUseFieldBuilders) {
         internalGetStatedRateFieldBuilder();
+        internalGetColdFieldBuilder();
+        internalGetRampUpFieldBuilder();
       }
     }
     @java.lang.Override
@@ -499,6 +609,16 @@
         statedRateBuilder_.dispose();
         statedRateBuilder_ = null;
       }
+      cold_ = null;
+      if (coldBuilder_ != null) {
+        coldBuilder_.dispose();
+        coldBuilder_ = null;
+      }
+      rampUp_ = null;
+      if (rampUpBuilder_ != null) {
+        rampUpBuilder_.dispose();
+        rampUpBuilder_ = null;
+      }
       return this;
     }
 
@@ -558,6 +678,18 @@
             : statedRateBuilder_.build();
         to_bitField0_ |= 0x00000002;
       }
+      if (((from_bitField0_ & 0x00000080) != 0)) {
+        result.cold_ = coldBuilder_ == null
+            ? cold_
+            : coldBuilder_.build();
+        to_bitField0_ |= 0x00000004;
+      }
+      if (((from_bitField0_ & 0x00000100) != 0)) {
+        result.rampUp_ = rampUpBuilder_ == null
+            ? rampUp_
+            : rampUpBuilder_.build();
+        to_bitField0_ |= 0x00000008;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -596,6 +728,12 @@
       if (other.hasStatedRate()) {
         mergeStatedRate(other.getStatedRate());
       }
+      if (other.hasCold()) {
+        mergeCold(other.getCold());
+      }
+      if (other.hasRampUp()) {
+        mergeRampUp(other.getRampUp());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -659,6 +797,20 @@
               bitField0_ |= 0x00000040;
               break;
             } // case 66
+            case 74: {
+              input.readMessage(
+                  internalGetColdFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bitField0_ |= 0x00000080;
+              break;
+            } // case 74
+            case 82: {
+              input.readMessage(
+                  internalGetRampUpFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bitField0_ |= 0x00000100;
+              break;
+            } // case 82
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1113,6 +1265,320 @@
       return statedRateBuilder_;
     }
 
+    private org.shallothold.wire.proto.ColdState cold_;
+    private com.google.protobuf.SingleFieldBuilder<
+        org.shallothold.wire.proto.ColdState, org.shallothold.wire.proto.ColdState.Builder, org.shallothold.wire.proto.ColdStateOrBuilder> coldBuilder_;
+    /**
+     * <pre>
+     * Absent if the server isn't cold.
+     * </pre>
+     *
+     * <code>.shallothold.ColdState cold = 9;</code>
+     * @return Whether the cold field is set.
+     */
+    public boolean hasCold() {
+      return ((bitField0_ & 0x00000080) != 0);
+    }
+    /**
+     * <pre>
+     * Absent if the server isn't cold.
+     * </pre>
+     *
+     * <code>.shallothold.ColdState cold = 9;</code>
+     * @return The cold.
+     */
+    public org.shallothold.wire.proto.ColdState getCold() {
+      if (coldBuilder_ == null) {
+        return cold_ == null ? org.shallothold.wire.proto.ColdState.getDefaultInstance() : cold_;
+      } else {
+        return coldBuilder_.getMessage();
+      }
+    }
+    /**
+     * <pre>
+     * Absent if the server isn't cold.
+     * </pre>
+     *
+     * <code>.shallothold.ColdState cold = 9;</code>
+     */
+    public Builder setCold(org.shallothold.wire.proto.ColdState value) {
+      if (coldBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        cold_ = value;
+      } else {
+        coldBuilder_.setMessage(value);
+      }
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Absent if the server isn't cold.
+     * </pre>
+     *
+     * <code>.shallothold.ColdState cold = 9;</code>
+     */
+    public Builder setCold(
+        org.shallothold.wire.proto.ColdState.Builder builderForValue) {
+      if (coldBuilder_ == null) {
+        cold_ = builderForValue.build();
+      } else {
+        coldBuilder_.setMessage(builderForValue.build());
+      }
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Absent if the server isn't cold.
+     * </pre>
+     *
+     * <code>.shallothold.ColdState cold = 9;</code>
+     */
+    public Builder mergeCold(org.shallothold.wire.proto.ColdState value) {
+      if (coldBuilder_ == null) {
+        if (((bitField0_ & 0x00000080) != 0) &&
+          cold_ != null &&
+          cold_ != org.shallothold.wire.proto.ColdState.getDefaultInstance()) {
+          getColdBuilder().mergeFrom(value);
+        } else {
+          cold_ = value;
+        }
+      } else {
+        coldBuilder_.mergeFrom(value);
+      }
+      if (cold_ != null) {
+        bitField0_ |= 0x00000080;
+        onChanged();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Absent if the server isn't cold.
+     * </pre>
+     *
+     * <code>.shallothold.ColdState cold = 9;</code>
+     */
+    public Builder clearCold() {
+      bitField0_ = (bitField0_ & ~0x00000080);
+      cold_ = null;
+      if (coldBuilder_ != null) {
+        coldBuilder_.dispose();
+        coldBuilder_ = null;
+      }
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Absent if the server isn't cold.
+     * </pre>
+     *
+     * <code>.shallothold.ColdState cold = 9;</code>
+     */
+    public org.shallothold.wire.proto.ColdState.Builder getColdBuilder() {
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return internalGetColdFieldBuilder().getBuilder();
+    }
+    /**
+     * <pre>
+     * Absent if the server isn't cold.
+     * </pre>
+     *
+     * <code>.shallothold.ColdState cold = 9;</code>
+     */
+    public org.shallothold.wire.proto.ColdStateOrBuilder getColdOrBuilder() {
+      if (coldBuilder_ != null) {
+        return coldBuilder_.getMessageOrBuilder();
+      } else {
+        return cold_ == null ?
+            org.shallothold.wire.proto.ColdState.getDefaultInstance() : cold_;
+      }
+    }
+    /**
+     * <pre>
+     * Absent if the server isn't cold.
+     * </pre>
+     *
+     * <code>.shallothold.ColdState cold = 9;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.shallothold.wire.proto.ColdState, org.shallothold.wire.proto.ColdState.Builder, org.shallothold.wire.proto.ColdStateOrBuilder> 
+        internalGetColdFieldBuilder() {
+      if (coldBuilder_ == null) {
+        coldBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.shallothold.wire.proto.ColdState, org.shallothold.wire.proto.ColdState.Builder, org.shallothold.wire.proto.ColdStateOrBuilder>(
+                getCold(),
+                getParentForChildren(),
+                isClean());
+        cold_ = null;
+      }
+      return coldBuilder_;
+    }
+
+    private org.shallothold.wire.proto.RampUpState rampUp_;
+    private com.google.protobuf.SingleFieldBuilder<
+        org.shallothold.wire.proto.RampUpState, org.shallothold.wire.proto.RampUpState.Builder, org.shallothold.wire.proto.RampUpStateOrBuilder> rampUpBuilder_;
+    /**
+     * <pre>
+     * Absent if the server did not start or recover lately.
+     * </pre>
+     *
+     * <code>.shallothold.RampUpState ramp_up = 10;</code>
+     * @return Whether the rampUp field is set.
+     */
+    public boolean hasRampUp() {
+      return ((bitField0_ & 0x00000100) != 0);
+    }
+    /**
+     * <pre>
+     * Absent if the server did not start or recover lately.
+     * </pre>
+     *
+     * <code>.shallothold.RampUpState ramp_up = 10;</code>
+     * @return The rampUp.
+     */
+    public org.shallothold.wire.proto.RampUpState getRampUp() {
+      if (rampUpBuilder_ == null) {
+        return rampUp_ == null ? org.shallothold.wire.proto.RampUpState.getDefaultInstance() : rampUp_;
+      } else {
+        return rampUpBuilder_.getMessage();
+      }
+    }
+    /**
+     * <pre>
+     * Absent if the server did not start or recover lately.
+     * </pre>
+     *
+     * <code>.shallothold.RampUpState ramp_up = 10;</code>
+     */
+    public Builder setRampUp(org.shallothold.wire.proto.RampUpState value) {
+      if (rampUpBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        rampUp_ = value;
+      } else {
+        rampUpBuilder_.setMessage(value);
+      }
+      bitField0_ |= 0x00000100;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Absent if the server did not start or recover lately.
+     * </pre>
+     *
+     * <code>.shallothold.RampUpState ramp_up = 10;</code>
+     */
+    public Builder setRampUp(
+        org.shallothold.wire.proto.RampUpState.Builder builderForValue) {
+      if (rampUpBuilder_ == null) {
+        rampUp_ = builderForValue.build();
+      } else {
+        rampUpBuilder_.setMessage(builderForValue.build());
+      }
+      bitField0_ |= 0x00000100;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Absent if the server did not start or recover lately.
+     * </pre>
+     *
+     * <code>.shallothold.RampUpState ramp_up = 10;</code>
+     */
+    public Builder mergeRampUp(org.shallothold.wire.proto.RampUpState value) {
+      if (rampUpBuilder_ == null) {
+        if (((bitField0_ & 0x00000100) != 0) &&
+          rampUp_ != null &&
+          rampUp_ != org.shallothold.wire.proto.RampUpState.getDefaultInstance()) {
+          getRampUpBuilder().mergeFrom(value);
+        } else {
+          rampUp_ = value;
+        }
+      } else {
+        rampUpBuilder_.mergeFrom(value);
+      }
+      if (rampUp_ != null) {
+        bitField0_ |= 0x00000100;
+        onChanged();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Absent if the server did not start or recover lately.
+     * </pre>
+     *
+     * <code>.shallothold.RampUpState ramp_up = 10;</code>
+     */
+    public Builder clearRampUp() {
+      bitField0_ = (bitField0_ & ~0x00000100);
+      rampUp_ = null;
+      if (rampUpBuilder_ != null) {
+        rampUpBuilder_.dispose();
+        rampUpBuilder_ = null;
+      }
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Absent if the server did not start or recover lately.
+     * </pre>
+     *
+     * <code>.shallothold.RampUpState ramp_up = 10;</code>
+     */
+    public org.shallothold.wire.proto.RampUpState.Builder getRampUpBuilder() {
+      bitField0_ |= 0x00000100;
+      onChanged();
+      return internalGetRampUpFieldBuilder().getBuilder();
+    }
+    /**
+     * <pre>
+     * Absent if the server did not start or recover lately.
+     * </pre>
+     *
+     * <code>.shallothold.RampUpState ramp_up = 10;</code>
+     */
+    public org.shallothold.wire.proto.RampUpStateOrBuilder getRampUpOrBuilder() {
+      if (rampUpBuilder_ != null) {
+        return rampUpBuilder_.getMessageOrBuilder();
+      } else {
+        return rampUp_ == null ?
+            org.shallothold.wire.proto.RampUpState.getDefaultInstance() : rampUp_;
+      }
+    }
+    /**
+     * <pre>
+     * Absent if the server did not start or recover lately.
+     * </pre>
+     *
+     * <code>.shallothold.RampUpState ramp_up = 10;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.shallothold.wire.proto.RampUpState, org.shallothold.wire.proto.RampUpState.Builder, org.shallothold.wire.proto.RampUpStateOrBuilder> 
+        internalGetRampUpFieldBuilder() {
+      if (rampUpBuilder_ == null) {
+        rampUpBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.shallothold.wire.proto.RampUpState, org.shallothold.wire.proto.RampUpState.Builder, org.shallothold.wire.proto.RampUpStateOrBuilder>(
+                getRampUp(),
+                getParentForChildren(),
+                isClean());
+        rampUp_ = null;
+      }
+      return rampUpBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:shallothold.OpenWork)
   }
 
--- a/wire/src/main/java/org/shallothold/wire/proto/OpenWorkOrBuilder.java
+++ b/wire/src/main/java/org/shallothold/wire/proto/OpenWorkOrBuilder.java
@@ -99,4 +99,58 @@
    * <code>.shallothold.StatedRate stated_rate = 8;</code>
    */
   org.shallothold.wire.proto.StatedRateOrBuilder getStatedRateOrBuilder();
+
+  /**
+   * <pre>
+   * Absent if the server isn't cold.
+   * </pre>
+   *
+   * <code>.shallothold.ColdState cold = 9;</code>
+   * @return Whether the cold field is set.
+   */
+  boolean hasCold();
+  /**
+   * <pre>
+   * Absent if the server isn't cold.
+   * </pre>
+   *
+   * <code>.shallothold.ColdState cold = 9;</code>
+   * @return The cold.
+   */
+  org.shallothold.wire.proto.ColdState getCold();
+  /**
+   * <pre>
+   * Absent if the server isn't cold.
+   * </pre>
+   *
+   * <code>.shallothold.ColdState cold = 9;</code>
+   */
+  org.shallothold.wire.proto.ColdStateOrBuilder getColdOrBuilder();
+
+  /**
+   * <pre>
+   * Absent if the server did not start or recover lately.
+   * </pre>
+   *
+   * <code>.shallothold.RampUpState ramp_up = 10;</code>
+   * @return Whether the rampUp field is set.
+   */
+  boolean hasRampUp();
+  /**
+   * <pre>
+   * Absent if the server did not start or recover lately.
+   * </pre>
+   *
+   * <code>.shallothold.RampUpState ramp_up = 10;</code>
+   * @return The rampUp.
+   */
+  org.shallothold.wire.proto.RampUpState getRampUp();
+  /**
+   * <pre>
+   * Absent if the server did not start or recover lately.
+   * </pre>
+   *
+   * <code>.shallothold.RampUpState ramp_up = 10;</code>
+   */
+  org.shallothold.wire.proto.RampUpStateOrBuilder getRampUpOrBuilder();
 }
--- a/wire/src/main/java/org/shallothold/wire/proto/PublishedTopic.java
+++ b/wire/src/main/java/org/shallothold/wire/proto/PublishedTopic.java
@@ -106,7 +106,7 @@
   }
   public static com.google.protobuf.Descriptors.EnumDescriptor
       getDescriptor() {
-    return org.shallothold.wire.proto.Shallothold.getDescriptor().getEnumType(3);
+    return org.shallothold.wire.proto.Shallothold.getDescriptor().getEnumType(4);
   }
 
   private static final PublishedTopic[] VALUES = values();
--- a/wire/src/main/java/org/shallothold/wire/proto/SendPermitRequest.java
+++ b/wire/src/main/java/org/shallothold/wire/proto/SendPermitRequest.java
@@ -7,8 +7,8 @@
 
 /**
  * <pre>
- * Asks a coordinator for the permit to send one request: that of a server that states a rate, or that
- * of trials with prompt parts that may end engines.
+ * Asks a coordinator for the permit to send one request: that of a server that states a rate, is cold
+ * or started or recovered lately, or that of trials with prompt parts that may end engines.
  * </pre>
  *
  * Protobuf type {@code shallothold.SendPermitRequest}
@@ -208,6 +208,70 @@
     return trialEnded_;
   }
 
+  public static final int COLD_FIELD_NUMBER = 7;
+  private org.shallothold.wire.proto.ColdState cold_;
+  /**
+   * <pre>
+   * As in OpenWork; the coordinator may not list the server.
+   * </pre>
+   *
+   * <code>.shallothold.ColdState cold = 7;</code>
+   * @return Whether the cold field is set.
+   */
+  @java.lang.Override
+  public boolean hasCold() {
+    return ((bitField0_ & 0x00000002) != 0);
+  }
+  /**
+   * <pre>
+   * As in OpenWork; the coordinator may not list the server.
+   * </pre>
+   *
+   * <code>.shallothold.ColdState cold = 7;</code>
+   * @return The cold.
+   */
+  @java.lang.Override
+  public org.shallothold.wire.proto.ColdState getCold() {
+    return cold_ == null ? org.shallothold.wire.proto.ColdState.getDefaultInstance() : cold_;
+  }
+  /**
+   * <pre>
+   * As in OpenWork; the coordinator may not list the server.
+   * </pre>
+   *
+   * <code>.shallothold.ColdState cold = 7;</code>
+   */
+  @java.lang.Override
+  public org.shallothold.wire.proto.ColdStateOrBuilder getColdOrBuilder() {
+    return cold_ == null ? org.shallothold.wire.proto.ColdState.getDefaultInstance() : cold_;
+  }
+
+  public static final int RAMP_UP_FIELD_NUMBER = 8;
+  private org.shallothold.wire.proto.RampUpState rampUp_;
+  /**
+   * <code>.shallothold.RampUpState ramp_up = 8;</code>
+   * @return Whether the rampUp field is set.
+   */
+  @java.lang.Override
+  public boolean hasRampUp() {
+    return ((bitField0_ & 0x00000004) != 0);
+  }
+  /**
+   * <code>.shallothold.RampUpState ramp_up = 8;</code>
+   * @return The rampUp.
+   */
+  @java.lang.Override
+  public org.shallothold.wire.proto.RampUpState getRampUp() {
+    return rampUp_ == null ? org.shallothold.wire.proto.RampUpState.getDefaultInstance() : rampUp_;
+  }
+  /**
+   * <code>.shallothold.RampUpState ramp_up = 8;</code>
+   */
+  @java.lang.Override
+  public org.shallothold.wire.proto.RampUpStateOrBuilder getRampUpOrBuilder() {
+    return rampUp_ == null ? org.shallothold.wire.proto.RampUpState.getDefaultInstance() : rampUp_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -245,6 +309,12 @@
     if (trialEnded_ != false) {
       output.writeBool(6, trialEnded_);
     }
+    if (((bitField0_ & 0x00000002) != 0)) {
+      output.writeMessage(7, getCold());
+    }
+    if (((bitField0_ & 0x00000004) != 0)) {
+      output.writeMessage(8, getRampUp());
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -284,6 +354,14 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(6, trialEnded_);
     }
+    if (((bitField0_ & 0x00000002) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(7, getCold());
+    }
+    if (((bitField0_ & 0x00000004) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(8, getRampUp());
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -314,6 +392,16 @@
         .equals(other.getTrialPartIdsList())) return false;
     if (getTrialEnded()
         != other.getTrialEnded()) return false;
+    if (hasCold() != other.hasCold()) return false;
+    if (hasCold()) {
+      if (!getCold()
+          .equals(other.getCold())) return false;
+    }
+    if (hasRampUp() != other.hasRampUp()) return false;
+    if (hasRampUp()) {
+      if (!getRampUp()
+          .equals(other.getRampUp())) return false;
+    }
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -344,6 +432,14 @@
     hash = (37 * hash) + TRIAL_ENDED_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getTrialEnded());
+    if (hasCold()) {
+      hash = (37 * hash) + COLD_FIELD_NUMBER;
+      hash = (53 * hash) + getCold().hashCode();
+    }
+    if (hasRampUp()) {
+      hash = (37 * hash) + RAMP_UP_FIELD_NUMBER;
+      hash = (53 * hash) + getRampUp().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -443,8 +539,8 @@
   }
   /**
    * <pre>
-   * Asks a coordinator for the permit to send one request: that of a server that states a rate, or that
-   * of trials with prompt parts that may end engines.
+   * Asks a coordinator for the permit to send one request: that of a server that states a rate, is cold
+   * or started or recovered lately, or that of trials with prompt parts that may end engines.
    * </pre>
    *
    * Protobuf type {@code shallothold.SendPermitRequest}
@@ -480,6 +576,8 @@
       if (com.google.protobuf.GeneratedMessage
               .alwaysUseFieldBuilders) {
         internalGetStatedRateFieldBuilder();
+        internalGetColdFieldBuilder();
+        internalGetRampUpFieldBuilder();
       }
     }
     @java.lang.Override
@@ -496,6 +594,16 @@
       askedMillis_ = 0L;
       trialPartIds_ = emptyLongList();
       trialEnded_ = false;
+      cold_ = null;
+      if (coldBuilder_ != null) {
+        coldBuilder_.dispose();
+        coldBuilder_ = null;
+      }
+      rampUp_ = null;
+      if (rampUpBuilder_ != null) {
+        rampUpBuilder_.dispose();
+        rampUpBuilder_ = null;
+      }
       return this;
     }
 
@@ -552,6 +660,18 @@
       if (((from_bitField0_ & 0x00000020) != 0)) {
         result.trialEnded_ = trialEnded_;
       }
+      if (((from_bitField0_ & 0x00000040) != 0)) {
+        result.cold_ = coldBuilder_ == null
+            ? cold_
+            : coldBuilder_.build();
+        to_bitField0_ |= 0x00000002;
+      }
+      if (((from_bitField0_ & 0x00000080) != 0)) {
+        result.rampUp_ = rampUpBuilder_ == null
+            ? rampUp_
+            : rampUpBuilder_.build();
+        to_bitField0_ |= 0x00000004;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -595,6 +715,12 @@
       if (other.getTrialEnded() != false) {
         setTrialEnded(other.getTrialEnded());
       }
+      if (other.hasCold()) {
+        mergeCold(other.getCold());
+      }
+      if (other.hasRampUp()) {
+        mergeRampUp(other.getRampUp());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -665,6 +791,20 @@
               bitField0_ |= 0x00000020;
               break;
             } // case 48
+            case 58: {
+              input.readMessage(
+                  internalGetColdFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bitField0_ |= 0x00000040;
+              break;
+            } // case 58
+            case 66: {
+              input.readMessage(
+                  internalGetRampUpFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bitField0_ |= 0x00000080;
+              break;
+            } // case 66
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1125,6 +1265,284 @@
       return this;
     }
 
+    private org.shallothold.wire.proto.ColdState cold_;
+    private com.google.protobuf.SingleFieldBuilder<
+        org.shallothold.wire.proto.ColdState, org.shallothold.wire.proto.ColdState.Builder, org.shallothold.wire.proto.ColdStateOrBuilder> coldBuilder_;
+    /**
+     * <pre>
+     * As in OpenWork; the coordinator may not list the server.
+     * </pre>
+     *
+     * <code>.shallothold.ColdState cold = 7;</code>
+     * @return Whether the cold field is set.
+     */
+    public boolean hasCold() {
+      return ((bitField0_ & 0x00000040) != 0);
+    }
+    /**
+     * <pre>
+     * As in OpenWork; the coordinator may not list the server.
+     * </pre>
+     *
+     * <code>.shallothold.ColdState cold = 7;</code>
+     * @return The cold.
+     */
+    public org.shallothold.wire.proto.ColdState getCold() {
+      if (coldBuilder_ == null) {
+        return cold_ == null ? org.shallothold.wire.proto.ColdState.getDefaultInstance() : cold_;
+      } else {
+        return coldBuilder_.getMessage();
+      }
+    }
+    /**
+     * <pre>
+     * As in OpenWork; the coordinator may not list the server.
+     * </pre>
+     *
+     * <code>.shallothold.ColdState cold = 7;</code>
+     */
+    public Builder setCold(org.shallothold.wire.proto.ColdState value) {
+      if (coldBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        cold_ = value;
+      } else {
+        coldBuilder_.setMessage(value);
+      }
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * As in OpenWork; the coordinator may not list the server.
+     * </pre>
+     *
+     * <code>.shallothold.ColdState cold = 7;</code>
+     */
+    public Builder setCold(
+        org.shallothold.wire.proto.ColdState.Builder builderForValue) {
+      if (coldBuilder_ == null) {
+        cold_ = builderForValue.build();
+      } else {
+        coldBuilder_.setMessage(builderForValue.build());
+      }
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * As in OpenWork; the coordinator may not list the server.
+     * </pre>
+     *
+     * <code>.shallothold.ColdState cold = 7;</code>
+     */
+    public Builder mergeCold(org.shallothold.wire.proto.ColdState value) {
+      if (coldBuilder_ == null) {
+        if (((bitField0_ & 0x00000040) != 0) &&
+          cold_ != null &&
+          cold_ != org.shallothold.wire.proto.ColdState.getDefaultInstance()) {
+          getColdBuilder().mergeFrom(value);
+        } else {
+          cold_ = value;
+        }
+      } else {
+        coldBuilder_.mergeFrom(value);
+      }
+      if (cold_ != null) {
+        bitField0_ |= 0x00000040;
+        onChanged();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * As in OpenWork; the coordinator may not list the server.
+     * </pre>
+     *
+     * <code>.shallothold.ColdState cold = 7;</code>
+     */
+    public Builder clearCold() {
+      bitField0_ = (bitField0_ & ~0x00000040);
+      cold_ = null;
+      if (coldBuilder_ != null) {
+        coldBuilder_.dispose();
+        coldBuilder_ = null;
+      }
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * As in OpenWork; the coordinator may not list the server.
+     * </pre>
+     *
+     * <code>.shallothold.ColdState cold = 7;</code>
+     */
+    public org.shallothold.wire.proto.ColdState.Builder getColdBuilder() {
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return internalGetColdFieldBuilder().getBuilder();
+    }
+    /**
+     * <pre>
+     * As in OpenWork; the coordinator may not list the server.
+     * </pre>
+     *
+     * <code>.shallothold.ColdState cold = 7;</code>
+     */
+    public org.shallothold.wire.proto.ColdStateOrBuilder getColdOrBuilder() {
+      if (coldBuilder_ != null) {
+        return coldBuilder_.getMessageOrBuilder();
+      } else {
+        return cold_ == null ?
+            org.shallothold.wire.proto.ColdState.getDefaultInstance() : cold_;
+      }
+    }
+    /**
+     * <pre>
+     * As in OpenWork; the coordinator may not list the server.
+     * </pre>
+     *
+     * <code>.shallothold.ColdState cold = 7;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.shallothold.wire.proto.ColdState, org.shallothold.wire.proto.ColdState.Builder, org.shallothold.wire.proto.ColdStateOrBuilder> 
+        internalGetColdFieldBuilder() {
+      if (coldBuilder_ == null) {
+        coldBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.shallothold.wire.proto.ColdState, org.shallothold.wire.proto.ColdState.Builder, org.shallothold.wire.proto.ColdStateOrBuilder>(
+                getCold(),
+                getParentForChildren(),
+                isClean());
+        cold_ = null;
+      }
+      return coldBuilder_;
+    }
+
+    private org.shallothold.wire.proto.RampUpState rampUp_;
+    private com.google.protobuf.SingleFieldBuilder<
+        org.shallothold.wire.proto.RampUpState, org.shallothold.wire.proto.RampUpState.Builder, org.shallothold.wire.proto.RampUpStateOrBuilder> rampUpBuilder_;
+    /**
+     * <code>.shallothold.RampUpState ramp_up = 8;</code>
+     * @return Whether the rampUp field is set.
+     */
+    public boolean hasRampUp() {
+      return ((bitField0_ & 0x00000080) != 0);
+    }
+    /**
+     * <code>.shallothold.RampUpState ramp_up = 8;</code>
+     * @return The rampUp.
+     */
+    public org.shallothold.wire.proto.RampUpState getRampUp() {
+      if (rampUpBuilder_ == null) {
+        return rampUp_ == null ? org.shallothold.wire.proto.RampUpState.getDefaultInstance() : rampUp_;
+      } else {
+        return rampUpBuilder_.getMessage();
+      }
+    }
+    /**
+     * <code>.shallothold.RampUpState ramp_up = 8;</code>
+     */
+    public Builder setRampUp(org.shallothold.wire.proto.RampUpState value) {
+      if (rampUpBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        rampUp_ = value;
+      } else {
+        rampUpBuilder_.setMessage(value);
+      }
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.shallothold.RampUpState ramp_up = 8;</code>
+     */
+    public Builder setRampUp(
+        org.shallothold.wire.proto.RampUpState.Builder builderForValue) {
+      if (rampUpBuilder_ == null) {
+        rampUp_ = builderForValue.build();
+      } else {
+        rampUpBuilder_.setMessage(builderForValue.build());
+      }
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.shallothold.RampUpState ramp_up = 8;</code>
+     */
+    public Builder mergeRampUp(org.shallothold.wire.proto.RampUpState value) {
+      if (rampUpBuilder_ == null) {
+        if (((bitField0_ & 0x00000080) != 0) &&
+          rampUp_ != null &&
+          rampUp_ != org.shallothold.wire.proto.RampUpState.getDefaultInstance()) {
+          getRampUpBuilder().mergeFrom(value);
+        } else {
+          rampUp_ = value;
+        }
+      } else {
+        rampUpBuilder_.mergeFrom(value);
+      }
+      if (rampUp_ != null) {
+        bitField0_ |= 0x00000080;
+        onChanged();
+      }
+      return this;
+    }
+    /**
+     * <code>.shallothold.RampUpState ramp_up = 8;</code>
+     */
+    public Builder clearRampUp() {
+      bitField0_ = (bitField0_ & ~0x00000080);
+      rampUp_ = null;
+      if (rampUpBuilder_ != null) {
+        rampUpBuilder_.dispose();
+        rampUpBuilder_ = null;
+      }
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.shallothold.RampUpState ramp_up = 8;</code>
+     */
+    public org.shallothold.wire.proto.RampUpState.Builder getRampUpBuilder() {
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return internalGetRampUpFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.shallothold.RampUpState ramp_up = 8;</code>
+     */
+    public org.shallothold.wire.proto.RampUpStateOrBuilder getRampUpOrBuilder() {
+      if (rampUpBuilder_ != null) {
+        return rampUpBuilder_.getMessageOrBuilder();
+      } else {
+        return rampUp_ == null ?
+            org.shallothold.wire.proto.RampUpState.getDefaultInstance() : rampUp_;
+      }
+    }
+    /**
+     * <code>.shallothold.RampUpState ramp_up = 8;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.shallothold.wire.proto.RampUpState, org.shallothold.wire.proto.RampUpState.Builder, org.shallothold.wire.proto.RampUpStateOrBuilder> 
+        internalGetRampUpFieldBuilder() {
+      if (rampUpBuilder_ == null) {
+        rampUpBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.shallothold.wire.proto.RampUpState, org.shallothold.wire.proto.RampUpState.Builder, org.shallothold.wire.proto.RampUpStateOrBuilder>(
+                getRampUp(),
+                getParentForChildren(),
+                isClean());
+        rampUp_ = null;
+      }
+      return rampUpBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:shallothold.SendPermitRequest)
   }
 
--- a/wire/src/main/java/org/shallothold/wire/proto/SendPermitRequestOrBuilder.java
+++ b/wire/src/main/java/org/shallothold/wire/proto/SendPermitRequestOrBuilder.java
@@ -95,4 +95,46 @@
    * @return The trialEnded.
    */
   boolean getTrialEnded();
+
+  /**
+   * <pre>
+   * As in OpenWork; the coordinator may not list the server.
+   * </pre>
+   *
+   * <code>.shallothold.ColdState cold = 7;</code>
+   * @return Whether the cold field is set.
+   */
+  boolean hasCold();
+  /**
+   * <pre>
+   * As in OpenWork; the coordinator may not list the server.
+   * </pre>
+   *
+   * <code>.shallothold.ColdState cold = 7;</code>
+   * @return The cold.
+   */
+  org.shallothold.wire.proto.ColdState getCold();
+  /**
+   * <pre>
+   * As in OpenWork; the coordinator may not list the server.
+   * </pre>
+   *
+   * <code>.shallothold.ColdState cold = 7;</code>
+   */
+  org.shallothold.wire.proto.ColdStateOrBuilder getColdOrBuilder();
+
+  /**
+   * <code>.shallothold.RampUpState ramp_up = 8;</code>
+   * @return Whether the rampUp field is set.
+   */
+  boolean hasRampUp();
+  /**
+   * <code>.shallothold.RampUpState ramp_up = 8;</code>
+   * @return The rampUp.
+   */
+  org.shallothold.wire.proto.RampUpState getRampUp();
+  /**
+   * <code>.shallothold.RampUpState ramp_up = 8;</code>
+   */
+  org.shallothold.wire.proto.RampUpStateOrBuilder getRampUpOrBuilder();
 }
