Let servers that start or recover reach their load step by step

Cause: a server that has just started gets as many requests as the idlest one, from every gateway by itself, before any answer shows how it performs. Change: core.rate.RampUp keeps a window of open requests for each such server; it grows with each first event that is on time and halves on late ones, refusals and broken answers. All gateways count their answers and tell them with OpenWork and with requests for permits; the server's coordinator issues a permit only within the window. Measured: RampUpTest and ColdServerContractTest pass: of 30 calls at once through three gateways a new server gets at most 6, without the switch more.

--- a/core/src/main/java/org/shallothold/core/placement/TrackedServer.java
+++ b/core/src/main/java/org/shallothold/core/placement/TrackedServer.java
@@ -266,6 +266,11 @@
     suspendedUntilMillis = nowMillis + suspensionMillis;
   }
 
+  /** Returns whether the server was unreachable more than once since its last complete answer. */
+  public boolean isRepeatedlyUnreachable() {
+    return consecutiveSuspensions > 1;
+  }
+
   /**
    * Records that the server announced in an answer that it is leaving; only a new instance resets
    * this.
--- a/experiment/src/main/java/org/shallothold/experiment/rate/StatedRateRun.java
+++ b/experiment/src/main/java/org/shallothold/experiment/rate/StatedRateRun.java
@@ -128,6 +128,7 @@
               List.of(seed),
               new ForwardOptions.RetryLimit(0.2, 50, 10_000),
               8_000,
+              false,
               ForwardOptions.bufferBytes(Runtime.getRuntime().maxMemory()));
       ports.add(
           ForwardingGateway.start(
--- a/gateway/src/main/java/org/shallothold/gateway/forward/Attempt.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/Attempt.java
@@ -104,6 +104,7 @@
         placement.pauseSensitive(),
         MonotonicClock.millis());
     forwarder.rateLimits().recordSend(server);
+    forwarder.state().rampUps().sent(serverId, requestKey, placement.expectedMillis());
     recordPrefixReads(serverId);
     if (placement.prefillMillis() > 0) {
       forwarder.workAdded(serverId);
@@ -321,6 +322,7 @@
     }
     beginStream(responseHead);
     server.recordFirstEvent(requestKey, placement.expectedMillis(), MonotonicClock.millis());
+    forwarder.state().rampUps().firstEvent(server.entry().id(), requestKey);
     updateEstimates(events);
     if (!progress.firstEventSeen) {
       forwarder.workRemoved(server.entry().id());
@@ -427,6 +429,7 @@
       return;
     }
     server.recordSuccess();
+    forwarder.state().rampUps().firstEvent(server.entry().id(), requestKey);
     recordWholeAnswer();
     countResult("stream_ended");
     completeRequest();
@@ -453,6 +456,7 @@
     Route matchedRoute = owner.route();
     boolean repeatable = matchedRoute != null && matchedRoute.kind().repeatable();
     if (responseFacts.notRun() || status == HttpResponseStatus.MISDIRECTED_REQUEST.code()) {
+      recordRejection(status);
       progress.possibleRuns--;
       progress.rejections++;
       countResult("rejected_" + status);
@@ -465,6 +469,11 @@
       fail("the response is not signed");
       return;
     }
+    if (status >= 500) {
+      forwarder.state().rampUps().failed(server.entry().id(), requestKey);
+    } else {
+      forwarder.state().rampUps().firstEvent(server.entry().id(), requestKey);
+    }
     if (success) {
       server.recordSuccess();
       recordWholeAnswer();
@@ -486,6 +495,15 @@
     deliverResponse(responseHead, status, repeatable);
   }
 
+  /** Records that the server did not run the request. */
+  private void recordRejection(int status) {
+    if (status == HttpResponseStatus.MISDIRECTED_REQUEST.code()) {
+      forwarder.state().rampUps().abandoned(server.entry().id(), requestKey);
+    } else {
+      forwarder.state().rampUps().failed(server.entry().id(), requestKey);
+    }
+  }
+
   private boolean canRetry() {
     Route matchedRoute = owner.route();
     return matchedRoute != null
@@ -543,8 +561,9 @@
     done = true;
     server.recordEnd(requestKey);
     releaseBuffered();
+    forwarder.state().rampUps().failed(server.entry().id(), requestKey);
     if (neverSent) {
-      server.recordUnreachable(MonotonicClock.millis());
+      forwarder.state().recordUnreachable(server);
       countResult("unreachable");
       trace.addLine("server_unreachable").with("reason", reason);
       owner.retry(service, ReasonCode.NO_SERVER, false);
@@ -601,7 +620,7 @@
    */
   void recordSilence() {
     if (sent && server.silentSince(sentMillis)) {
-      server.recordUnreachable(MonotonicClock.millis());
+      forwarder.state().recordUnreachable(server);
     }
   }
 
@@ -611,6 +630,7 @@
     }
     done = true;
     server.recordEnd(requestKey);
+    forwarder.state().rampUps().abandoned(server.entry().id(), requestKey);
     releaseBuffered();
     exchange.abandon();
   }
--- a/gateway/src/main/java/org/shallothold/gateway/forward/ColdStarts.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/ColdStarts.java
@@ -40,6 +40,7 @@
   private final ColdServers servers = ColdServers.create();
   private final Function<String, ColdStart> coldStartByService;
   private final Function<String, @Nullable TrackedServer> listedServers;
+  private final RampUps rampUps;
   private final StructuredLog log;
   private final ForwardMetrics metrics;
   private final Map<String, Phase> phases = new HashMap<>();
@@ -67,14 +68,17 @@
    *
    * @param coldStartByService returns what the servers of a service tolerate after their start
    * @param listedServers returns a server by its id, or null if it isn't listed
+   * @param rampUps is told of servers that start or become cold
    */
   ColdStarts(
       Function<String, ColdStart> coldStartByService,
       Function<String, @Nullable TrackedServer> listedServers,
+      RampUps rampUps,
       StructuredLog log,
       ForwardMetrics metrics) {
     this.coldStartByService = coldStartByService;
     this.listedServers = listedServers;
+    this.rampUps = rampUps;
     this.log = log;
     this.metrics = metrics;
   }
@@ -100,9 +104,8 @@
    * Records that a server that was not listed before, or another instance of it, is listed.
    *
    * @param firstList whether it is in the first list that this gateway got
-   * @return whether the gateway saw it start
    */
-  boolean listed(ServerEntry server, boolean firstList) {
+  void listed(ServerEntry server, boolean firstList) {
     long nowMillis = MonotonicClock.millis();
     Long formerInstance = knownInstances.put(server.id(), server.startedMillis());
     boolean started =
@@ -114,20 +117,22 @@
       ColdServers.Change change =
           servers.recordStart(server.id(), server.startedMillis(), durationMillis, nowMillis);
       applied(server.id(), change, ColdSource.START.logName(), nowMillis);
+      rampUps.began(server.id(), server.startedMillis(), RampUps.Reason.START);
     }
     EvacuationEnd evacuationEnd = evacuationEnds.get(server.failureDomain());
     if (evacuationEnd != null) {
       recordEvacuationEnd(server, evacuationEnd, nowMillis);
     }
-    return started;
   }
 
   /**
    * Records the figure of a server's entry if the entry wasn't read before.
    *
+   * @param firstList whether it is in the first list that this gateway got
    * @param figure decodes the figure
    */
-  void entryRead(ServerEntry server, long revision, Supplier<ColdFigure> figure) {
+  void entryRead(
+      ServerEntry server, long revision, boolean firstList, Supplier<ColdFigure> figure) {
     if (!servers.isNewEntry(server.id(), revision)) {
       return;
     }
@@ -140,6 +145,9 @@
             remainingMillis(server.id(), figure.get()),
             nowMillis);
     applied(server.id(), change, ColdSource.ENTRY.logName(), nowMillis);
+    if (change == ColdServers.Change.BEGUN && !firstList) {
+      rampUps.began(server.id(), server.startedMillis(), RampUps.Reason.COLD);
+    }
   }
 
   /** Records the figure of a server's response. */
@@ -152,6 +160,9 @@
         servers.recordResponse(
             server.id(), server.startedMillis(), remainingMillis(server.id(), figure), nowMillis);
     applied(server.id(), change, ColdSource.RESPONSE.logName(), nowMillis);
+    if (change == ColdServers.Change.BEGUN) {
+      rampUps.began(server.id(), server.startedMillis(), RampUps.Reason.COLD);
+    }
   }
 
   /** Returns the time of a usable figure, else 0; logs one that is not usable as it is. */
@@ -202,6 +213,9 @@
             end.millis() + coldStart(server).durationMillis() - nowMillis,
             nowMillis);
     applied(server.id(), change, ColdSource.EVACUATION_END.logName(), nowMillis);
+    if (change == ColdServers.Change.BEGUN) {
+      rampUps.began(server.id(), server.startedMillis(), RampUps.Reason.COLD);
+    }
   }
 
   /** Records what a peer reported. */
--- a/gateway/src/main/java/org/shallothold/gateway/forward/ForwardGauges.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/ForwardGauges.java
@@ -4,6 +4,7 @@
 import java.util.Locale;
 import org.shallothold.core.memory.MemoryBudget;
 import org.shallothold.core.placement.TrackedServer;
+import org.shallothold.core.rate.RampUp;
 import org.shallothold.core.rate.RateObservation;
 import org.shallothold.core.route.RouteConfiguration;
 import org.shallothold.gateway.forward.port.PublishedTopic;
@@ -30,6 +31,8 @@
   private final Gauge statedRate;
   private final Gauge coldServers;
   private final Gauge coldRate;
+  private final Gauge rampingServers;
+  private final Gauge rampUpWindow;
   private final Gauge sendPermits;
   private final Gauge restrictedParts;
   private final Gauge partTrials;
@@ -91,6 +94,16 @@
             "shallothold_cold_rate_requests_per_second",
             "Sum of the rates at which all gateways may send to cold backend servers.",
             "service");
+    rampingServers =
+        metrics.gauge(
+            "shallothold_ramping_servers",
+            "Listed backend servers that started or recovered and have a window.",
+            "service");
+    rampUpWindow =
+        metrics.gauge(
+            "shallothold_ramp_up_window_requests",
+            "Sum of the open requests that the windows of such servers allow.",
+            "service");
     sendPermits =
         metrics.gauge(
             "shallothold_send_permits", "Permits for sends to servers that state a rate limit.");
@@ -141,6 +154,8 @@
     statedRate.clear();
     coldServers.clear();
     coldRate.clear();
+    rampingServers.clear();
+    rampUpWindow.clear();
     for (TrackedServer server : state.allServers()) {
       String service = server.entry().service();
       backendServers.labelValues(service, availability(server, nowMillis)).inc();
@@ -156,6 +171,11 @@
         coldServers.labelValues(service).inc();
         coldRate.labelValues(service).inc(coldRequestsPerSecond);
       }
+      RampUp rampUp = state.rampUps().active(server.entry().id(), nowMillis);
+      if (rampUp != null) {
+        rampingServers.labelValues(service).inc();
+        rampUpWindow.labelValues(service).inc(rampUp.window());
+      }
     }
     backendConnections.set(state.connections());
   }
--- a/gateway/src/main/java/org/shallothold/gateway/forward/ForwardMetrics.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/ForwardMetrics.java
@@ -20,6 +20,8 @@
   final Counter coldPhases;
   final Counter coldSends;
   final Counter requestsHeldForCold;
+  final Counter rampUps;
+  final Counter requestsHeldForRampUp;
   final Counter additionalBytes;
   final Counter foreignBytes;
   final Counter buffersShed;
@@ -78,6 +80,17 @@
             "shallothold_requests_held_for_cold_total",
             "Requests that did not go to the chosen server because it is cold.",
             "service");
+    rampUps =
+        metrics.counter(
+            "shallothold_ramp_ups_total",
+            "Ended ramp-ups of backend servers that started or recovered.",
+            "service",
+            "outcome");
+    requestsHeldForRampUp =
+        metrics.counter(
+            "shallothold_requests_held_for_ramp_up_total",
+            "Requests that did not go to the chosen server because its window was full.",
+            "service");
     additionalBytes =
         metrics.counter(
             "shallothold_additional_bytes_connections_total",
--- a/gateway/src/main/java/org/shallothold/gateway/forward/ForwardOptions.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/ForwardOptions.java
@@ -18,6 +18,8 @@
  * @param seedAddresses addresses of gateways to connect to at the start; some may be out of date
  * @param retryLimit limit of retries that all gateways share
  * @param shutdownTimeoutMillis time from SIGTERM until the process is killed, in milliseconds
+ * @param limitsStartingServers whether servers that start or recover get their usual load step by
+ *     step
  * @param bufferBytes memory for all buffered requests and responses together, in bytes
  */
 public record ForwardOptions(
@@ -31,6 +33,7 @@
     List<InetSocketAddress> seedAddresses,
     RetryLimit retryLimit,
     long shutdownTimeoutMillis,
+    boolean limitsStartingServers,
     long bufferBytes) {
 
   // The rest of the heap holds the routing state, and the copies made while buffers grow.
--- a/gateway/src/main/java/org/shallothold/gateway/forward/Forwarder.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/Forwarder.java
@@ -78,12 +78,15 @@
     this.gatewayCount = gatewayCount;
     this.prefixReads = prefixReads;
     this.memory = MemoryBudget.of(options.bufferBytes());
-    this.rateLimits = new StatedRateLimits(state.statedRates(), state.coldStarts(), log, metrics);
+    this.rateLimits = new StatedRateLimits(state, log, metrics);
     rateLimits.setAnswerListener(this::permitAnswered);
     // Peers are told at once.
     state.setRateChangeListener(this::workAdded);
     state.coldStarts().setChangeListener(this::workAdded);
     state.coldStarts().setBeginListener(rateLimits::becameCold);
+    if (options.limitsStartingServers()) {
+      state.rampUps().enable();
+    }
     state.coldStarts().setTrafficIndicator(() -> lastRequestNumber > 0);
     this.promptParts = new PromptPartQuarantine(options.processId(), eventLoop, log, metrics);
     promptParts.setEvidenceListener(() -> workChangeListener.run());
--- a/gateway/src/main/java/org/shallothold/gateway/forward/ForwardingGateway.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/ForwardingGateway.java
@@ -31,6 +31,7 @@
 import org.shallothold.wire.proto.FleetNews;
 import org.shallothold.wire.proto.OpenWork;
 import org.shallothold.wire.proto.PrefixRead;
+import org.shallothold.wire.proto.RampUpState;
 import org.shallothold.wire.proto.SendPermitAnswer;
 import org.shallothold.wire.proto.SendPermitRequest;
 import org.shallothold.wire.proto.WorkChanges;
@@ -429,6 +430,10 @@
       if (cold != null) {
         work.setCold(cold);
       }
+      RampUpState rampUp = state.rampUps().toProto(server.entry().id(), nowMillis);
+      if (rampUp != null) {
+        work.setRampUp(rampUp);
+      }
       return work.build();
     }
 
@@ -437,7 +442,8 @@
           || work.getSentReadMillis() > 0
           || work.hasLeavingLife()
           || work.hasStatedRate()
-          || work.hasCold();
+          || work.hasCold()
+          || work.hasRampUp();
     }
 
     private static PrefixRead toProto(PrefixReads.Read read) {
@@ -486,6 +492,9 @@
       if (work.hasCold()) {
         state.coldStarts().reported(work.getServerId(), work.getCold(), peer);
       }
+      if (work.hasRampUp()) {
+        state.rampUps().reported(work.getServerId(), work.getRampUp(), peer);
+      }
       TrackedServer server = state.server(work.getServerId());
       if (server == null) {
         return;
@@ -560,6 +569,9 @@
       if (request.hasCold()) {
         state.coldStarts().reported(request.getServerId(), request.getCold(), peer);
       }
+      if (request.hasRampUp()) {
+        state.rampUps().reported(request.getServerId(), request.getRampUp(), peer);
+      }
       return forwarder.rateLimits().answer(request);
     }
 
--- a/gateway/src/main/java/org/shallothold/gateway/forward/RoutingState.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/RoutingState.java
@@ -78,6 +78,7 @@
   private @Nullable RouteConfiguration configuration;
   private long configurationRevision;
   private Set<String> evacuatedDomains = Set.of();
+  private final RampUps rampUps;
   private final ColdStarts coldStarts;
   private boolean firstListApplied;
 
@@ -100,7 +101,8 @@
     this.decoder = decoder;
     this.translation = translation;
     this.log = log;
-    this.coldStarts = new ColdStarts(this::coldStart, this::server, log, metrics);
+    this.rampUps = new RampUps(this::server, this::coldStart, log, metrics);
+    this.coldStarts = new ColdStarts(this::coldStart, this::server, rampUps, log, metrics);
     for (PublishedTopic topic : PublishedTopic.values()) {
       publishedStates.put(topic, PublishedState.empty());
       contacts.put(topic, PlatformContact.create());
@@ -366,6 +368,29 @@
     rateChangeListener.accept(serverId);
   }
 
+  /** Returns the windows of the servers that started or recovered. */
+  RampUps rampUps() {
+    return rampUps;
+  }
+
+  /**
+   * Records that a server could not be reached. One that was unreachable for a time ramps up again,
+   * unless half of the servers are unreachable, which rather is a fault of this gateway's network.
+   */
+  void recordUnreachable(TrackedServer server) {
+    long nowMillis = MonotonicClock.millis();
+    server.recordUnreachable(nowMillis);
+    if (!server.isRepeatedlyUnreachable()) {
+      return;
+    }
+    Collection<TrackedServer> sameService = servers(server.entry().service());
+    long unreachable = sameService.stream().filter(each -> each.isSuspended(nowMillis)).count();
+    if (2 * unreachable < sameService.size()) {
+      rampUps.began(
+          server.entry().id(), server.entry().startedMillis(), RampUps.Reason.UNREACHABLE);
+    }
+  }
+
   /** Returns the servers that are cold. */
   ColdStarts coldStarts() {
     return coldStarts;
@@ -396,6 +421,7 @@
     backoffs.values().removeIf(backoff -> backoff.untilMillis() <= nowMillis);
     pools.values().forEach(BackendPool::closeExpired);
     coldStarts.maintain();
+    rampUps.maintain();
   }
 
   private void dropExpiredItems() {
@@ -520,7 +546,8 @@
               entry -> {
                 listed.add(entry.id());
                 putServer(entry, source);
-                coldStarts.entryRead(entry, item.revision(), () -> decoder.coldFigure(item));
+                coldStarts.entryRead(
+                    entry, item.revision(), !firstListApplied, () -> decoder.coldFigure(item));
               });
     }
     for (String id : List.copyOf(servers.keySet())) {
--- a/gateway/src/main/java/org/shallothold/gateway/forward/StatedRateLimits.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/StatedRateLimits.java
@@ -6,6 +6,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Function;
+import org.jspecify.annotations.Nullable;
 import org.shallothold.core.membership.ServerEntry;
 import org.shallothold.core.placement.TrackedServer;
 import org.shallothold.core.rate.Coordinators;
@@ -13,11 +15,13 @@
 import org.shallothold.core.rate.PermitHolder;
 import org.shallothold.core.rate.PermitIssuer;
 import org.shallothold.core.rate.PermitTerms;
+import org.shallothold.core.rate.RampUp;
 import org.shallothold.core.rate.RateObservation;
 import org.shallothold.core.rate.StatedRates;
 import org.shallothold.runtime.logging.LogLine;
 import org.shallothold.runtime.logging.StructuredLog;
 import org.shallothold.wire.proto.ColdState;
+import org.shallothold.wire.proto.RampUpState;
 import org.shallothold.wire.proto.SendPermitAnswer;
 import org.shallothold.wire.proto.SendPermitRequest;
 import org.shallothold.wire.proto.StatedRate;
@@ -36,6 +40,8 @@
 
   private final StatedRates rates;
   private final ColdStarts coldStarts;
+  private final RampUps rampUps;
+  private final Function<String, @Nullable TrackedServer> listedServers;
   private final StructuredLog log;
   private final ForwardMetrics metrics;
   private final PermitIssuer issuer = PermitIssuer.create();
@@ -73,10 +79,11 @@
     private int issued;
   }
 
-  StatedRateLimits(
-      StatedRates rates, ColdStarts coldStarts, StructuredLog log, ForwardMetrics metrics) {
-    this.rates = rates;
-    this.coldStarts = coldStarts;
+  StatedRateLimits(RoutingState state, StructuredLog log, ForwardMetrics metrics) {
+    this.rates = state.statedRates();
+    this.coldStarts = state.coldStarts();
+    this.rampUps = state.rampUps();
+    this.listedServers = state::server;
     this.log = log;
     this.metrics = metrics;
   }
@@ -110,8 +117,10 @@
   }
 
   private boolean isLimited(ServerEntry server) {
-    return requestsPerSecond(server.id(), server.startedMillis(), MonotonicClock.millis())
-        < RateObservation.NO_LIMIT;
+    long nowMillis = MonotonicClock.millis();
+    return requestsPerSecond(server.id(), server.startedMillis(), nowMillis)
+            < RateObservation.NO_LIMIT
+        || rampUps.active(server.id(), nowMillis) != null;
   }
 
   private double requestsPerSecond(String serverId, long instanceStartMillis, long nowMillis) {
@@ -144,7 +153,10 @@
 
   private PermitTerms terms(String serverId, long nowMillis) {
     double coldRequestsPerSecond = coldStarts.requestsPerSecond(serverId, nowMillis);
-    return coldRequestsPerSecond < RateObservation.NO_LIMIT
+    boolean starting =
+        coldRequestsPerSecond < RateObservation.NO_LIMIT
+            || rampUps.active(serverId, nowMillis) != null;
+    return starting
         ? PermitTerms.forStartingServer(coldRequestsPerSecond, gateways.live().size())
         : PermitTerms.forStatedRate();
   }
@@ -206,6 +218,10 @@
       // The coordinator may know another instance than the sender lists.
       question.setCold(cold.toBuilder().setInstanceStart(server.startedMillis()));
     }
+    RampUpState rampUp = rampUps.toProto(server.id(), nowMillis);
+    if (rampUp != null) {
+      question.setRampUp(rampUp);
+    }
     return question.build();
   }
 
@@ -214,6 +230,11 @@
     double statedRate = rates.requestsPerSecond(server.id(), server.startedMillis());
     line.with("stated_rate", RateObservation.toText(statedRate));
     long nowMillis = MonotonicClock.millis();
+    RampUp rampUp = rampUps.active(server.id(), nowMillis);
+    if (rampUp != null) {
+      line.with("ramp_up_window", rampUp.window())
+          .with("ramp_up_age_millis", rampUp.ageMillis(nowMillis));
+    }
     long coldMillis = coldStarts.remainingMillis(server.id(), nowMillis);
     if (coldMillis > 0) {
       line.with("cold_millis", coldMillis)
@@ -231,6 +252,9 @@
       metrics.requestsHeldForRate.labelValues(entry.service()).inc();
     }
     coldStarts.recordHeld(entry.id());
+    if (rampUps.active(entry.id(), MonotonicClock.millis()) != null) {
+      metrics.requestsHeldForRampUp.labelValues(entry.service()).inc();
+    }
   }
 
   /** Uses up a permit for a request that is being sent. */
@@ -255,10 +279,7 @@
    * different gateways then, and learn of the difference.
    */
   SendPermitAnswer answer(SendPermitRequest request) {
-    long instance =
-        request.hasStatedRate()
-            ? request.getStatedRate().getInstanceStart()
-            : request.getCold().getInstanceStart();
+    long instance = instanceStartMillis(request);
     boolean coordinates = isCoordinator(request.getServerId());
     if (!coordinates) {
       metrics.misdirectedPermitRequests.inc();
@@ -274,6 +295,15 @@
         .build();
   }
 
+  private static long instanceStartMillis(SendPermitRequest request) {
+    if (request.hasStatedRate()) {
+      return request.getStatedRate().getInstanceStart();
+    }
+    return request.hasCold()
+        ? request.getCold().getInstanceStart()
+        : request.getRampUp().getInstanceStart();
+  }
+
   /** Records a coordinator's answer. */
   void answerReceived(SendPermitAnswer answer) {
     long nowMillis = MonotonicClock.millis();
@@ -296,6 +326,12 @@
     if (coldStarts.isHeldBack(serverId, nowMillis)) {
       return false;
     }
+    RampUp rampUp = rampUps.active(serverId, nowMillis);
+    if (rampUp != null
+        && !rampUp.hasRoom(
+            openRequests(serverId, nowMillis), gateways.reachableFraction(), nowMillis)) {
+      return false;
+    }
     double requestsPerSecond = requestsPerSecond(serverId, instanceStartMillis, nowMillis);
     boolean issued =
         issuer.tryIssue(
@@ -306,10 +342,18 @@
     if (issued) {
       usage(serverId).issued++;
       coldStarts.recordIssued(serverId);
+      if (rampUp != null) {
+        rampUp.recordIssued(nowMillis);
+      }
     }
     return issued;
   }
 
+  private int openRequests(String serverId, long nowMillis) {
+    TrackedServer server = listedServers.apply(serverId);
+    return server == null ? 0 : server.openRequests(nowMillis);
+  }
+
   private boolean isCoordinator(String serverId) {
     return coordinator(serverId).filter(gateways.ownAddress()::equals).isPresent();
   }
--- a/gateway/src/test/java/org/shallothold/gateway/forward/ColdServerContractTest.java
+++ b/gateway/src/test/java/org/shallothold/gateway/forward/ColdServerContractTest.java
@@ -5,6 +5,8 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
@@ -12,6 +14,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.locks.LockSupport;
 import java.util.function.LongSupplier;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -156,7 +159,8 @@
     void observedStart() throws IOException, InterruptedException {
       ColdServer first = new ColdServer();
       try (ForwardFixture fixture =
-          ForwardFixture.withLaterServer(GATEWAYS, COLD_START, first, GOOD)) {
+          ForwardFixture.withLaterServer(
+              GATEWAYS, ForwardFixture.Limits.defaults(), COLD_START, first, GOOD)) {
         callInTurn(fixture, SETTLED_MILLIS);
         long beganMillis = MonotonicClock.millis();
         // The other gateways read it later, or not at all.
@@ -217,6 +221,93 @@
     }
   }
 
+  @Nested
+  class FrozenCoordinator {
+
+    /**
+     * Guards against permits of two coordinators, and against callers that fail while the gateways
+     * learn that one of them is frozen. One of the two that freeze is probably the coordinator.
+     */
+    @Test
+    void toleranceHoldsAndWarmServersGetTheRest() throws IOException, InterruptedException {
+      ColdServer first = new ColdServer();
+      try (ForwardFixture fixture =
+          ForwardFixture.withColdStart(GATEWAYS, COLD_START, first, GOOD)) {
+        callInTurn(fixture, SETTLED_MILLIS);
+        fixture.publishServers(0, 2, Map.of("first", "12000", "second", "0"));
+        Thread.sleep(100);
+        long beganMillis = MonotonicClock.millis();
+        callInTurn(fixture, 1_000);
+        fixture.keepEventLoopBusy(1, Duration.ofSeconds(7));
+        fixture.keepEventLoopBusy(2, Duration.ofSeconds(7));
+        callInTurn(fixture, 6_500, 1);
+        callInTurn(fixture, 3_000, 1);
+        assertTolerated(first, beganMillis, MonotonicClock.millis());
+      }
+    }
+  }
+
+  @Nested
+  class RampingUp {
+
+    private static final int CALLS = 30;
+    private static final long ANSWER_MILLIS = 300;
+
+    private static final Script SLOW =
+        exchange -> {
+          LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(ANSWER_MILLIS));
+          exchange.respond(200, "whole");
+        };
+
+    /** Returns how many of the calls that begin at once reach a server that just started. */
+    private int callsAtNewServer(ForwardFixture.Limits limits)
+        throws IOException, InterruptedException {
+      try (ForwardFixture fixture =
+          ForwardFixture.withLaterServer(GATEWAYS, limits, ColdStart.NONE, SLOW, SLOW)) {
+        Thread.sleep(SETTLED_MILLIS);
+        for (int gateway = 0; gateway < GATEWAYS; gateway++) {
+          fixture.call(gateway, "/once/x", "");
+        }
+        for (int gateway = 0; gateway < GATEWAYS; gateway++) {
+          fixture.publishServers(gateway, 2, Map.of("first", "0", "second", "0"));
+        }
+        List<Thread> callers = new ArrayList<>();
+        for (int i = 0; i < CALLS; i++) {
+          int gateway = i % GATEWAYS;
+          callers.add(Thread.ofVirtual().start(() -> callQuietly(fixture, gateway)));
+        }
+        Thread.sleep(ANSWER_MILLIS / 2);
+        int received = fixture.first().requests().size();
+        for (Thread caller : callers) {
+          caller.join();
+        }
+        return received;
+      }
+    }
+
+    private static void callQuietly(ForwardFixture fixture, int gateway) {
+      try {
+        fixture.call(gateway, "/once/x", "");
+      } catch (IOException e) {
+        throw new UncheckedIOException(e);
+      }
+    }
+
+    /** Guards against gateways that each probe a server which just started. */
+    @Test
+    void allGatewaysShareOneWindow() throws IOException, InterruptedException {
+      int received = callsAtNewServer(ForwardFixture.Limits.defaults().withStartingServers());
+      assertTrue(received >= 1 && received <= 6, received + " requests");
+    }
+
+    /** Guards against a window in a deployment whose settings do not ask for it. */
+    @Test
+    void withoutTheSwitchThereIsNoWindow() throws IOException, InterruptedException {
+      int received = callsAtNewServer(ForwardFixture.Limits.defaults());
+      assertTrue(received > 6, received + " requests");
+    }
+  }
+
   @Nested
   class StartingGateway {
 
--- a/gateway/src/test/java/org/shallothold/gateway/forward/ForwardFixture.java
+++ b/gateway/src/test/java/org/shallothold/gateway/forward/ForwardFixture.java
@@ -57,13 +57,16 @@
 
   /** Starts gateways that exchange their state; none has a configuration. */
   private ForwardFixture(int gatewayCount) throws IOException {
+    this(gatewayCount, Limits.DEFAULT);
+  }
+
+  private ForwardFixture(int gatewayCount, Limits limits) throws IOException {
     InetSocketAddress seed = freeAddress();
     seedAddress = seed;
     for (int i = 0; i < gatewayCount; i++) {
       InetSocketAddress peerAddress = i == 0 ? seed : freeAddress();
       gateways.add(
-          Instance.start(
-              "test-" + i, peerAddress, List.of(seed), new TestDecoder(), Limits.DEFAULT));
+          Instance.start("test-" + i, peerAddress, List.of(seed), new TestDecoder(), limits));
     }
   }
 
@@ -98,6 +101,7 @@
               seeds,
               new ForwardOptions.RetryLimit(0.2, 100, 10_000),
               limits.shutdownTimeoutMillis(),
+              limits.startingServers(),
               limits.bufferBytes());
       CompletableFuture<EventLoop> eventLoop = new CompletableFuture<>();
       CompletableFuture<PublishedSource.Listener> listener = new CompletableFuture<>();
@@ -119,17 +123,22 @@
    * Limits of a gateway.
    *
    * @param shutdownTimeoutMillis time from the begin of a shutdown to its end, in milliseconds
+   * @param startingServers whether servers that start get their usual load step by step
    * @param bufferBytes memory for buffers, in bytes
    */
-  record Limits(long shutdownTimeoutMillis, long bufferBytes) {
-    private static final Limits DEFAULT = new Limits(8_000, 32L * 1024 * 1024);
+  record Limits(long shutdownTimeoutMillis, boolean startingServers, long bufferBytes) {
+    private static final Limits DEFAULT = new Limits(8_000, false, 32L * 1024 * 1024);
 
     Limits withShutdownTimeoutMillis(long millis) {
-      return new Limits(millis, bufferBytes);
+      return new Limits(millis, startingServers, bufferBytes);
+    }
+
+    Limits withStartingServers() {
+      return new Limits(shutdownTimeoutMillis, true, bufferBytes);
     }
 
     Limits withBufferBytes(long bytes) {
-      return new Limits(shutdownTimeoutMillis, bytes);
+      return new Limits(shutdownTimeoutMillis, startingServers, bytes);
     }
 
     static Limits defaults() {
@@ -201,11 +210,12 @@
    */
   static ForwardFixture withLaterServer(
       int gatewayCount,
+      Limits limits,
       ColdStart coldStart,
       ScriptedServer.Script first,
       ScriptedServer.Script second)
       throws IOException {
-    ForwardFixture fixture = new ForwardFixture(gatewayCount);
+    ForwardFixture fixture = new ForwardFixture(gatewayCount, limits);
     fixture.coldStart = coldStart;
     fixture.servers.add(ScriptedServer.start("first", first));
     fixture.servers.add(ScriptedServer.start("second", second));
@@ -294,7 +304,12 @@
 
   /** Makes the gateway's event loop handle nothing for a time. */
   void keepEventLoopBusy(Duration time) {
-    gateways.getFirst().eventLoop().join().execute(() -> LockSupport.parkNanos(time.toNanos()));
+    keepEventLoopBusy(0, time);
+  }
+
+  /** Makes the event loop of one of the gateways handle nothing for a time. */
+  void keepEventLoopBusy(int gateway, Duration time) {
+    gateways.get(gateway).eventLoop().join().execute(() -> LockSupport.parkNanos(time.toNanos()));
   }
 
   /** Drains the gateway as at SIGTERM; returns what {@link ForwardingGateway#drain} returns. */
