--- a/gateway/src/main/java/org/shallothold/gateway/forward/Attempt.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/Attempt.java
@@ -105,6 +105,7 @@
         MonotonicClock.millis());
     addDecodeDemand();
     forwarder.rateLimits().recordSend(server);
+    forwarder.state().rampUps().sent(serverId, requestKey, placement.expectedMillis());
     recordPrefixReads(serverId);
     if (placement.prefillMillis() > 0) {
       forwarder.workAdded(serverId);
@@ -219,6 +220,7 @@
     forwarder
         .state()
         .recordRateStatement(server.entry(), responseFacts.rateStatement(), sentMillis);
+    forwarder.state().coldStarts().responseRead(server.entry(), responseFacts.coldFigure());
     if (responseFacts.retryAfterMillis() > 0) {
       forwarder
           .state()
@@ -328,6 +330,7 @@
     }
     beginStream(responseHead);
     server.recordFirstEvent(requestKey, placement.expectedMillis(), MonotonicClock.millis());
+    forwarder.state().rampUps().firstEvent(server.entry().id(), requestKey);
     updateEstimates(events);
     if (!progress.firstEventSeen) {
       forwarder.workRemoved(server.entry().id());
@@ -455,6 +458,7 @@
       return;
     }
     server.recordSuccess();
+    forwarder.state().rampUps().firstEvent(server.entry().id(), requestKey);
     recordWholeAnswer();
     recordOutputLength();
     countResult("stream_ended");
@@ -482,6 +486,7 @@
     Route matchedRoute = owner.route();
     boolean repeatable = matchedRoute != null && matchedRoute.kind().repeatable();
     if (responseFacts.notRun() || status == HttpResponseStatus.MISDIRECTED_REQUEST.code()) {
+      recordRejection(status);
       progress.possibleRuns--;
       progress.rejections++;
       countResult("rejected_" + status);
@@ -494,6 +499,11 @@
       fail("the response is not signed");
       return;
     }
+    if (status >= 500) {
+      forwarder.state().rampUps().failed(server.entry().id(), requestKey);
+    } else {
+      forwarder.state().rampUps().firstEvent(server.entry().id(), requestKey);
+    }
     if (success) {
       server.recordSuccess();
       recordWholeAnswer();
@@ -515,6 +525,15 @@
     deliverResponse(responseHead, status, repeatable);
   }
 
+  /** Records that the server did not run the request. */
+  private void recordRejection(int status) {
+    if (status == HttpResponseStatus.MISDIRECTED_REQUEST.code()) {
+      forwarder.state().rampUps().abandoned(server.entry().id(), requestKey);
+    } else {
+      forwarder.state().rampUps().failed(server.entry().id(), requestKey);
+    }
+  }
+
   private boolean canRetry() {
     Route matchedRoute = owner.route();
     return matchedRoute != null
@@ -572,8 +591,9 @@
     done = true;
     server.recordEnd(requestKey);
     releaseBuffered();
+    forwarder.state().rampUps().failed(server.entry().id(), requestKey);
     if (neverSent) {
-      server.recordUnreachable(MonotonicClock.millis());
+      forwarder.state().recordUnreachable(server);
       countResult("unreachable");
       trace.addLine("server_unreachable").with("reason", reason);
       owner.retry(service, ReasonCode.NO_SERVER, false);
@@ -630,7 +650,7 @@
    */
   void recordSilence() {
     if (sent && server.silentSince(sentMillis)) {
-      server.recordUnreachable(MonotonicClock.millis());
+      forwarder.state().recordUnreachable(server);
     }
   }
 
@@ -640,6 +660,7 @@
     }
     done = true;
     server.recordEnd(requestKey);
+    forwarder.state().rampUps().abandoned(server.entry().id(), requestKey);
     releaseBuffered();
     exchange.abandon();
   }
--- a/gateway/src/main/java/org/shallothold/gateway/forward/ForwardGauges.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/ForwardGauges.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import org.shallothold.core.memory.MemoryBudget;
 import org.shallothold.core.placement.TrackedServer;
+import org.shallothold.core.rate.RampUp;
 import org.shallothold.core.rate.RateObservation;
 import org.shallothold.core.route.RouteConfiguration;
 import org.shallothold.gateway.forward.port.PublishedTopic;
@@ -32,6 +33,10 @@
   private final Gauge liveGateways;
   private final Gauge rateLimitedServers;
   private final Gauge statedRate;
+  private final Gauge coldServers;
+  private final Gauge coldRate;
+  private final Gauge rampingServers;
+  private final Gauge rampUpWindow;
   private final Gauge sendPermits;
   private final Gauge restrictedParts;
   private final Gauge partTrials;
@@ -95,6 +100,24 @@
             "shallothold_stated_rate_requests_per_second",
             "Sum of the rate limits that backend servers state for all gateways together.",
             "service");
+    coldServers =
+        metrics.gauge(
+            "shallothold_cold_servers", "Listed backend servers that are cold.", "service");
+    coldRate =
+        metrics.gauge(
+            "shallothold_cold_rate_requests_per_second",
+            "Sum of the rates at which all gateways may send to cold backend servers.",
+            "service");
+    rampingServers =
+        metrics.gauge(
+            "shallothold_ramping_servers",
+            "Listed backend servers that started or recovered and have a window.",
+            "service");
+    rampUpWindow =
+        metrics.gauge(
+            "shallothold_ramp_up_window_requests",
+            "Sum of the open requests that the windows of such servers allow.",
+            "service");
     sendPermits =
         metrics.gauge(
             "shallothold_send_permits", "Permits for sends to servers that state a rate limit.");
@@ -146,6 +169,10 @@
     rateLimitedServers.clear();
     statedRate.clear();
     Map<String, Double> lowestPrefillShares = new HashMap<>();
+    coldServers.clear();
+    coldRate.clear();
+    rampingServers.clear();
+    rampUpWindow.clear();
     for (TrackedServer server : state.allServers()) {
       String service = server.entry().service();
       backendServers.labelValues(service, availability(server, nowMillis)).inc();
@@ -157,6 +184,17 @@
         rateLimitedServers.labelValues(service).inc();
         statedRate.labelValues(service).inc(requestsPerSecond);
       }
+      double coldRequestsPerSecond =
+          state.coldStarts().requestsPerSecond(server.entry().id(), nowMillis);
+      if (coldRequestsPerSecond < RateObservation.NO_LIMIT) {
+        coldServers.labelValues(service).inc();
+        coldRate.labelValues(service).inc(coldRequestsPerSecond);
+      }
+      RampUp rampUp = state.rampUps().active(server.entry().id(), nowMillis);
+      if (rampUp != null) {
+        rampingServers.labelValues(service).inc();
+        rampUpWindow.labelValues(service).inc(rampUp.window());
+      }
     }
     lowestPrefillShares.forEach(
         (service, share) -> lowestPrefillShare.labelValues(service).set(share));
--- a/gateway/src/main/java/org/shallothold/gateway/forward/Forwarder.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/Forwarder.java
@@ -82,10 +82,16 @@
     this.prefixReads = prefixReads;
     this.memory = MemoryBudget.of(options.bufferBytes());
     this.prefillPaceLog = new PrefillPaceLog(state, log);
-    this.rateLimits = new StatedRateLimits(state.statedRates(), log, metrics);
+    this.rateLimits = new StatedRateLimits(state, log, metrics);
     rateLimits.setAnswerListener(this::permitAnswered);
     // Peers are told at once.
     state.setRateChangeListener(this::workAdded);
+    state.coldStarts().setChangeListener(this::workAdded);
+    state.coldStarts().setBeginListener(rateLimits::becameCold);
+    if (options.limitsStartingServers()) {
+      state.rampUps().enable();
+    }
+    state.coldStarts().setTrafficIndicator(() -> lastRequestNumber > 0);
     this.promptParts = new PromptPartQuarantine(options.processId(), eventLoop, log, metrics);
     promptParts.setEvidenceListener(() -> workChangeListener.run());
     promptParts.setStandingListener(this::standingChanged);
--- a/gateway/src/main/java/org/shallothold/gateway/forward/ForwardingGateway.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/ForwardingGateway.java
@@ -25,11 +25,13 @@
 import org.shallothold.runtime.logging.LogLine;
 import org.shallothold.runtime.logging.StructuredLog;
 import org.shallothold.wire.connection.Transport;
+import org.shallothold.wire.proto.ColdState;
 import org.shallothold.wire.proto.CrashEvidence;
 import org.shallothold.wire.proto.EngineSpeed;
 import org.shallothold.wire.proto.FleetNews;
 import org.shallothold.wire.proto.OpenWork;
 import org.shallothold.wire.proto.PrefixRead;
+import org.shallothold.wire.proto.RampUpState;
 import org.shallothold.wire.proto.SendPermitAnswer;
 import org.shallothold.wire.proto.SendPermitRequest;
 import org.shallothold.wire.proto.WorkChanges;
@@ -427,6 +429,14 @@
           && (rate.isLimited() || nowMillis - rate.observedMillis() <= RATE_END_REPORT_MILLIS)) {
         work.setStatedRate(StatedRateLimits.toProto(rate, nowMillis));
       }
+      ColdState cold = state.coldStarts().toProto(server.entry().id(), nowMillis);
+      if (cold != null) {
+        work.setCold(cold);
+      }
+      RampUpState rampUp = state.rampUps().toProto(server.entry().id(), nowMillis);
+      if (rampUp != null) {
+        work.setRampUp(rampUp);
+      }
       return work.build();
     }
 
@@ -434,7 +444,9 @@
       return work.getRequests() > 0
           || work.getSentReadMillis() > 0
           || work.hasLeavingLife()
-          || work.hasStatedRate();
+          || work.hasStatedRate()
+          || work.hasCold()
+          || work.hasRampUp();
     }
 
     private static PrefixRead toProto(PrefixReads.Read read) {
@@ -480,6 +492,12 @@
         state.recordRate(
             work.getServerId(), StatedRateLimits.fromProto(work.getStatedRate(), nowMillis), peer);
       }
+      if (work.hasCold()) {
+        state.coldStarts().reported(work.getServerId(), work.getCold(), peer);
+      }
+      if (work.hasRampUp()) {
+        state.rampUps().reported(work.getServerId(), work.getRampUp(), peer);
+      }
       TrackedServer server = state.server(work.getServerId());
       if (server == null) {
         return;
@@ -548,10 +566,18 @@
       if (PromptPartQuarantine.isTrial(request)) {
         return forwarder.promptParts().answer(peer, request);
       }
-      state.recordRate(
-          request.getServerId(),
-          StatedRateLimits.fromProto(request.getStatedRate(), MonotonicClock.millis()),
-          peer);
+      if (request.hasStatedRate()) {
+        state.recordRate(
+            request.getServerId(),
+            StatedRateLimits.fromProto(request.getStatedRate(), MonotonicClock.millis()),
+            peer);
+      }
+      if (request.hasCold()) {
+        state.coldStarts().reported(request.getServerId(), request.getCold(), peer);
+      }
+      if (request.hasRampUp()) {
+        state.rampUps().reported(request.getServerId(), request.getRampUp(), peer);
+      }
       return forwarder.rateLimits().answer(request);
     }
 
--- a/gateway/src/test/java/org/shallothold/gateway/forward/ForwardFixture.java
+++ b/gateway/src/test/java/org/shallothold/gateway/forward/ForwardFixture.java
@@ -24,8 +24,10 @@
 import org.shallothold.core.membership.ServerEntry;
 import org.shallothold.core.memory.MemoryBudget;
 import org.shallothold.core.publish.PublishedItem;
+import org.shallothold.core.rate.ColdFigure;
 import org.shallothold.core.route.CallKind;
 import org.shallothold.core.route.CallerLimits;
+import org.shallothold.core.route.ColdStart;
 import org.shallothold.core.route.CustomerIdentity;
 import org.shallothold.core.route.Route;
 import org.shallothold.core.route.RouteConfiguration;
@@ -45,7 +47,8 @@
   private final List<ScriptedServer> servers = new ArrayList<>();
   private final List<Instance> gateways = new ArrayList<>();
   private final @Nullable InetSocketAddress seedAddress;
-  private RoutedService service =
+  // Read by the event loops when the configuration is published.
+  private volatile RoutedService service =
       new RoutedService("desk", 10, false, 0, 1, RoutedService.NO_TRANSFER);
 
   private ForwardFixture(Limits limits) {
@@ -55,13 +58,16 @@
 
   /** Starts gateways that exchange their state; none has a configuration. */
   private ForwardFixture(int gatewayCount) throws IOException {
+    this(gatewayCount, Limits.DEFAULT);
+  }
+
+  private ForwardFixture(int gatewayCount, Limits limits) throws IOException {
     InetSocketAddress seed = freeAddress();
     seedAddress = seed;
     for (int i = 0; i < gatewayCount; i++) {
       InetSocketAddress peerAddress = i == 0 ? seed : freeAddress();
       gateways.add(
-          Instance.start(
-              "test-" + i, peerAddress, List.of(seed), new TestDecoder(), Limits.DEFAULT));
+          Instance.start("test-" + i, peerAddress, List.of(seed), new TestDecoder(), limits));
     }
   }
 
@@ -96,6 +102,7 @@
               seeds,
               new ForwardOptions.RetryLimit(0.2, 100, 10_000),
               limits.shutdownTimeoutMillis(),
+              limits.startingServers(),
               limits.bufferBytes());
       CompletableFuture<EventLoop> eventLoop = new CompletableFuture<>();
       CompletableFuture<PublishedSource.Listener> listener = new CompletableFuture<>();
@@ -117,17 +124,22 @@
    * Limits of a gateway.
    *
    * @param shutdownTimeoutMillis time from the begin of a shutdown to its end, in milliseconds
+   * @param startingServers whether servers that start get their usual load step by step
    * @param bufferBytes memory for buffers, in bytes
    */
-  record Limits(long shutdownTimeoutMillis, long bufferBytes) {
-    private static final Limits DEFAULT = new Limits(8_000, 32L * 1024 * 1024);
+  record Limits(long shutdownTimeoutMillis, boolean startingServers, long bufferBytes) {
+    private static final Limits DEFAULT = new Limits(8_000, false, 32L * 1024 * 1024);
 
     Limits withShutdownTimeoutMillis(long millis) {
-      return new Limits(millis, bufferBytes);
+      return new Limits(millis, startingServers, bufferBytes);
+    }
+
+    Limits withStartingServers() {
+      return new Limits(shutdownTimeoutMillis, true, bufferBytes);
     }
 
     Limits withBufferBytes(long bytes) {
-      return new Limits(shutdownTimeoutMillis, bytes);
+      return new Limits(shutdownTimeoutMillis, startingServers, bytes);
     }
 
     static Limits defaults() {
@@ -187,6 +199,68 @@
     return fixture;
   }
 
+  /**
+   * Starts gateways that exchange their state and two servers of a service whose servers start
+   * cold, and publishes both to all.
+   */
+  static ForwardFixture withColdStart(
+      int gatewayCount,
+      ColdStart coldStart,
+      ScriptedServer.Script first,
+      ScriptedServer.Script second)
+      throws IOException {
+    ForwardFixture fixture = new ForwardFixture(gatewayCount);
+    fixture.service =
+        new RoutedService("desk", 10, false, 0, 1, RoutedService.NO_TRANSFER, coldStart);
+    fixture.servers.add(ScriptedServer.start("first", first));
+    fixture.servers.add(ScriptedServer.start("second", second));
+    fixture.publish();
+    return fixture;
+  }
+
+  /**
+   * Starts gateways as {@link #withColdStart}, but publishes only the second server; the first one
+   * starts with its first entry.
+   */
+  static ForwardFixture withLaterServer(
+      int gatewayCount,
+      Limits limits,
+      ColdStart coldStart,
+      ScriptedServer.Script first,
+      ScriptedServer.Script second)
+      throws IOException {
+    ForwardFixture fixture = new ForwardFixture(gatewayCount, limits);
+    fixture.service =
+        new RoutedService("desk", 10, false, 0, 1, RoutedService.NO_TRANSFER, coldStart);
+    fixture.servers.add(ScriptedServer.start("first", first));
+    fixture.servers.add(ScriptedServer.start("second", second));
+    fixture.publish(List.of(fixture.second()), 1);
+    return fixture;
+  }
+
+  /**
+   * Publishes the entries of some servers to one of the gateways, as the platform.
+   *
+   * @param entries by server id, the figure in the entry that says how long the server stays cold;
+   *     empty if there is none
+   */
+  void publishServers(int gateway, long revision, Map<String, String> entries) {
+    onEventLoop(
+        gateways.get(gateway),
+        listener ->
+            listener.itemsRead(
+                PublishedTopic.SERVERS,
+                entries.entrySet().stream()
+                    .map(
+                        entry ->
+                            new PublishedItem(
+                                entry.getKey(),
+                                entry.getValue().getBytes(StandardCharsets.UTF_8),
+                                revision))
+                    .toList(),
+                revision));
+  }
+
   /** Starts gateways that exchange their state and servers, and publishes these to all. */
   static ForwardFixture withGateways(int gatewayCount, List<ScriptedServer> startedServers)
       throws IOException {
@@ -245,7 +319,12 @@
 
   /** Makes the gateway's event loop handle nothing for a time. */
   void keepEventLoopBusy(Duration time) {
-    gateways.getFirst().eventLoop().join().execute(() -> LockSupport.parkNanos(time.toNanos()));
+    keepEventLoopBusy(0, time);
+  }
+
+  /** Makes the event loop of one of the gateways handle nothing for a time. */
+  void keepEventLoopBusy(int gateway, Duration time) {
+    gateways.get(gateway).eventLoop().join().execute(() -> LockSupport.parkNanos(time.toNanos()));
   }
 
   /** Drains the gateway as at SIGTERM; returns what {@link ForwardingGateway#drain} returns. */
@@ -427,6 +506,13 @@
           : Optional.empty();
     }
 
+    @Override
+    public ColdFigure coldFigure(PublishedItem item) {
+      return item.value().length == 0
+          ? ColdFigure.absent()
+          : ColdFigure.parse(new String(item.value(), StandardCharsets.UTF_8));
+    }
+
     @Override
     public Optional<ServerEntry> server(PublishedItem item) {
       return servers.stream()
