--- a/core/src/main/java/org/shallothold/core/placement/EngineAdmission.java
+++ b/core/src/main/java/org/shallothold/core/placement/EngineAdmission.java
@@ -91,7 +91,8 @@
     }
     double expectedWaitMillis =
         queuedAheadMillis + placement.backlogMillis() - allowedBacklogMillis;
-    if (request.canMeetLatencyTarget(expectedWaitMillis + placement.prefillMillis())) {
+    if (request.canMeetLatencyTarget(
+        expectedWaitMillis + placement.prefillMillis() * placement.speedFactor())) {
       return new AdmissionDecision.Wait();
     }
     if (urgent && request.waitedMillis() < request.maxWaitMillis()) {
--- a/core/src/main/java/org/shallothold/core/placement/EngineEstimator.java
+++ b/core/src/main/java/org/shallothold/core/placement/EngineEstimator.java
@@ -13,6 +13,9 @@
  * from the estimates of its peers. A restarted gateway has valid estimates with the first update of
  * a peer.
  *
+ * <p>The timings are those of an engine of the service's median speed at its usual speed: callers
+ * divide what they measure by {@link ServerSpeed#factor}.
+ *
  * <p>Without enough samples the timings assume that a prefill can delay running streams without a
  * bound. One instance per service; owned by one thread.
  */
@@ -85,7 +88,7 @@
    * @param promptTokens tokens of the whole prompt
    * @param cachedTokens tokens at the start of the prompt that were probably in the prefix cache
    * @param backlogMillis known prefill backlog of the engine when the prompt was sent
-   * @param elapsedMillis time from sending the prompt to the first event
+   * @param elapsedMillis time from sending the prompt to the first event, at the usual speed
    */
   public void recordFirstEvent(
       int promptTokens, int cachedTokens, double backlogMillis, double elapsedMillis) {
@@ -101,7 +104,8 @@
   }
 
   /**
-   * Records the inter-event gap of a stream whose engine had nothing to prefill, in milliseconds.
+   * Records the inter-event gap of a stream whose engine had nothing to prefill, in milliseconds at
+   * the usual speed.
    */
   public void recordIdlePause(double millis) {
     idlePauses.add(millis);
@@ -110,7 +114,7 @@
 
   /**
    * Records the inter-event gap of a stream whose engine prefilled during the whole gap, in
-   * milliseconds.
+   * milliseconds at the usual speed.
    */
   public void recordPrefillPause(double millis) {
     prefillPauses.add(millis);
--- a/core/src/main/java/org/shallothold/core/placement/EnginePlacementPolicy.java
+++ b/core/src/main/java/org/shallothold/core/placement/EnginePlacementPolicy.java
@@ -5,7 +5,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.SplittableRandom;
 import java.util.function.Predicate;
+import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import org.jspecify.annotations.Nullable;
@@ -27,6 +29,8 @@
   private static final double MISSED_PAUSE_COST_MILLIS = 150;
   // A pause-sensitive stream uses another engine when the reserved engines are busier by this much.
   private static final double UNRESERVED_ENGINE_COST_MILLIS = 250;
+  // A stream uses another engine when those that are fast enough for it are busier by this much.
+  private static final double SLOW_ENGINE_PAUSE_COST_MILLIS = 250;
   // Prompts that break pause targets use reserved engines only when the others are unreachable.
   private static final double RESERVED_ENGINE_COST_MILLIS = 5_000;
   // Cost for each position in the release order. Pause-sensitive streams prefer the reserved
@@ -71,8 +75,12 @@
   // Prefilling fewer tokens takes less time than a request to another engine for them.
   private static final int MIN_TRANSFER_TOKENS = 64;
 
+  private static final long NO_SHARED_PART = 0;
+
   private final EngineEstimator estimator;
   private final String failureDomain;
+  private final RandomGenerator random;
+  private final ServerSpeeds speeds = ServerSpeeds.create();
   private final PauseRiskTracker pauseRisk = new PauseRiskTracker();
   private double pauseSensitiveDemandMillis;
   private double otherDemandMillis;
@@ -113,14 +121,32 @@
       long createdMillis,
       long arrivals) {}
 
-  private EnginePlacementPolicy(EngineEstimator estimator, String failureDomain) {
+  private EnginePlacementPolicy(
+      EngineEstimator estimator, String failureDomain, RandomGenerator random) {
     this.estimator = estimator;
     this.failureDomain = failureDomain;
+    this.random = random;
   }
 
   /** Returns a policy for a gateway in the given failure domain. */
   public static EnginePlacementPolicy of(EngineEstimator estimator, String failureDomain) {
-    return new EnginePlacementPolicy(estimator, failureDomain);
+    return of(estimator, failureDomain, new SplittableRandom());
+  }
+
+  /**
+   * Returns a policy for a gateway in the given failure domain.
+   *
+   * @param random source of the choice among engines of nearly equal cost, used only while engines
+   *     are known to differ in speed
+   */
+  static EnginePlacementPolicy of(
+      EngineEstimator estimator, String failureDomain, RandomGenerator random) {
+    return new EnginePlacementPolicy(estimator, failureDomain, random);
+  }
+
+  /** Returns the comparison of the engines' persistent speeds. */
+  public ServerSpeeds speeds() {
+    return speeds;
   }
 
   /** Returns the estimator of the engines' timings, which the caller feeds with measurements. */
@@ -157,7 +183,7 @@
     double uncachedPrefillMillis =
         timings.prefillMillis(profile.promptTokens(), cachedAnywhere(profile));
     if (reservedBacklogLimitMillis(
-            pauseRisk.shortestTargetMillis(nowMillis), timings, uncachedPrefillMillis)
+            pauseRisk.shortestTargetMillis(nowMillis), timings, uncachedPrefillMillis, 1)
         < 0) {
       longPromptDemandMillis += uncachedPrefillMillis;
     }
@@ -180,8 +206,9 @@
    * pause target intact; negative if the prompt alone breaks it.
    */
   private static double streamBacklogLimitMillis(
-      double pauseTargetMillis, EngineTimings timings, double prefillMillis) {
-    return pauseTargetMillis * OWN_PREFILL_PAUSE_FRACTION - timings.pauseMillis(prefillMillis);
+      double pauseTargetMillis, EngineTimings timings, double prefillMillis, double speedFactor) {
+    return pauseTargetMillis * OWN_PREFILL_PAUSE_FRACTION
+        - timings.pauseMillis(prefillMillis) * speedFactor;
   }
 
   /**
@@ -189,8 +216,9 @@
    * the engine's streams; negative if the prompt alone breaks one.
    */
   private static double reservedBacklogLimitMillis(
-      double pauseTargetMillis, EngineTimings timings, double prefillMillis) {
-    return pauseTargetMillis * OTHER_PREFILL_PAUSE_FRACTION - timings.pauseMillis(prefillMillis);
+      double pauseTargetMillis, EngineTimings timings, double prefillMillis, double speedFactor) {
+    return pauseTargetMillis * OTHER_PREFILL_PAUSE_FRACTION
+        - timings.pauseMillis(prefillMillis) * speedFactor;
   }
 
   /**
@@ -247,7 +275,8 @@
             timings,
             pauseRisk.shortestTargetMillis(nowMillis),
             affinityHash(chain),
-            CacheSource.best(usable, cached));
+            CacheSource.best(usable, cached),
+            SpeedCosts.among(usable, random, nowMillis));
     return IntStream.range(0, usable.size())
         .mapToObj(
             index ->
@@ -270,7 +299,8 @@
         && previous.arrivals() == arrivals) {
       return previous;
     }
-    List<TrackedServer> inService = PlacementPolicy.inService(servers);
+    speeds.update(servers, nowMillis);
+    List<TrackedServer> inService = speeds.slowLast(PlacementPolicy.inService(servers));
     PlacementPolicy.updateRelativeSlowness(inService);
     updateStreamCounts(inService, nowMillis);
     // Unreachable engines keep their positions, so that gateways that reach them agree with those
@@ -307,7 +337,8 @@
         (long)
             Math.ceil(Math.max(totalPauseSensitiveLoad / TARGET_RESERVED_LOAD, enginesForStreams));
     double totalLongPromptLoad = longPromptLoad(nowMillis) + peersLongPromptLoad;
-    long spareEngines = engines - (long) Math.ceil(totalLongPromptLoad / TARGET_LONG_PROMPT_LOAD);
+    long spareEngines =
+        engines - speeds.serversForLoad(totalLongPromptLoad / TARGET_LONG_PROMPT_LOAD);
     return (int)
         Math.clamp(
             Math.max(spareEngines, Math.min(demandedEngines, Math.max(1, fairShare))),
@@ -344,6 +375,7 @@
    * @param shortestPauseTargetMillis shortest pause target that prefills put at risk
    * @param affinityHash hash of the last part that is shared with other requests
    * @param source engine from which others can fetch the parts that it caches
+   * @param speedCosts costs of the differences in speed between the engines
    */
   private record PlacementRequest(
       RequestProfile profile,
@@ -351,7 +383,8 @@
       EngineTimings timings,
       double shortestPauseTargetMillis,
       long affinityHash,
-      CacheSource source) {}
+      CacheSource source,
+      SpeedCosts speedCosts) {}
 
   /**
    * The reachable engine that caches most of a prompt.
@@ -398,17 +431,27 @@
             < localPrefillMillis + profile.latencyTargetMillis() * MAX_TRANSFER_DELAY_FRACTION;
     double prefillMillis = transfers ? withTransferMillis : localPrefillMillis;
     double slowness = server.relativeSlowness();
+    double speedFactor = server.speed().factor(nowMillis);
+    double timeFactor = server.timeFactor(nowMillis);
     double backlogMillis = server.backlogMillis(nowMillis);
     int openRequests = server.openRequests(nowMillis);
+    double decodeMillis = openRequests * timings.decodeStepMillis() / 2;
     double costMillis = (backlogMillis + prefillMillis * PREFILL_WEIGHT) * slowness;
+    costMillis +=
+        request
+                .speedCosts()
+                .additionalMillis(server, backlogMillis, decodeMillis, prefillMillis, nowMillis)
+            * slowness;
+    costMillis += request.speedCosts().spreadMillis(speedFactor);
     int releasePosition = releasePositions.getOrDefault(server, 0);
     boolean reserved = releasePosition > 0;
     double pauseBacklogLimitMillis =
         request.pauseSensitive()
-            ? streamBacklogLimitMillis((double) profile.pauseTargetMillis(), timings, prefillMillis)
+            ? streamBacklogLimitMillis(
+                (double) profile.pauseTargetMillis(), timings, prefillMillis, speedFactor)
             : reserved
                 ? reservedBacklogLimitMillis(
-                    request.shortestPauseTargetMillis(), timings, prefillMillis)
+                    request.shortestPauseTargetMillis(), timings, prefillMillis, speedFactor)
                 : Placement.NO_BACKLOG_LIMIT;
     costMillis +=
         reservationCostMillis(
@@ -420,16 +463,19 @@
             * (request.pauseSensitive()
                 ? releasePositions.size() - releasePosition
                 : releasePosition);
-    if (timings.pauseMillis(backlogMillis + prefillMillis) * slowness
+    if (timings.pauseMillis(backlogMillis + prefillMillis) * timeFactor
         > request.shortestPauseTargetMillis() * MISSED_PAUSE_FRACTION) {
       costMillis += MISSED_PAUSE_COST_MILLIS * server.pauseSensitiveStreams(nowMillis);
     }
     costMillis +=
         request.pauseSensitive()
+                || (request.affinityHash() == NO_SHARED_PART && request.speedCosts().spreads())
             ? 0
             : AFFINITY_COST_MILLIS * Hashing.unit(request.affinityHash(), server.idHash());
+    costMillis +=
+        breaksPauseBySpeed(profile, timings, speedFactor) ? SLOW_ENGINE_PAUSE_COST_MILLIS : 0;
     costMillis += FAILURE_COST_MILLIS * server.failureRate();
-    costMillis += openRequests * timings.decodeStepMillis() / 2;
+    costMillis += decodeMillis;
     costMillis += openRequests >= server.entry().slots() ? NO_FREE_SLOT_COST_MILLIS : 0;
     costMillis +=
         server.entry().failureDomain().equals(failureDomain) ? 0 : OTHER_DOMAIN_COST_MILLIS;
@@ -437,15 +483,29 @@
         new Placement(
             server,
             prefillMillis,
-            (backlogMillis + prefillMillis) * slowness,
-            backlogMillis * slowness,
+            (backlogMillis + prefillMillis) * timeFactor,
+            backlogMillis * timeFactor,
             transfers ? request.source().tokens() : cached,
             transfers ? request.source().server() : null,
             request.pauseSensitive(),
-            pauseBacklogLimitMillis),
+            pauseBacklogLimitMillis,
+            speedFactor),
         costMillis);
   }
 
+  /**
+   * Returns whether prefills at an engine break a stream's pause target because of the engine's
+   * speed: at the usual speed they would not.
+   */
+  private static boolean breaksPauseBySpeed(
+      RequestProfile profile, EngineTimings timings, double speedFactor) {
+    double limitMillis = profile.pauseTargetMillis() * MISSED_PAUSE_FRACTION;
+    double usualPauseMillis = timings.pauseMillis(Double.POSITIVE_INFINITY);
+    return profile.pauseTargetMillis() > 0
+        && usualPauseMillis <= limitMillis
+        && usualPauseMillis * speedFactor > limitMillis;
+  }
+
   private static double reservationCostMillis(
       boolean fitsReserved, boolean pauseSensitive, boolean reserved) {
     if (reserved) {
@@ -455,11 +515,11 @@
   }
 
   /**
-   * Returns the hash of the last part that is shared with other requests, or 0 if there is none.
-   * The last part of a prompt belongs to its request alone.
+   * Returns the hash of the last part that is shared with other requests, or {@link
+   * #NO_SHARED_PART}. The last part of a prompt belongs to its request alone.
    */
   private static long affinityHash(long[] chain) {
-    return chain.length < 2 ? 0 : chain[chain.length - 2];
+    return chain.length < 2 ? NO_SHARED_PART : chain[chain.length - 2];
   }
 
   /** Reduces the recorded demand exponentially with the time since the last call. */
--- a/core/src/main/java/org/shallothold/core/placement/PauseSampler.java
+++ b/core/src/main/java/org/shallothold/core/placement/PauseSampler.java
@@ -46,15 +46,18 @@
 
   private void completeSample(TrackedServer server, EngineEstimator estimator, long nowMillis) {
     double pauseMillis = (double) (nowMillis - startMillis);
+    double usualMillis = pauseMillis / server.speed().factor(nowMillis);
     if (server.prefillingSince(startMillis - PROMPT_DELIVERY_MILLIS)) {
       // An engine without a free slot does not prefill the prompts that wait there.
       if (server.openRequests(nowMillis) < server.entry().slots()) {
-        estimator.recordPrefillPause(pauseMillis);
+        estimator.recordPrefillPause(usualMillis);
+        SpeedMeter.record(SpeedMeter.Kind.PREFILL_PAUSE, server, pauseMillis, nowMillis);
       }
     } else if (idleAtStart
         && server.sentPrefillMillis() == sentPrefillMillisAtStart
         && server.backlogMillis(nowMillis) == 0) {
-      estimator.recordIdlePause(pauseMillis);
+      estimator.recordIdlePause(usualMillis);
+      SpeedMeter.record(SpeedMeter.Kind.IDLE_PAUSE, server, pauseMillis, nowMillis);
     }
   }
 }
--- a/core/src/main/java/org/shallothold/core/placement/Placement.java
+++ b/core/src/main/java/org/shallothold/core/placement/Placement.java
@@ -18,6 +18,8 @@
  * @param pauseBacklogLimitMillis prefill backlog of the server up to which the prompt breaks no
  *     pause target, in milliseconds; negative if the prompt alone breaks one, {@link
  *     #NO_BACKLOG_LIMIT} if no target is at risk
+ * @param speedFactor ratio of the time that work takes at the server now to its usual time; the
+ *     prefill time is at the usual speed, the other times are at the server's own speed
  */
 public record Placement(
     TrackedServer server,
@@ -27,7 +29,8 @@
     int cachedTokens,
     @Nullable TrackedServer cacheSource,
     boolean pauseSensitive,
-    double pauseBacklogLimitMillis) {
+    double pauseBacklogLimitMillis,
+    double speedFactor) {
 
   /** Backlog limit of a placement where no pause target is at risk. */
   public static final double NO_BACKLOG_LIMIT = Double.POSITIVE_INFINITY;
@@ -37,6 +40,6 @@
    * gaps.
    */
   public static Placement forPlainService(TrackedServer server, double expectedMillis) {
-    return new Placement(server, 0, expectedMillis, 0, 0, null, false, NO_BACKLOG_LIMIT);
+    return new Placement(server, 0, expectedMillis, 0, 0, null, false, NO_BACKLOG_LIMIT, 1);
   }
 }
--- a/core/src/main/java/org/shallothold/core/placement/TrackedServer.java
+++ b/core/src/main/java/org/shallothold/core/placement/TrackedServer.java
@@ -45,6 +45,7 @@
   private ServerEntry entry;
   private final long idHash;
   private final PrefixCacheEstimate cache = new PrefixCacheEstimate();
+  private final ServerSpeed speed = ServerSpeed.unmeasured();
 
   private final Map<Long, OpenRequest> openRequestsById = new HashMap<>();
   // Sums over the open requests, kept up to date since every placement reads them.
@@ -127,8 +128,8 @@
 
   /**
    * Replaces the entry of this server. A new instance, recognized by its start time, resets the
-   * cache contents, the suspension, the measured speed and failures, and the announcements of its
-   * predecessor.
+   * cache contents, the suspension, the measured slowness and failures, and the announcements of
+   * its predecessor. The persistent speed belongs to the machine and is kept at the same address.
    */
   public void updateEntry(ServerEntry changed) {
     if (changed.startedMillis() != entry.startedMillis()) {
@@ -139,6 +140,10 @@
       suspendedUntilMillis = Long.MIN_VALUE / 2;
       announcedLeaving = false;
       closedUntilMillis = Long.MIN_VALUE / 2;
+      speed.restarted();
+    }
+    if (!changed.host().equals(entry.host())) {
+      speed.moved();
     }
     entry = changed;
   }
@@ -331,6 +336,42 @@
     reportReceivedMillis = nowMillis;
   }
 
+  /** Returns the server's speed compared with the others of its service. */
+  public ServerSpeed speed() {
+    return speed;
+  }
+
+  /**
+   * Records how long work takes at the server at the moment, as it stated in an answer.
+   *
+   * @param percent time that work takes, in per cent of the usual time
+   * @param nowMillis current time
+   */
+  public void recordMomentarySlowness(int percent, long nowMillis) {
+    addPacedBacklog(0, nowMillis);
+    speed.recordStatement(percent, nowMillis);
+  }
+
+  /**
+   * Records how long work took at the server, as it stated to a peer.
+   *
+   * @param percent time that work took, in per cent of the usual time
+   * @param ageMillis time since the statement
+   * @param nowMillis current time
+   */
+  public void recordPeerMomentarySlowness(int percent, long ageMillis, long nowMillis) {
+    addPacedBacklog(0, nowMillis);
+    speed.recordPeerStatement(percent, nowMillis - Math.max(0, ageMillis));
+  }
+
+  /** Sets the persistent ratio of the time that work takes here to the median server's time. */
+  void setSpeedRatio(double ratio, long nowMillis) {
+    if (ratio != speed.ratio()) {
+      addPacedBacklog(0, nowMillis);
+      speed.setRatio(ratio);
+    }
+  }
+
   /** Replaces the open requests of a peer at this server. */
   public void updatePeerLoad(String peer, PeerLoad load) {
     peerLoads.put(peer, load);
@@ -404,7 +445,9 @@
     return Math.max(
         0,
         pacedBacklogMillis
-            - PREFILL_TIME_FRACTION * (nowMillis - pacedBacklogUpdatedMillis) / relativeSlowness);
+            - PREFILL_TIME_FRACTION
+                * (nowMillis - pacedBacklogUpdatedMillis)
+                / timeFactor(nowMillis));
   }
 
   /**
@@ -449,7 +492,10 @@
               fresh.stream()
                   .mapToDouble(
                       load ->
-                          Math.max(0, load.prefillMillis() - (nowMillis - load.receivedMillis())))
+                          Math.max(
+                              0,
+                              load.prefillMillis()
+                                  - (nowMillis - load.receivedMillis()) / speed.factor(nowMillis)))
                   .sum(),
               fresh.stream().mapToInt(PeerLoad::pauseSensitiveStreams).sum(),
               nowMillis);
@@ -479,6 +525,14 @@
     return relativeSlowness;
   }
 
+  /**
+   * Returns the ratio of the time that work takes here now to its usual time at the service, with
+   * the slowness of a straggler.
+   */
+  double timeFactor(long nowMillis) {
+    return relativeSlowness * speed.factor(nowMillis);
+  }
+
   /** Updates the relative slowness from the median slowness of the service's servers. */
   void updateRelativeSlowness(double medianSlowness) {
     double ratio = slowness / medianSlowness;
--- a/core/src/test/java/org/shallothold/core/placement/EngineAdmissionTest.java
+++ b/core/src/test/java/org/shallothold/core/placement/EngineAdmissionTest.java
@@ -22,7 +22,15 @@
     TrackedServer server =
         TrackedServer.of(new ServerEntry("e", "pool", "10.0.0.1", 80, "north", 64, false, 1));
     return new Placement(
-        server, 80, backlogMillis + 80, backlogMillis, 0, null, false, Placement.NO_BACKLOG_LIMIT);
+        server,
+        80,
+        backlogMillis + 80,
+        backlogMillis,
+        0,
+        null,
+        false,
+        Placement.NO_BACKLOG_LIMIT,
+        1);
   }
 
   /** Returns a placement at an engine whose streams have pause targets that prefills can break. */
@@ -41,7 +49,8 @@
         0,
         null,
         chosen.pauseSensitive(),
-        chosen.pauseBacklogLimitMillis());
+        chosen.pauseBacklogLimitMillis(),
+        chosen.speedFactor());
   }
 
   private static AdmissionDecision decide(
--- a/experiment/src/main/java/org/shallothold/experiment/rate/StandinTranslation.java
+++ b/experiment/src/main/java/org/shallothold/experiment/rate/StandinTranslation.java
@@ -42,6 +42,7 @@
         false,
         -1,
         -1,
+        0,
         false,
         0,
         rate == null ? RateStatement.unlimited() : RateStatement.parse(rate),
--- a/gateway/src/main/java/org/shallothold/gateway/forward/Attempt.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/Attempt.java
@@ -20,6 +20,7 @@
 import org.shallothold.core.placement.PauseSampler;
 import org.shallothold.core.placement.Placement;
 import org.shallothold.core.placement.RequestProfile;
+import org.shallothold.core.placement.SpeedMeter;
 import org.shallothold.core.placement.TrackedServer;
 import org.shallothold.core.route.CustomerIdentity;
 import org.shallothold.core.route.Route;
@@ -94,6 +95,7 @@
         .with("backlog_millis", Math.round(placement.backlogMillis()))
         .with("cached_tokens", placement.cachedTokens())
         .with("cache_source", cacheSourceAddress() == null ? "" : cacheSourceAddress())
+        .with("speed_percent", Math.round(placement.speedFactor() * 100))
         .with("open_requests", server.openRequests(MonotonicClock.millis()))
         .with("stated_rate", owner.statedRateText(server))
         .with("run", progress.possibleRuns + 1L);
@@ -203,6 +205,10 @@
           responseFacts.waitingRequests(),
           MonotonicClock.millis());
     }
+    if (responseFacts.momentaryPercent() > 0) {
+      server.recordMomentarySlowness(responseFacts.momentaryPercent(), MonotonicClock.millis());
+      forwarder.metrics().momentarySlowness.labelValues(service).inc();
+    }
     if (responseFacts.leaving()) {
       forwarder
           .state()
@@ -367,7 +373,13 @@
           work.promptTokens(),
           placement.cachedTokens(),
           placement.backlogMillis(),
-          (double) (nowMillis - sentMillis));
+          (nowMillis - sentMillis) / server.speed().factor(nowMillis));
+      SpeedMeter.recordPrefill(
+          server,
+          placement.prefillMillis(),
+          placement.backlogMillis(),
+          (double) (nowMillis - sentMillis),
+          nowMillis);
     }
     pauseSampler.recordEvents(events, server, estimator, nowMillis);
   }
--- a/gateway/src/main/java/org/shallothold/gateway/forward/ForwardGauges.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/ForwardGauges.java
@@ -1,7 +1,10 @@
 package org.shallothold.gateway.forward;
 
 import io.prometheus.metrics.core.metrics.Gauge;
+import java.util.DoubleSummaryStatistics;
 import java.util.Locale;
+import java.util.Map;
+import java.util.stream.Collectors;
 import org.shallothold.core.memory.MemoryBudget;
 import org.shallothold.core.placement.TrackedServer;
 import org.shallothold.core.rate.RateObservation;
@@ -22,6 +25,7 @@
   private final Gauge platformContact;
   private final Gauge backendServers;
   private final Gauge backlog;
+  private final Gauge speedRatio;
   private final Gauge backendConnections;
   private final Gauge waitingRequests;
   private final Gauge retries;
@@ -61,6 +65,12 @@
             "shallothold_backend_backlog_seconds",
             "Estimated time to read all prompts that wait at the servers of a service, summed up.",
             "service");
+    speedRatio =
+        metrics.gauge(
+            "shallothold_server_time_ratio",
+            "Time that work takes at the slowest and the fastest server, relative to the median.",
+            "service",
+            "server");
     backendConnections =
         metrics.gauge("shallothold_backend_connections", "Open connections to backend servers.");
     waitingRequests =
@@ -128,7 +138,19 @@
     backendServers.clear();
     backlog.clear();
     rateLimitedServers.clear();
+    speedRatio.clear();
     statedRate.clear();
+    Map<String, DoubleSummaryStatistics> ratios =
+        state.allServers().stream()
+            .collect(
+                Collectors.groupingBy(
+                    server -> server.entry().service(),
+                    Collectors.summarizingDouble(server -> server.speed().ratio())));
+    ratios.forEach(
+        (service, ratio) -> {
+          speedRatio.labelValues(service, "slowest").set(ratio.getMax());
+          speedRatio.labelValues(service, "fastest").set(ratio.getMin());
+        });
     for (TrackedServer server : state.allServers()) {
       String service = server.entry().service();
       backendServers.labelValues(service, availability(server, nowMillis)).inc();
--- a/gateway/src/main/java/org/shallothold/gateway/forward/ForwardMetrics.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/ForwardMetrics.java
@@ -14,6 +14,7 @@
   final Counter requests;
   final Counter attempts;
   final Counter retriesDenied;
+  final Counter momentarySlowness;
   final Counter rateLimitedSends;
   final Counter requestsHeldForRate;
   final Counter misdirectedPermitRequests;
@@ -43,6 +44,11 @@
             "Sends to backend servers by service and result.",
             "service",
             "result");
+    momentarySlowness =
+        metrics.counter(
+            "shallothold_momentary_slowness_statements_total",
+            "Responses in which a server stated how long work takes at the moment.",
+            "service");
     retriesDenied =
         metrics.counter(
             "shallothold_repeats_denied_total",
--- a/gateway/src/main/java/org/shallothold/gateway/forward/ForwardingGateway.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/ForwardingGateway.java
@@ -201,6 +201,7 @@
 
   private void logEngineSpeeds() {
     forwarder.queues().values().forEach(queue -> queue.engineSpeedLine().ifPresent(log::add));
+    forwarder.queues().values().forEach(queue -> queue.speedChangeLine().ifPresent(log::add));
     forwarder.rateLimits().logUsage(state.allServers());
   }
 
@@ -357,13 +358,15 @@
           .queues()
           .values()
           .forEach(queue -> queue.estimator().ifPresent(estimator -> estimator.removePeer(peer)));
+      state.allServers().forEach(server -> server.speed().removePeer(peer));
     }
 
     @Override
     public void describe(FleetNews.Builder update) {
       forwarder.drainChangedServers();
+      long nowMillis = MonotonicClock.millis();
       state.allServers().stream()
-          .map(this::toProto)
+          .map(server -> PeerSpeeds.withRatio(toProto(server), server, nowMillis))
           .filter(PeerSource::isWorthSending)
           .forEach(update::addOpenWork);
       forwarder
@@ -424,6 +427,7 @@
           && (rate.isLimited() || nowMillis - rate.observedMillis() <= RATE_END_REPORT_MILLIS)) {
         work.setStatedRate(StatedRateLimits.toProto(rate, nowMillis));
       }
+      PeerSpeeds.statement(server, nowMillis).ifPresent(work::setSpeed);
       return work.build();
     }
 
@@ -431,7 +435,8 @@
       return work.getRequests() > 0
           || work.getSentReadMillis() > 0
           || work.hasLeavingLife()
-          || work.hasStatedRate();
+          || work.hasStatedRate()
+          || work.hasSpeed();
     }
 
     private static PrefixRead toProto(PrefixReads.Read read) {
@@ -481,6 +486,7 @@
       if (server == null) {
         return;
       }
+      PeerSpeeds.apply(peer, work, server, nowMillis);
       server.updatePeerLoad(
           peer,
           new TrackedServer.PeerLoad(
@@ -533,6 +539,7 @@
 
     @Override
     public void gatewaysChanged() {
+      state.allServers().forEach(server -> server.speed().peersAdded());
       forwarder.rateLimits().gatewaysChanged();
       forwarder.promptParts().gatewaysChanged();
     }
--- a/gateway/src/main/java/org/shallothold/gateway/forward/ServiceQueue.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/ServiceQueue.java
@@ -48,6 +48,7 @@
   private final PromptPartQuarantine promptParts;
   private final DispatchQueue<ForwardedRequest> waitingRequests = DispatchQueue.empty();
   private boolean dispatchScheduled;
+  private boolean speedsApplied;
 
   ServiceQueue(
       String service,
@@ -107,6 +108,24 @@
     };
   }
 
+  /**
+   * Returns a log line if the engines' measured speeds began to count or no longer count since the
+   * last call.
+   */
+  Optional<LogLine> speedChangeLine() {
+    if (!(policy instanceof EnginePlacementPolicy engines)
+        || engines.speeds().isApplied() == speedsApplied) {
+      return Optional.empty();
+    }
+    speedsApplied = engines.speeds().isApplied();
+    return Optional.of(
+        LogLine.of("server_speeds_applied")
+            .with("service", service)
+            .with("applied", speedsApplied)
+            .with("spread_percent", Math.round(engines.speeds().spread() * 100))
+            .with("measured_servers", engines.speeds().measuredServers()));
+  }
+
   /**
    * Returns the load from pause-sensitive streams at this gateway, as the number of engines that it
    * keeps busy; 0 for plain services.
--- a/gateway/src/main/java/org/shallothold/gateway/forward/port/ResponseMetadata.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/port/ResponseMetadata.java
@@ -12,6 +12,8 @@
  * @param notRun whether the server states that it did not run the request
  * @param runningRequests number of requests running at the server; -1 if unspecified
  * @param waitingRequests number of requests waiting at the server; -1 if unspecified
+ * @param momentaryPercent how long work takes at the server at the moment, in per cent of the usual
+ *     time; 0 if unspecified or unusable
  * @param leaving whether the server states that it is leaving
  * @param retryAfterMillis time during which the server asks this gateway to send no further
  *     requests, in milliseconds; 0 if unspecified
@@ -26,6 +28,7 @@
     boolean notRun,
     int runningRequests,
     int waitingRequests,
+    int momentaryPercent,
     boolean leaving,
     long retryAfterMillis,
     RateStatement rateStatement,
--- a/wire/src/main/java/org/shallothold/wire/proto/OpenWork.java
+++ b/wire/src/main/java/org/shallothold/wire/proto/OpenWork.java
@@ -210,6 +210,44 @@
     return statedRate_ == null ? org.shallothold.wire.proto.StatedRate.getDefaultInstance() : statedRate_;
   }
 
+  public static final int SPEED_FIELD_NUMBER = 12;
+  private org.shallothold.wire.proto.MeasuredSpeed speed_;
+  /**
+   * <pre>
+   * Absent unless the sender measured something that its peers don't know yet.
+   * </pre>
+   *
+   * <code>.shallothold.MeasuredSpeed speed = 12;</code>
+   * @return Whether the speed field is set.
+   */
+  @java.lang.Override
+  public boolean hasSpeed() {
+    return ((bitField0_ & 0x00000004) != 0);
+  }
+  /**
+   * <pre>
+   * Absent unless the sender measured something that its peers don't know yet.
+   * </pre>
+   *
+   * <code>.shallothold.MeasuredSpeed speed = 12;</code>
+   * @return The speed.
+   */
+  @java.lang.Override
+  public org.shallothold.wire.proto.MeasuredSpeed getSpeed() {
+    return speed_ == null ? org.shallothold.wire.proto.MeasuredSpeed.getDefaultInstance() : speed_;
+  }
+  /**
+   * <pre>
+   * Absent unless the sender measured something that its peers don't know yet.
+   * </pre>
+   *
+   * <code>.shallothold.MeasuredSpeed speed = 12;</code>
+   */
+  @java.lang.Override
+  public org.shallothold.wire.proto.MeasuredSpeedOrBuilder getSpeedOrBuilder() {
+    return speed_ == null ? org.shallothold.wire.proto.MeasuredSpeed.getDefaultInstance() : speed_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -245,6 +283,9 @@
     if (((bitField0_ & 0x00000002) != 0)) {
       output.writeMessage(8, getStatedRate());
     }
+    if (((bitField0_ & 0x00000004) != 0)) {
+      output.writeMessage(12, getSpeed());
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -281,6 +322,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(8, getStatedRate());
     }
+    if (((bitField0_ & 0x00000004) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(12, getSpeed());
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -316,6 +361,11 @@
       if (!getStatedRate()
           .equals(other.getStatedRate())) return false;
     }
+    if (hasSpeed() != other.hasSpeed()) return false;
+    if (hasSpeed()) {
+      if (!getSpeed()
+          .equals(other.getSpeed())) return false;
+    }
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -347,6 +397,10 @@
       hash = (37 * hash) + STATED_RATE_FIELD_NUMBER;
       hash = (53 * hash) + getStatedRate().hashCode();
     }
+    if (hasSpeed()) {
+      hash = (37 * hash) + SPEED_FIELD_NUMBER;
+      hash = (53 * hash) + getSpeed().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -482,6 +536,7 @@
       if (com.google.protobuf.GeneratedMessage
               .alwaysUseFieldBuilders) {
         internalGetStatedRateFieldBuilder();
+        internalGetSpeedFieldBuilder();
       }
     }
     @java.lang.Override
@@ -499,6 +554,11 @@
         statedRateBuilder_.dispose();
         statedRateBuilder_ = null;
       }
+      speed_ = null;
+      if (speedBuilder_ != null) {
+        speedBuilder_.dispose();
+        speedBuilder_ = null;
+      }
       return this;
     }
 
@@ -558,6 +618,12 @@
             : statedRateBuilder_.build();
         to_bitField0_ |= 0x00000002;
       }
+      if (((from_bitField0_ & 0x00000080) != 0)) {
+        result.speed_ = speedBuilder_ == null
+            ? speed_
+            : speedBuilder_.build();
+        to_bitField0_ |= 0x00000004;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -596,6 +662,9 @@
       if (other.hasStatedRate()) {
         mergeStatedRate(other.getStatedRate());
       }
+      if (other.hasSpeed()) {
+        mergeSpeed(other.getSpeed());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -659,6 +728,13 @@
               bitField0_ |= 0x00000040;
               break;
             } // case 66
+            case 98: {
+              input.readMessage(
+                  internalGetSpeedFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bitField0_ |= 0x00000080;
+              break;
+            } // case 98
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1113,6 +1189,163 @@
       return statedRateBuilder_;
     }
 
+    private org.shallothold.wire.proto.MeasuredSpeed speed_;
+    private com.google.protobuf.SingleFieldBuilder<
+        org.shallothold.wire.proto.MeasuredSpeed, org.shallothold.wire.proto.MeasuredSpeed.Builder, org.shallothold.wire.proto.MeasuredSpeedOrBuilder> speedBuilder_;
+    /**
+     * <pre>
+     * Absent unless the sender measured something that its peers don't know yet.
+     * </pre>
+     *
+     * <code>.shallothold.MeasuredSpeed speed = 12;</code>
+     * @return Whether the speed field is set.
+     */
+    public boolean hasSpeed() {
+      return ((bitField0_ & 0x00000080) != 0);
+    }
+    /**
+     * <pre>
+     * Absent unless the sender measured something that its peers don't know yet.
+     * </pre>
+     *
+     * <code>.shallothold.MeasuredSpeed speed = 12;</code>
+     * @return The speed.
+     */
+    public org.shallothold.wire.proto.MeasuredSpeed getSpeed() {
+      if (speedBuilder_ == null) {
+        return speed_ == null ? org.shallothold.wire.proto.MeasuredSpeed.getDefaultInstance() : speed_;
+      } else {
+        return speedBuilder_.getMessage();
+      }
+    }
+    /**
+     * <pre>
+     * Absent unless the sender measured something that its peers don't know yet.
+     * </pre>
+     *
+     * <code>.shallothold.MeasuredSpeed speed = 12;</code>
+     */
+    public Builder setSpeed(org.shallothold.wire.proto.MeasuredSpeed value) {
+      if (speedBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        speed_ = value;
+      } else {
+        speedBuilder_.setMessage(value);
+      }
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Absent unless the sender measured something that its peers don't know yet.
+     * </pre>
+     *
+     * <code>.shallothold.MeasuredSpeed speed = 12;</code>
+     */
+    public Builder setSpeed(
+        org.shallothold.wire.proto.MeasuredSpeed.Builder builderForValue) {
+      if (speedBuilder_ == null) {
+        speed_ = builderForValue.build();
+      } else {
+        speedBuilder_.setMessage(builderForValue.build());
+      }
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Absent unless the sender measured something that its peers don't know yet.
+     * </pre>
+     *
+     * <code>.shallothold.MeasuredSpeed speed = 12;</code>
+     */
+    public Builder mergeSpeed(org.shallothold.wire.proto.MeasuredSpeed value) {
+      if (speedBuilder_ == null) {
+        if (((bitField0_ & 0x00000080) != 0) &&
+          speed_ != null &&
+          speed_ != org.shallothold.wire.proto.MeasuredSpeed.getDefaultInstance()) {
+          getSpeedBuilder().mergeFrom(value);
+        } else {
+          speed_ = value;
+        }
+      } else {
+        speedBuilder_.mergeFrom(value);
+      }
+      if (speed_ != null) {
+        bitField0_ |= 0x00000080;
+        onChanged();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Absent unless the sender measured something that its peers don't know yet.
+     * </pre>
+     *
+     * <code>.shallothold.MeasuredSpeed speed = 12;</code>
+     */
+    public Builder clearSpeed() {
+      bitField0_ = (bitField0_ & ~0x00000080);
+      speed_ = null;
+      if (speedBuilder_ != null) {
+        speedBuilder_.dispose();
+        speedBuilder_ = null;
+      }
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Absent unless the sender measured something that its peers don't know yet.
+     * </pre>
+     *
+     * <code>.shallothold.MeasuredSpeed speed = 12;</code>
+     */
+    public org.shallothold.wire.proto.MeasuredSpeed.Builder getSpeedBuilder() {
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return internalGetSpeedFieldBuilder().getBuilder();
+    }
+    /**
+     * <pre>
+     * Absent unless the sender measured something that its peers don't know yet.
+     * </pre>
+     *
+     * <code>.shallothold.MeasuredSpeed speed = 12;</code>
+     */
+    public org.shallothold.wire.proto.MeasuredSpeedOrBuilder getSpeedOrBuilder() {
+      if (speedBuilder_ != null) {
+        return speedBuilder_.getMessageOrBuilder();
+      } else {
+        return speed_ == null ?
+            org.shallothold.wire.proto.MeasuredSpeed.getDefaultInstance() : speed_;
+      }
+    }
+    /**
+     * <pre>
+     * Absent unless the sender measured something that its peers don't know yet.
+     * </pre>
+     *
+     * <code>.shallothold.MeasuredSpeed speed = 12;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.shallothold.wire.proto.MeasuredSpeed, org.shallothold.wire.proto.MeasuredSpeed.Builder, org.shallothold.wire.proto.MeasuredSpeedOrBuilder> 
+        internalGetSpeedFieldBuilder() {
+      if (speedBuilder_ == null) {
+        speedBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.shallothold.wire.proto.MeasuredSpeed, org.shallothold.wire.proto.MeasuredSpeed.Builder, org.shallothold.wire.proto.MeasuredSpeedOrBuilder>(
+                getSpeed(),
+                getParentForChildren(),
+                isClean());
+        speed_ = null;
+      }
+      return speedBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:shallothold.OpenWork)
   }
 
--- a/wire/src/main/java/org/shallothold/wire/proto/OpenWorkOrBuilder.java
+++ b/wire/src/main/java/org/shallothold/wire/proto/OpenWorkOrBuilder.java
@@ -99,4 +99,31 @@
    * <code>.shallothold.StatedRate stated_rate = 8;</code>
    */
   org.shallothold.wire.proto.StatedRateOrBuilder getStatedRateOrBuilder();
+
+  /**
+   * <pre>
+   * Absent unless the sender measured something that its peers don't know yet.
+   * </pre>
+   *
+   * <code>.shallothold.MeasuredSpeed speed = 12;</code>
+   * @return Whether the speed field is set.
+   */
+  boolean hasSpeed();
+  /**
+   * <pre>
+   * Absent unless the sender measured something that its peers don't know yet.
+   * </pre>
+   *
+   * <code>.shallothold.MeasuredSpeed speed = 12;</code>
+   * @return The speed.
+   */
+  org.shallothold.wire.proto.MeasuredSpeed getSpeed();
+  /**
+   * <pre>
+   * Absent unless the sender measured something that its peers don't know yet.
+   * </pre>
+   *
+   * <code>.shallothold.MeasuredSpeed speed = 12;</code>
+   */
+  org.shallothold.wire.proto.MeasuredSpeedOrBuilder getSpeedOrBuilder();
 }
--- a/wire/src/main/java/org/shallothold/wire/proto/Shallothold.java
+++ b/wire/src/main/java/org/shallothold/wire/proto/Shallothold.java
@@ -241,6 +241,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_shallothold_OpenWork_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_shallothold_MeasuredSpeed_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_shallothold_MeasuredSpeed_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_shallothold_StatedRate_descriptor;
   static final 
@@ -427,47 +432,51 @@
       "\001 \001(\006\022\021\n\tserver_id\030\002 \001(\t\022\030\n\020crash_age_mi" +
       "llis\030\003 \001(\003\022\027\n\017sent_age_millis\030\004 \001(\003\"2\n\013P" +
       "artSuccess\022\017\n\007part_id\030\001 \001(\006\022\022\n\nage_milli" +
-      "s\030\002 \001(\003\"\325\001\n\010OpenWork\022\021\n\tserver_id\030\001 \001(\t\022" +
+      "s\030\002 \001(\003\"\200\002\n\010OpenWork\022\021\n\tserver_id\030\001 \001(\t\022" +
       "\020\n\010requests\030\002 \001(\005\022\023\n\013read_millis\030\003 \001(\005\022\025" +
       "\n\rtight_streams\030\004 \001(\005\022\030\n\020sent_read_milli" +
       "s\030\006 \001(\003\022\031\n\014leaving_life\030\007 \001(\003H\000\210\001\001\022,\n\013st" +
       "ated_rate\030\010 \001(\0132\027.shallothold.StatedRate" +
-      "B\017\n\r_leaving_lifeJ\004\010\005\020\006\"r\n\nStatedRate\022\026\n" +
-      "\016instance_start\030\001 \001(\003\022 \n\023requests_per_se" +
-      "cond\030\002 \001(\001H\000\210\001\001\022\022\n\nage_millis\030\003 \001(\003B\026\n\024_" +
-      "requests_per_second\"\257\001\n\021SendPermitReques" +
-      "t\022\021\n\tserver_id\030\001 \001(\t\022,\n\013stated_rate\030\002 \001(" +
-      "\0132\027.shallothold.StatedRate\022\026\n\016request_nu" +
-      "mber\030\003 \001(\003\022\024\n\014asked_millis\030\004 \001(\003\022\026\n\016tria" +
-      "l_part_ids\030\005 \003(\006\022\023\n\013trial_ended\030\006 \001(\010\"\213\001" +
-      "\n\020SendPermitAnswer\022\021\n\tserver_id\030\001 \001(\t\022\026\n" +
-      "\016instance_start\030\002 \001(\003\022\026\n\016request_number\030" +
-      "\003 \001(\003\022\024\n\014asked_millis\030\004 \001(\003\022\017\n\007granted\030\005" +
-      " \001(\010\022\r\n\005trial\030\006 \001(\010\"\256\001\n\013EngineSpeed\022\024\n\014t" +
-      "oken_millis\030\001 \001(\001\022\023\n\013pair_millis\030\002 \001(\001\022\024" +
-      "\n\014read_samples\030\003 \001(\005\022\023\n\013step_millis\030\004 \001(" +
-      "\001\022\024\n\014step_samples\030\005 \001(\005\022\034\n\024reading_pause" +
-      "_millis\030\006 \001(\001\022\025\n\rpause_samples\030\007 \001(\005\"C\n\n" +
-      "PrefixRead\022\021\n\tserver_id\030\001 \001(\t\022\022\n\nchain_h" +
-      "ash\030\002 \001(\006\022\016\n\006tokens\030\003 \001(\005\"M\n\020PublishedRe" +
-      "quest\022*\n\005topic\030\001 \001(\0162\033.shallothold.Publi" +
-      "shedTopic\022\r\n\005as_of\030\002 \001(\003\"=\n\rPublishedIte" +
-      "m\022\013\n\003key\030\001 \001(\t\022\r\n\005value\030\002 \001(\014\022\020\n\010revisio" +
-      "n\030\003 \001(\003\"v\n\016PublishedItems\022*\n\005topic\030\001 \001(\016" +
-      "2\033.shallothold.PublishedTopic\022\r\n\005as_of\030\002" +
-      " \001(\003\022)\n\005items\030\003 \003(\0132\032.shallothold.Publis" +
-      "hedItem*S\n\004Role\022\024\n\020ROLE_UNSPECIFIED\020\000\022\020\n" +
-      "\014ROLE_GATEWAY\020\001\022\020\n\014ROLE_SIDECAR\020\002\022\021\n\rROL" +
-      "E_OPERATOR\020\003*v\n\nFinishKind\022\033\n\027FINISH_KIN" +
-      "D_UNSPECIFIED\020\000\022\030\n\024FINISH_KIND_COMPLETE\020" +
-      "\001\022\026\n\022FINISH_KIND_BROKEN\020\002\022\031\n\025FINISH_KIND" +
-      "_CANCELLED\020\003*d\n\013VerdictKind\022\034\n\030VERDICT_K" +
-      "IND_UNSPECIFIED\020\000\022\030\n\024VERDICT_KIND_NOT_RU" +
-      "N\020\001\022\035\n\031VERDICT_KIND_MAY_HAVE_RUN\020\002*q\n\016Pu" +
-      "blishedTopic\022\037\n\033PUBLISHED_TOPIC_UNSPECIF" +
-      "IED\020\000\022!\n\035PUBLISHED_TOPIC_CONFIGURATION\020\001" +
-      "\022\033\n\027PUBLISHED_TOPIC_SERVERS\020\002B\036\n\032org.sha" +
-      "llothold.wire.protoP\001b\006proto3"
+      "\022)\n\005speed\030\014 \001(\0132\032.shallothold.MeasuredSp" +
+      "eedB\017\n\r_leaving_lifeJ\004\010\005\020\006\"h\n\rMeasuredSp" +
+      "eed\022\r\n\005ratio\030\001 \001(\001\022\017\n\007samples\030\002 \001(\005\022\031\n\021m" +
+      "omentary_percent\030\003 \001(\005\022\034\n\024momentary_age_" +
+      "millis\030\004 \001(\005\"r\n\nStatedRate\022\026\n\016instance_s" +
+      "tart\030\001 \001(\003\022 \n\023requests_per_second\030\002 \001(\001H" +
+      "\000\210\001\001\022\022\n\nage_millis\030\003 \001(\003B\026\n\024_requests_pe" +
+      "r_second\"\257\001\n\021SendPermitRequest\022\021\n\tserver" +
+      "_id\030\001 \001(\t\022,\n\013stated_rate\030\002 \001(\0132\027.shallot" +
+      "hold.StatedRate\022\026\n\016request_number\030\003 \001(\003\022" +
+      "\024\n\014asked_millis\030\004 \001(\003\022\026\n\016trial_part_ids\030" +
+      "\005 \003(\006\022\023\n\013trial_ended\030\006 \001(\010\"\213\001\n\020SendPermi" +
+      "tAnswer\022\021\n\tserver_id\030\001 \001(\t\022\026\n\016instance_s" +
+      "tart\030\002 \001(\003\022\026\n\016request_number\030\003 \001(\003\022\024\n\014as" +
+      "ked_millis\030\004 \001(\003\022\017\n\007granted\030\005 \001(\010\022\r\n\005tri" +
+      "al\030\006 \001(\010\"\256\001\n\013EngineSpeed\022\024\n\014token_millis" +
+      "\030\001 \001(\001\022\023\n\013pair_millis\030\002 \001(\001\022\024\n\014read_samp" +
+      "les\030\003 \001(\005\022\023\n\013step_millis\030\004 \001(\001\022\024\n\014step_s" +
+      "amples\030\005 \001(\005\022\034\n\024reading_pause_millis\030\006 \001" +
+      "(\001\022\025\n\rpause_samples\030\007 \001(\005\"C\n\nPrefixRead\022" +
+      "\021\n\tserver_id\030\001 \001(\t\022\022\n\nchain_hash\030\002 \001(\006\022\016" +
+      "\n\006tokens\030\003 \001(\005\"M\n\020PublishedRequest\022*\n\005to" +
+      "pic\030\001 \001(\0162\033.shallothold.PublishedTopic\022\r" +
+      "\n\005as_of\030\002 \001(\003\"=\n\rPublishedItem\022\013\n\003key\030\001 " +
+      "\001(\t\022\r\n\005value\030\002 \001(\014\022\020\n\010revision\030\003 \001(\003\"v\n\016" +
+      "PublishedItems\022*\n\005topic\030\001 \001(\0162\033.shalloth" +
+      "old.PublishedTopic\022\r\n\005as_of\030\002 \001(\003\022)\n\005ite" +
+      "ms\030\003 \003(\0132\032.shallothold.PublishedItem*S\n\004" +
+      "Role\022\024\n\020ROLE_UNSPECIFIED\020\000\022\020\n\014ROLE_GATEW" +
+      "AY\020\001\022\020\n\014ROLE_SIDECAR\020\002\022\021\n\rROLE_OPERATOR\020" +
+      "\003*v\n\nFinishKind\022\033\n\027FINISH_KIND_UNSPECIFI" +
+      "ED\020\000\022\030\n\024FINISH_KIND_COMPLETE\020\001\022\026\n\022FINISH" +
+      "_KIND_BROKEN\020\002\022\031\n\025FINISH_KIND_CANCELLED\020" +
+      "\003*d\n\013VerdictKind\022\034\n\030VERDICT_KIND_UNSPECI" +
+      "FIED\020\000\022\030\n\024VERDICT_KIND_NOT_RUN\020\001\022\035\n\031VERD" +
+      "ICT_KIND_MAY_HAVE_RUN\020\002*q\n\016PublishedTopi" +
+      "c\022\037\n\033PUBLISHED_TOPIC_UNSPECIFIED\020\000\022!\n\035PU" +
+      "BLISHED_TOPIC_CONFIGURATION\020\001\022\033\n\027PUBLISH" +
+      "ED_TOPIC_SERVERS\020\002B\036\n\032org.shallothold.wi" +
+      "re.protoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -730,51 +739,57 @@
     internal_static_shallothold_OpenWork_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_shallothold_OpenWork_descriptor,
-        new java.lang.String[] { "ServerId", "Requests", "ReadMillis", "TightStreams", "SentReadMillis", "LeavingLife", "StatedRate", });
-    internal_static_shallothold_StatedRate_descriptor =
+        new java.lang.String[] { "ServerId", "Requests", "ReadMillis", "TightStreams", "SentReadMillis", "LeavingLife", "StatedRate", "Speed", });
+    internal_static_shallothold_MeasuredSpeed_descriptor =
       getDescriptor().getMessageType(40);
+    internal_static_shallothold_MeasuredSpeed_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_shallothold_MeasuredSpeed_descriptor,
+        new java.lang.String[] { "Ratio", "Samples", "MomentaryPercent", "MomentaryAgeMillis", });
+    internal_static_shallothold_StatedRate_descriptor =
+      getDescriptor().getMessageType(41);
     internal_static_shallothold_StatedRate_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_shallothold_StatedRate_descriptor,
         new java.lang.String[] { "InstanceStart", "RequestsPerSecond", "AgeMillis", });
     internal_static_shallothold_SendPermitRequest_descriptor =
-      getDescriptor().getMessageType(41);
+      getDescriptor().getMessageType(42);
     internal_static_shallothold_SendPermitRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_shallothold_SendPermitRequest_descriptor,
         new java.lang.String[] { "ServerId", "StatedRate", "RequestNumber", "AskedMillis", "TrialPartIds", "TrialEnded", });
     internal_static_shallothold_SendPermitAnswer_descriptor =
-      getDescriptor().getMessageType(42);
+      getDescriptor().getMessageType(43);
     internal_static_shallothold_SendPermitAnswer_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_shallothold_SendPermitAnswer_descriptor,
         new java.lang.String[] { "ServerId", "InstanceStart", "RequestNumber", "AskedMillis", "Granted", "Trial", });
     internal_static_shallothold_EngineSpeed_descriptor =
-      getDescriptor().getMessageType(43);
+      getDescriptor().getMessageType(44);
     internal_static_shallothold_EngineSpeed_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_shallothold_EngineSpeed_descriptor,
         new java.lang.String[] { "TokenMillis", "PairMillis", "ReadSamples", "StepMillis", "StepSamples", "ReadingPauseMillis", "PauseSamples", });
     internal_static_shallothold_PrefixRead_descriptor =
-      getDescriptor().getMessageType(44);
+      getDescriptor().getMessageType(45);
     internal_static_shallothold_PrefixRead_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_shallothold_PrefixRead_descriptor,
         new java.lang.String[] { "ServerId", "ChainHash", "Tokens", });
     internal_static_shallothold_PublishedRequest_descriptor =
-      getDescriptor().getMessageType(45);
+      getDescriptor().getMessageType(46);
     internal_static_shallothold_PublishedRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_shallothold_PublishedRequest_descriptor,
         new java.lang.String[] { "Topic", "AsOf", });
     internal_static_shallothold_PublishedItem_descriptor =
-      getDescriptor().getMessageType(46);
+      getDescriptor().getMessageType(47);
     internal_static_shallothold_PublishedItem_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_shallothold_PublishedItem_descriptor,
         new java.lang.String[] { "Key", "Value", "Revision", });
     internal_static_shallothold_PublishedItems_descriptor =
-      getDescriptor().getMessageType(47);
+      getDescriptor().getMessageType(48);
     internal_static_shallothold_PublishedItems_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_shallothold_PublishedItems_descriptor,
