Measure speeds by times that don't depend on the prompts

Times between events during prefills depend on the prompts' lengths, so engines reserved for short prompts seemed faster. They are no longer used: the ratio comes from idle decode steps and, where there are none, from first events of prompts without a backlog, against an estimate that includes their fixed time. Peers' ratios are summed up as they arrive.

--- a/core/src/main/java/org/shallothold/core/placement/EngineEstimator.java
+++ b/core/src/main/java/org/shallothold/core/placement/EngineEstimator.java
@@ -121,6 +121,17 @@
     timings = merge();
   }
 
+  /**
+   * Returns the usual time from sending a prompt to the first event at an engine without a backlog,
+   * in milliseconds.
+   *
+   * @param promptTokens tokens of the whole prompt
+   * @param cachedTokens tokens at its start that are in the prefix cache
+   */
+  public double firstEventMillis(int promptTokens, int cachedTokens) {
+    return prefillCosts.fixedMillis() + timings.prefillMillis(promptTokens, cachedTokens);
+  }
+
   /** Returns the measurements of this gateway alone, as sent to peers. */
   public EngineEstimate ownEstimate() {
     return new EngineEstimate(
--- a/core/src/main/java/org/shallothold/core/placement/PauseSampler.java
+++ b/core/src/main/java/org/shallothold/core/placement/PauseSampler.java
@@ -51,7 +51,6 @@
       // An engine without a free slot does not prefill the prompts that wait there.
       if (server.openRequests(nowMillis) < server.entry().slots()) {
         estimator.recordPrefillPause(usualMillis);
-        SpeedMeter.record(SpeedMeter.Kind.PREFILL_PAUSE, server, pauseMillis, nowMillis);
       }
     } else if (idleAtStart
         && server.sentPrefillMillis() == sentPrefillMillisAtStart
--- a/core/src/main/java/org/shallothold/core/placement/ServerSpeed.java
+++ b/core/src/main/java/org/shallothold/core/placement/ServerSpeed.java
@@ -30,6 +30,9 @@
   private static final double NO_LONGER_SLOW_RATIO = 1.15;
 
   private final Map<String, SpeedReport> peerReports = new HashMap<>();
+  // Sums over the peers, kept up to date since all servers are compared several times a second.
+  private int peerSamples;
+  private double peerLogSum;
   private final Map<SpeedMeter.Kind, SmoothedLog> timesByKind =
       new EnumMap<>(SpeedMeter.Kind.class);
   private final MomentarySlowness momentary = MomentarySlowness.unknown();
@@ -80,13 +83,20 @@
   /** Replaces the report of a peer; ignores one whose values are impossible. */
   public void updatePeer(String peer, SpeedReport report) {
     if (report.isUsable()) {
+      removePeer(peer);
       peerReports.put(peer, report);
+      peerSamples += weight(report.samples());
+      peerLogSum += Math.log(report.ratio()) * weight(report.samples());
     }
   }
 
   /** Removes the report of a peer that is gone; does nothing if there is none. */
   public void removePeer(String peer) {
-    peerReports.remove(peer);
+    SpeedReport report = peerReports.remove(peer);
+    if (report != null) {
+      peerSamples -= weight(report.samples());
+      peerLogSum -= Math.log(report.ratio()) * weight(report.samples());
+    }
   }
 
   /** Asks for another report of an unchanged ratio, since there are new peers. */
@@ -186,8 +196,7 @@
 
   /** Returns the number of samples of all gateways, as far as they count. */
   int measuredSamples() {
-    return weight(ownSamples)
-        + peerReports.values().stream().mapToInt(report -> weight(report.samples())).sum();
+    return weight(ownSamples) + peerSamples;
   }
 
   /**
@@ -196,13 +205,7 @@
    */
   double measuredLogRatio() {
     int samples = measuredSamples();
-    return samples == 0
-        ? 0
-        : (ownLogRatio * weight(ownSamples)
-                + peerReports.values().stream()
-                    .mapToDouble(report -> Math.log(report.ratio()) * weight(report.samples()))
-                    .sum())
-            / samples;
+    return samples == 0 ? 0 : (ownLogRatio * weight(ownSamples) + peerLogSum) / samples;
   }
 
   /** Lets new samples decide soon, since another process has started at the server's address. */
@@ -218,6 +221,8 @@
     ownLogRatio = 0;
     reportedWeight = 0;
     peerReports.clear();
+    peerSamples = 0;
+    peerLogSum = 0;
     setRatio(1);
     momentary.clear();
   }
--- a/core/src/main/java/org/shallothold/core/placement/ServerSpeeds.java
+++ b/core/src/main/java/org/shallothold/core/placement/ServerSpeeds.java
@@ -15,7 +15,7 @@
 
   // With fewer samples, servers of equal speed can seem to differ by a fifth.
   private static final int MIN_SAMPLES = 50;
-  private static final int MIN_SAMPLES_OF_KIND = 5;
+  private static final int MIN_SAMPLES_OF_KIND = 10;
   private static final int MIN_MEASURED_SERVERS = 3;
   // Ratio of the slowest to the fastest server from which the ratios apply, and below which they no
   // longer do.
@@ -69,9 +69,9 @@
   }
 
   /**
-   * Sets this gateway's own measurement of each server: the mean over the kinds of times of its
-   * ratio to the median server. The median is over servers, not over samples, and is not derived
-   * from earlier ratios, so that there is no feedback.
+   * Sets this gateway's own measurement of each server: the ratio to the median server in the most
+   * reliable kind of times that was measured there. The median is over servers, not over samples,
+   * and is not derived from earlier ratios, so that there is no feedback.
    */
   private static void measure(Collection<TrackedServer> servers) {
     Map<SpeedMeter.Kind, Double> medians = new EnumMap<>(SpeedMeter.Kind.class);
@@ -91,16 +91,15 @@
   }
 
   private static void measure(ServerSpeed speed, Map<SpeedMeter.Kind, Double> medians) {
-    double weightedSum = 0;
-    int samples = 0;
-    for (Map.Entry<SpeedMeter.Kind, Double> median : medians.entrySet()) {
-      SmoothedLog times = speed.times(median.getKey());
-      if (hasEnough(times)) {
-        weightedSum += times.samples() * (times.mean() - median.getValue());
-        samples += times.samples();
-      }
-    }
-    speed.setOwn(samples == 0 ? 0 : weightedSum / samples, samples);
+    medians.entrySet().stream()
+        .filter(median -> hasEnough(speed.times(median.getKey())))
+        .findFirst()
+        .ifPresentOrElse(
+            median -> {
+              SmoothedLog times = speed.times(median.getKey());
+              speed.setOwn(times.mean() - median.getValue(), times.samples());
+            },
+            () -> speed.setOwn(0, 0));
   }
 
   private static boolean hasEnough(SmoothedLog times) {
--- a/core/src/main/java/org/shallothold/core/placement/SpeedMeter.java
+++ b/core/src/main/java/org/shallothold/core/placement/SpeedMeter.java
@@ -12,15 +12,17 @@
   // prompts.
   private static final double MAX_IDLE_BACKLOG_MILLIS = 1;
   // Shorter prefills are masked by the delays of the network and of decode steps.
-  private static final double MIN_PREFILL_MILLIS = 60;
+  private static final double MIN_FIRST_EVENT_MILLIS = 80;
 
-  /** Kinds of times, each of which is compared only with others of its kind. */
+  /**
+   * Kinds of times, each of which is compared only with others of its kind, the most reliable
+   * first. Times between events during prefills are none of them: they depend on the prompts, and
+   * servers that get long prompts would seem slow.
+   */
   enum Kind {
     /** Time between two events while the engine has nothing to prefill. */
     IDLE_PAUSE,
-    /** Time between two events while the engine prefills. */
-    PREFILL_PAUSE,
-    /** Time of an uncontended prefill, relative to the estimate for its prompt. */
+    /** Time to the first event of an uncontended prompt, relative to the estimate for it. */
     PREFILL
   }
 
@@ -31,19 +33,19 @@
    * if the prefill is too short to be measured.
    *
    * @param server server that prefilled the prompt
-   * @param prefillMillis prefill time of the prompt at the median server
+   * @param usualMillis time to the first event at the median server without a backlog
    * @param backlogMillis known prefill backlog when the prompt was sent
    * @param elapsedMillis time from sending the prompt to the first event
    * @param nowMillis current time
    */
   public static void recordPrefill(
       TrackedServer server,
-      double prefillMillis,
+      double usualMillis,
       double backlogMillis,
       double elapsedMillis,
       long nowMillis) {
-    if (backlogMillis <= MAX_IDLE_BACKLOG_MILLIS && prefillMillis >= MIN_PREFILL_MILLIS) {
-      record(Kind.PREFILL, server, elapsedMillis / prefillMillis, nowMillis);
+    if (backlogMillis <= MAX_IDLE_BACKLOG_MILLIS && usualMillis >= MIN_FIRST_EVENT_MILLIS) {
+      record(Kind.PREFILL, server, elapsedMillis / usualMillis, nowMillis);
     }
   }
 
--- a/core/src/test/java/org/shallothold/core/placement/ServerSpeedsTest.java
+++ b/core/src/test/java/org/shallothold/core/placement/ServerSpeedsTest.java
@@ -72,6 +72,34 @@
                       ratios[number], engines.get(number).speed().ratio(), 0.1 * ratios[number]));
     }
 
+    /**
+     * Guards against engines that seem slow because they get long prompts, and against speeds that
+     * stay unknown where no engine ever idles between prompts.
+     */
+    @Test
+    void firstEventsOfLongAndShortPromptsTellTheSame() {
+      List<TrackedServer> engines = engines(9);
+      EngineEstimator known = TestEngines.denseModel();
+      for (int sample = 0; sample < 200; sample++) {
+        for (int number = 0; number < 9; number++) {
+          int tokens = number < 3 ? 20_000 : 6_000 + random.nextInt(4_000);
+          double elapsedMillis =
+              (10 + known.timings().prefillMillis(tokens, 0)) * trueRatio(number)
+                  + 20 * random.nextDouble();
+          SpeedMeter.recordPrefill(
+              engines.get(number), known.firstEventMillis(tokens, 0), 0, elapsedMillis, sample);
+        }
+      }
+      speeds.update(engines, 1_000);
+      IntStream.range(0, 9)
+          .forEach(
+              number ->
+                  assertEquals(
+                      trueRatio(number),
+                      engines.get(number).speed().ratio(),
+                      0.1 * trueRatio(number)));
+    }
+
     /** Guards against timings of the service that depend on which engines were measured. */
     @Test
     void timingsOfTheServiceAreThoseOfTheMedianEngine() {
--- a/gateway/src/main/java/org/shallothold/gateway/forward/Attempt.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/Attempt.java
@@ -376,7 +376,7 @@
           (nowMillis - sentMillis) / server.speed().factor(nowMillis));
       SpeedMeter.recordPrefill(
           server,
-          placement.prefillMillis(),
+          estimator.firstEventMillis(work.promptTokens(), placement.cachedTokens()),
           placement.backlogMillis(),
           (double) (nowMillis - sentMillis),
           nowMillis);
