Measure speeds by idle decode steps alone

The ratio now comes from times between events without prefills alone, relative to the service's usual time, which all gateways share. A gateway needs no measurement of half of the servers of its own any more.

--- a/core/src/main/java/org/shallothold/core/placement/EngineEstimator.java
+++ b/core/src/main/java/org/shallothold/core/placement/EngineEstimator.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalDouble;
 import java.util.function.ToDoubleFunction;
 import java.util.function.ToIntFunction;
 import java.util.stream.Stream;
@@ -122,14 +123,17 @@
   }
 
   /**
-   * Returns the usual time from sending a prompt to the first event at an engine without a backlog,
-   * in milliseconds.
-   *
-   * @param promptTokens tokens of the whole prompt
-   * @param cachedTokens tokens at its start that are in the prefix cache
+   * Returns the usual time between two events of a stream whose engine has nothing to prefill, in
+   * milliseconds; empty while there are too few samples.
    */
-  public double firstEventMillis(int promptTokens, int cachedTokens) {
-    return prefillCosts.fixedMillis() + timings.prefillMillis(promptTokens, cachedTokens);
+  public OptionalDouble idlePauseMillis() {
+    int samples =
+        Stream.concat(Stream.of(ownEstimate()), peerEstimates.values().stream())
+            .mapToInt(estimate -> weight(estimate.decodeStepSamples()))
+            .sum();
+    return samples < MIN_SAMPLES
+        ? OptionalDouble.empty()
+        : OptionalDouble.of(tokensPerEvent * timings.decodeStepMillis());
   }
 
   /** Returns the measurements of this gateway alone, as sent to peers. */
--- a/core/src/main/java/org/shallothold/core/placement/EnginePlacementPolicy.java
+++ b/core/src/main/java/org/shallothold/core/placement/EnginePlacementPolicy.java
@@ -299,7 +299,7 @@
         && previous.arrivals() == arrivals) {
       return previous;
     }
-    speeds.update(servers, nowMillis);
+    speeds.update(servers, estimator.idlePauseMillis(), nowMillis);
     List<TrackedServer> inService = speeds.slowLast(PlacementPolicy.inService(servers));
     PlacementPolicy.updateRelativeSlowness(inService);
     updateStreamCounts(inService, nowMillis);
--- a/core/src/main/java/org/shallothold/core/placement/PauseSampler.java
+++ b/core/src/main/java/org/shallothold/core/placement/PauseSampler.java
@@ -9,6 +9,10 @@
 
   // A prompt counts as being prefilled from this time after it was sent until its first event.
   private static final long PROMPT_DELIVERY_MILLIS = 40;
+  // With more streams, the size of the batch lengthens a decode step, and a loaded engine would
+  // seem
+  // slow.
+  private static final double MAX_SPEED_SLOT_FRACTION = 0.25;
   private static final long NOT_SAMPLING = Long.MIN_VALUE;
 
   private long startMillis = NOT_SAMPLING;
@@ -56,7 +60,9 @@
         && server.sentPrefillMillis() == sentPrefillMillisAtStart
         && server.backlogMillis(nowMillis) == 0) {
       estimator.recordIdlePause(usualMillis);
-      SpeedMeter.record(SpeedMeter.Kind.IDLE_PAUSE, server, pauseMillis, nowMillis);
+      if (server.openRequests(nowMillis) <= server.entry().slots() * MAX_SPEED_SLOT_FRACTION) {
+        server.speed().recordIdlePause(pauseMillis, nowMillis);
+      }
     }
   }
 }
--- a/core/src/main/java/org/shallothold/core/placement/PrefillCostFilter.java
+++ b/core/src/main/java/org/shallothold/core/placement/PrefillCostFilter.java
@@ -76,11 +76,6 @@
     samples++;
   }
 
-  /** Returns the time of a first event that does not depend on its prompt. */
-  double fixedMillis() {
-    return costs[0];
-  }
-
   double millisPerPrefillToken() {
     return costs[1] / TOKENS_PER_UNIT;
   }
--- a/core/src/main/java/org/shallothold/core/placement/ServerSpeed.java
+++ b/core/src/main/java/org/shallothold/core/placement/ServerSpeed.java
@@ -1,6 +1,5 @@
 package org.shallothold.core.placement;
 
-import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -33,8 +32,7 @@
   // Sums over the peers, kept up to date since all servers are compared several times a second.
   private int peerSamples;
   private double peerLogSum;
-  private final Map<SpeedMeter.Kind, SmoothedLog> timesByKind =
-      new EnumMap<>(SpeedMeter.Kind.class);
+  private SmoothedLog idlePauses = SmoothedLog.create();
   private final MomentarySlowness momentary = MomentarySlowness.unknown();
   private double ownLogRatio;
   private int ownSamples;
@@ -54,19 +52,18 @@
   }
 
   /**
-   * Records how long some work took here.
+   * Records the time between two events of a stream here while there was nothing to prefill.
    *
-   * @param kind kind of the time
-   * @param time the time, with the momentary slowness
+   * @param millis the time, with the momentary slowness
    * @param nowMillis current time
    */
-  void recordTime(SpeedMeter.Kind kind, double time, long nowMillis) {
-    times(kind).add(time / momentaryFactor(nowMillis));
+  void recordIdlePause(double millis, long nowMillis) {
+    idlePauses.add(millis / momentaryFactor(nowMillis));
   }
 
-  /** Returns the times of the given kind that were measured here. */
-  SmoothedLog times(SpeedMeter.Kind kind) {
-    return timesByKind.computeIfAbsent(kind, absent -> SmoothedLog.create());
+  /** Returns the times between events that were measured here, without momentary slowness. */
+  SmoothedLog idlePauses() {
+    return idlePauses;
   }
 
   /**
@@ -210,13 +207,13 @@
 
   /** Lets new samples decide soon, since another process has started at the server's address. */
   void restarted() {
-    timesByKind.values().forEach(times -> times.forgetBeyond(SAMPLES_AFTER_RESTART));
+    idlePauses.forgetBeyond(SAMPLES_AFTER_RESTART);
     momentary.clear();
   }
 
   /** Discards everything, since the server moved to another machine. */
   void moved() {
-    timesByKind.clear();
+    idlePauses = SmoothedLog.create();
     ownSamples = 0;
     ownLogRatio = 0;
     reportedWeight = 0;
--- a/core/src/main/java/org/shallothold/core/placement/ServerSpeeds.java
+++ b/core/src/main/java/org/shallothold/core/placement/ServerSpeeds.java
@@ -2,9 +2,8 @@
 
 import java.util.Collection;
 import java.util.Comparator;
-import java.util.EnumMap;
 import java.util.List;
-import java.util.Map;
+import java.util.OptionalDouble;
 
 /**
  * Compares the persistent speeds of one service's servers and sets the ratio of each to the median.
@@ -15,7 +14,7 @@
 
   // With fewer samples, servers of equal speed can seem to differ by a fifth.
   private static final int MIN_SAMPLES = 50;
-  private static final int MIN_SAMPLES_OF_KIND = 10;
+  private static final int MIN_OWN_SAMPLES = 10;
   private static final int MIN_MEASURED_SERVERS = 3;
   // Ratio of the slowest to the fastest server from which the ratios apply, and below which they no
   // longer do.
@@ -38,13 +37,20 @@
     return new ServerSpeeds();
   }
 
-  /** Sets the ratio of each server of the service; does nothing within a short time after that. */
-  void update(Collection<TrackedServer> servers, long nowMillis) {
+  /**
+   * Sets the ratio of each server of the service; does nothing within a short time after that.
+   *
+   * @param servers all servers of the service
+   * @param usualPauseMillis usual time between two events at an engine without prefills, the same
+   *     at all gateways; empty if it is not known
+   * @param nowMillis current time
+   */
+  void update(Collection<TrackedServer> servers, OptionalDouble usualPauseMillis, long nowMillis) {
     if (nowMillis - updatedMillis < UPDATE_INTERVAL_MILLIS) {
       return;
     }
     updatedMillis = nowMillis;
-    measure(servers);
+    servers.forEach(server -> measure(server.speed(), usualPauseMillis));
     List<Double> logRatios =
         servers.stream()
             .filter(ServerSpeeds::isMeasured)
@@ -69,41 +75,17 @@
   }
 
   /**
-   * Sets this gateway's own measurement of each server: the ratio to the median server in the most
-   * reliable kind of times that was measured there. The median is over servers, not over samples,
-   * and is not derived from earlier ratios, so that there is no feedback.
+   * Sets this gateway's own measurement of a server: the ratio of its times between events to those
+   * usual at the service. The smoothed times don't contain earlier ratios, so that ratios don't act
+   * on themselves.
    */
-  private static void measure(Collection<TrackedServer> servers) {
-    Map<SpeedMeter.Kind, Double> medians = new EnumMap<>(SpeedMeter.Kind.class);
-    for (SpeedMeter.Kind kind : SpeedMeter.Kind.values()) {
-      List<Double> means =
-          servers.stream()
-              .map(server -> server.speed().times(kind))
-              .filter(ServerSpeeds::hasEnough)
-              .map(SmoothedLog::mean)
-              .sorted()
-              .toList();
-      if (means.size() >= comparableServers(servers)) {
-        medians.put(kind, means.get(means.size() / 2));
-      }
+  private static void measure(ServerSpeed speed, OptionalDouble usualPauseMillis) {
+    SmoothedLog pauses = speed.idlePauses();
+    if (usualPauseMillis.isPresent() && pauses.samples() >= MIN_OWN_SAMPLES) {
+      speed.setOwn(pauses.mean() - Math.log(usualPauseMillis.getAsDouble()), pauses.samples());
+    } else {
+      speed.setOwn(0, 0);
     }
-    servers.forEach(server -> measure(server.speed(), medians));
-  }
-
-  private static void measure(ServerSpeed speed, Map<SpeedMeter.Kind, Double> medians) {
-    medians.entrySet().stream()
-        .filter(median -> hasEnough(speed.times(median.getKey())))
-        .findFirst()
-        .ifPresentOrElse(
-            median -> {
-              SmoothedLog times = speed.times(median.getKey());
-              speed.setOwn(times.mean() - median.getValue(), times.samples());
-            },
-            () -> speed.setOwn(0, 0));
-  }
-
-  private static boolean hasEnough(SmoothedLog times) {
-    return times.samples() >= MIN_SAMPLES_OF_KIND;
   }
 
   /** Returns how many of the servers must be measured, so that their median is that of all. */
--- a/gateway/src/main/java/org/shallothold/gateway/forward/Attempt.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/Attempt.java
@@ -20,7 +20,6 @@
 import org.shallothold.core.placement.PauseSampler;
 import org.shallothold.core.placement.Placement;
 import org.shallothold.core.placement.RequestProfile;
-import org.shallothold.core.placement.SpeedMeter;
 import org.shallothold.core.placement.TrackedServer;
 import org.shallothold.core.route.CustomerIdentity;
 import org.shallothold.core.route.Route;
@@ -374,12 +373,6 @@
           placement.cachedTokens(),
           placement.backlogMillis(),
           (nowMillis - sentMillis) / server.speed().factor(nowMillis));
-      SpeedMeter.recordPrefill(
-          server,
-          estimator.firstEventMillis(work.promptTokens(), placement.cachedTokens()),
-          placement.backlogMillis(),
-          (double) (nowMillis - sentMillis),
-          nowMillis);
     }
     pauseSampler.recordEvents(events, server, estimator, nowMillis);
   }
