--- a/core/src/main/java/org/shallothold/core/placement/EngineAdmission.java
+++ b/core/src/main/java/org/shallothold/core/placement/EngineAdmission.java
@@ -128,7 +128,8 @@
     if (request.mustFinish()) {
       return waitWhileItCanFinish(request, placement, expectedWaitMillis, urgent);
     }
-    if (request.canMeetLatencyTarget(expectedWaitMillis + placement.prefillMillis())) {
+    if (request.canMeetLatencyTarget(
+        expectedWaitMillis + placement.prefillMillis() * placement.speedFactor())) {
       return new AdmissionDecision.Wait();
     }
     if (urgent && request.waitedMillis() < request.maxWaitMillis()) {
--- a/core/src/main/java/org/shallothold/core/placement/EngineEstimator.java
+++ b/core/src/main/java/org/shallothold/core/placement/EngineEstimator.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalDouble;
 import java.util.function.ToDoubleFunction;
 import java.util.function.ToIntFunction;
 import java.util.stream.Stream;
@@ -13,6 +14,9 @@
  * from the estimates of its peers. A restarted gateway has valid estimates with the first update of
  * a peer.
  *
+ * <p>The timings are those of an engine of the service's median speed at its usual speed: callers
+ * divide what they measure by {@link ServerSpeed#factor}.
+ *
  * <p>Without enough samples the timings assume that a prefill can delay running streams without a
  * bound. One instance per service; owned by one thread.
  */
@@ -93,7 +97,7 @@
    * @param promptTokens tokens of the whole prompt
    * @param cachedTokens tokens at the start of the prompt that were probably in the prefix cache
    * @param backlogMillis known prefill backlog of the engine when the prompt was sent
-   * @param elapsedMillis time from sending the prompt to the first event
+   * @param elapsedMillis time from sending the prompt to the first event, at the usual speed
    */
   public void recordFirstEvent(
       int promptTokens, int cachedTokens, double backlogMillis, double elapsedMillis) {
@@ -109,7 +113,8 @@
   }
 
   /**
-   * Records the inter-event gap of a stream whose engine had nothing to prefill, in milliseconds.
+   * Records the inter-event gap of a stream whose engine had nothing to prefill, in milliseconds at
+   * the usual speed.
    */
   public void recordIdlePause(double millis) {
     idlePauses.add(millis);
@@ -118,13 +123,27 @@
 
   /**
    * Records the inter-event gap of a stream whose engine prefilled during the whole gap, in
-   * milliseconds.
+   * milliseconds at the usual speed.
    */
   public void recordPrefillPause(double millis) {
     prefillPauses.add(millis);
     timings = merge();
   }
 
+  /**
+   * Returns the usual time between two events of a stream whose engine has nothing to prefill, in
+   * milliseconds; empty while there are too few samples.
+   */
+  public OptionalDouble idlePauseMillis() {
+    int samples =
+        Stream.concat(Stream.of(ownEstimate()), peerEstimates.values().stream())
+            .mapToInt(estimate -> weight(estimate.decodeStepSamples()))
+            .sum();
+    return samples < MIN_SAMPLES
+        ? OptionalDouble.empty()
+        : OptionalDouble.of(tokensPerEvent * timings.decodeStepMillis());
+  }
+
   /** Returns the measurements of this gateway alone, as sent to peers. */
   public EngineEstimate ownEstimate() {
     return new EngineEstimate(
--- a/core/src/main/java/org/shallothold/core/placement/PauseSampler.java
+++ b/core/src/main/java/org/shallothold/core/placement/PauseSampler.java
@@ -9,6 +9,10 @@
 
   // A prompt counts as being prefilled from this time after it was sent until its first event.
   private static final long PROMPT_DELIVERY_MILLIS = 40;
+  // With more streams, the size of the batch lengthens a decode step, and a loaded engine would
+  // seem
+  // slow.
+  private static final double MAX_SPEED_SLOT_FRACTION = 0.25;
   private static final long NOT_SAMPLING = Long.MIN_VALUE;
 
   private long startMillis = NOT_SAMPLING;
@@ -46,15 +50,19 @@
 
   private void completeSample(TrackedServer server, EngineEstimator estimator, long nowMillis) {
     double pauseMillis = (double) (nowMillis - startMillis);
+    double usualMillis = pauseMillis / server.speed().factor(nowMillis);
     if (server.prefillingSince(startMillis - PROMPT_DELIVERY_MILLIS)) {
       // An engine without a free slot does not prefill the prompts that wait there.
       if (server.openRequests(nowMillis) < server.entry().slots()) {
-        estimator.recordPrefillPause(pauseMillis);
+        estimator.recordPrefillPause(usualMillis);
       }
     } else if (idleAtStart
         && server.sentPrefillMillis() == sentPrefillMillisAtStart
         && server.backlogMillis(nowMillis) == 0) {
-      estimator.recordIdlePause(pauseMillis);
+      estimator.recordIdlePause(usualMillis);
+      if (server.openRequests(nowMillis) <= server.entry().slots() * MAX_SPEED_SLOT_FRACTION) {
+        server.speed().recordIdlePause(pauseMillis, nowMillis);
+      }
     }
   }
 }
--- a/gateway/src/main/java/org/shallothold/gateway/forward/Attempt.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/Attempt.java
@@ -94,6 +94,7 @@
         .with("backlog_millis", Math.round(placement.backlogMillis()))
         .with("cached_tokens", placement.cachedTokens())
         .with("cache_source", cacheSourceAddress() == null ? "" : cacheSourceAddress())
+        .with("speed_percent", Math.round(placement.speedFactor() * 100))
         .with("open_requests", server.openRequests(MonotonicClock.millis()))
         .with("stated_rate", owner.statedRateText(server))
         .with("run", progress.possibleRuns + 1L);
@@ -212,6 +213,10 @@
           responseFacts.waitingRequests(),
           MonotonicClock.millis());
     }
+    if (responseFacts.momentaryPercent() > 0) {
+      server.recordMomentarySlowness(responseFacts.momentaryPercent(), MonotonicClock.millis());
+      forwarder.metrics().momentarySlowness.labelValues(service).inc();
+    }
     if (responseFacts.leaving()) {
       forwarder
           .state()
@@ -378,7 +383,7 @@
           work.promptTokens(),
           placement.cachedTokens(),
           placement.backlogMillis(),
-          (double) (nowMillis - sentMillis));
+          (nowMillis - sentMillis) / server.speed().factor(nowMillis));
     }
     pauseSampler.recordEvents(events, server, estimator, nowMillis);
     server.decodeDemand().recordProduced(requestKey, producedTokens(estimator));
--- a/gateway/src/main/java/org/shallothold/gateway/forward/ForwardGauges.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/ForwardGauges.java
@@ -1,9 +1,11 @@
 package org.shallothold.gateway.forward;
 
 import io.prometheus.metrics.core.metrics.Gauge;
+import java.util.DoubleSummaryStatistics;
 import java.util.HashMap;
 import java.util.Locale;
 import java.util.Map;
+import java.util.stream.Collectors;
 import org.shallothold.core.memory.MemoryBudget;
 import org.shallothold.core.placement.TrackedServer;
 import org.shallothold.core.rate.RampUp;
@@ -27,6 +29,7 @@
   private final Gauge backlog;
   private final Gauge slowedEngines;
   private final Gauge lowestPrefillShare;
+  private final Gauge speedRatio;
   private final Gauge backendConnections;
   private final Gauge waitingRequests;
   private final Gauge retries;
@@ -80,6 +83,12 @@
             "shallothold_lowest_prefill_share",
             "Smallest share of its time for which an engine of a service gets prompts to prefill.",
             "service");
+    speedRatio =
+        metrics.gauge(
+            "shallothold_server_time_ratio",
+            "Time that work takes at the slowest and the fastest server, relative to the median.",
+            "service",
+            "server");
     backendConnections =
         metrics.gauge("shallothold_backend_connections", "Open connections to backend servers.");
     waitingRequests =
@@ -167,12 +176,24 @@
     slowedEngines.clear();
     lowestPrefillShare.clear();
     rateLimitedServers.clear();
+    speedRatio.clear();
     statedRate.clear();
     Map<String, Double> lowestPrefillShares = new HashMap<>();
     coldServers.clear();
     coldRate.clear();
     rampingServers.clear();
     rampUpWindow.clear();
+    Map<String, DoubleSummaryStatistics> ratios =
+        state.allServers().stream()
+            .collect(
+                Collectors.groupingBy(
+                    server -> server.entry().service(),
+                    Collectors.summarizingDouble(server -> server.speed().ratio())));
+    ratios.forEach(
+        (service, ratio) -> {
+          speedRatio.labelValues(service, "slowest").set(ratio.getMax());
+          speedRatio.labelValues(service, "fastest").set(ratio.getMin());
+        });
     for (TrackedServer server : state.allServers()) {
       String service = server.entry().service();
       backendServers.labelValues(service, availability(server, nowMillis)).inc();
--- a/gateway/src/main/java/org/shallothold/gateway/forward/ForwardingGateway.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/ForwardingGateway.java
@@ -204,6 +204,7 @@
 
   private void logEngineSpeeds() {
     forwarder.queues().values().forEach(queue -> queue.engineSpeedLine().ifPresent(log::add));
+    forwarder.queues().values().forEach(queue -> queue.speedChangeLine().ifPresent(log::add));
     forwarder.rateLimits().logUsage(state.allServers());
   }
 
@@ -360,13 +361,15 @@
           .queues()
           .values()
           .forEach(queue -> queue.estimator().ifPresent(estimator -> estimator.removePeer(peer)));
+      state.allServers().forEach(server -> server.speed().removePeer(peer));
     }
 
     @Override
     public void describe(FleetNews.Builder update) {
       forwarder.drainChangedServers();
+      long nowMillis = MonotonicClock.millis();
       state.allServers().stream()
-          .map(this::toProto)
+          .map(server -> PeerSpeeds.withRatio(toProto(server), server, nowMillis))
           .filter(PeerSource::isWorthSending)
           .forEach(update::addOpenWork);
       forwarder
@@ -437,6 +440,7 @@
       if (rampUp != null) {
         work.setRampUp(rampUp);
       }
+      PeerSpeeds.statement(server, nowMillis).ifPresent(work::setSpeed);
       return work.build();
     }
 
@@ -446,7 +450,8 @@
           || work.hasLeavingLife()
           || work.hasStatedRate()
           || work.hasCold()
-          || work.hasRampUp();
+          || work.hasRampUp()
+          || work.hasSpeed();
     }
 
     private static PrefixRead toProto(PrefixReads.Read read) {
@@ -502,6 +507,7 @@
       if (server == null) {
         return;
       }
+      PeerSpeeds.apply(peer, work, server, nowMillis);
       server.updatePeerLoad(
           peer,
           new TrackedServer.PeerLoad(
@@ -557,6 +563,7 @@
 
     @Override
     public void gatewaysChanged() {
+      state.allServers().forEach(server -> server.speed().peersAdded());
       forwarder.rateLimits().gatewaysChanged();
       forwarder.promptParts().gatewaysChanged();
     }
--- a/wire/src/main/java/org/shallothold/wire/proto/OpenWork.java
+++ b/wire/src/main/java/org/shallothold/wire/proto/OpenWork.java
@@ -210,22 +210,6 @@
     return statedRate_ == null ? org.shallothold.wire.proto.StatedRate.getDefaultInstance() : statedRate_;
   }
 
-  public static final int DECODE_PERCENT_FIELD_NUMBER = 11;
-  private int decodePercent_ = 0;
-  /**
-   * <pre>
-   * Share of the engine's time that the sender's running streams need for decode steps so that they
-   * finish before their deadlines, in per cent; 0 if it isn't known.
-   * </pre>
-   *
-   * <code>int32 decode_percent = 11;</code>
-   * @return The decodePercent.
-   */
-  @java.lang.Override
-  public int getDecodePercent() {
-    return decodePercent_;
-  }
-
   public static final int COLD_FIELD_NUMBER = 9;
   private org.shallothold.wire.proto.ColdState cold_;
   /**
@@ -302,6 +286,60 @@
     return rampUp_ == null ? org.shallothold.wire.proto.RampUpState.getDefaultInstance() : rampUp_;
   }
 
+  public static final int DECODE_PERCENT_FIELD_NUMBER = 11;
+  private int decodePercent_ = 0;
+  /**
+   * <pre>
+   * Share of the engine's time that the sender's running streams need for decode steps so that they
+   * finish before their deadlines, in per cent; 0 if it isn't known.
+   * </pre>
+   *
+   * <code>int32 decode_percent = 11;</code>
+   * @return The decodePercent.
+   */
+  @java.lang.Override
+  public int getDecodePercent() {
+    return decodePercent_;
+  }
+
+  public static final int SPEED_FIELD_NUMBER = 12;
+  private org.shallothold.wire.proto.MeasuredSpeed speed_;
+  /**
+   * <pre>
+   * Absent unless the sender measured something that its peers don't know yet.
+   * </pre>
+   *
+   * <code>.shallothold.MeasuredSpeed speed = 12;</code>
+   * @return Whether the speed field is set.
+   */
+  @java.lang.Override
+  public boolean hasSpeed() {
+    return ((bitField0_ & 0x00000010) != 0);
+  }
+  /**
+   * <pre>
+   * Absent unless the sender measured something that its peers don't know yet.
+   * </pre>
+   *
+   * <code>.shallothold.MeasuredSpeed speed = 12;</code>
+   * @return The speed.
+   */
+  @java.lang.Override
+  public org.shallothold.wire.proto.MeasuredSpeed getSpeed() {
+    return speed_ == null ? org.shallothold.wire.proto.MeasuredSpeed.getDefaultInstance() : speed_;
+  }
+  /**
+   * <pre>
+   * Absent unless the sender measured something that its peers don't know yet.
+   * </pre>
+   *
+   * <code>.shallothold.MeasuredSpeed speed = 12;</code>
+   */
+  @java.lang.Override
+  public org.shallothold.wire.proto.MeasuredSpeedOrBuilder getSpeedOrBuilder() {
+    return speed_ == null ? org.shallothold.wire.proto.MeasuredSpeed.getDefaultInstance() : speed_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -346,6 +384,9 @@
     if (decodePercent_ != 0) {
       output.writeInt32(11, decodePercent_);
     }
+    if (((bitField0_ & 0x00000010) != 0)) {
+      output.writeMessage(12, getSpeed());
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -394,6 +435,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt32Size(11, decodePercent_);
     }
+    if (((bitField0_ & 0x00000010) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(12, getSpeed());
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -429,8 +474,6 @@
       if (!getStatedRate()
           .equals(other.getStatedRate())) return false;
     }
-    if (getDecodePercent()
-        != other.getDecodePercent()) return false;
     if (hasCold() != other.hasCold()) return false;
     if (hasCold()) {
       if (!getCold()
@@ -441,6 +484,13 @@
       if (!getRampUp()
           .equals(other.getRampUp())) return false;
     }
+    if (getDecodePercent()
+        != other.getDecodePercent()) return false;
+    if (hasSpeed() != other.hasSpeed()) return false;
+    if (hasSpeed()) {
+      if (!getSpeed()
+          .equals(other.getSpeed())) return false;
+    }
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -472,8 +522,6 @@
       hash = (37 * hash) + STATED_RATE_FIELD_NUMBER;
       hash = (53 * hash) + getStatedRate().hashCode();
     }
-    hash = (37 * hash) + DECODE_PERCENT_FIELD_NUMBER;
-    hash = (53 * hash) + getDecodePercent();
     if (hasCold()) {
       hash = (37 * hash) + COLD_FIELD_NUMBER;
       hash = (53 * hash) + getCold().hashCode();
@@ -482,6 +530,12 @@
       hash = (37 * hash) + RAMP_UP_FIELD_NUMBER;
       hash = (53 * hash) + getRampUp().hashCode();
     }
+    hash = (37 * hash) + DECODE_PERCENT_FIELD_NUMBER;
+    hash = (53 * hash) + getDecodePercent();
+    if (hasSpeed()) {
+      hash = (37 * hash) + SPEED_FIELD_NUMBER;
+      hash = (53 * hash) + getSpeed().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -619,6 +673,7 @@
         internalGetStatedRateFieldBuilder();
         internalGetColdFieldBuilder();
         internalGetRampUpFieldBuilder();
+        internalGetSpeedFieldBuilder();
       }
     }
     @java.lang.Override
@@ -636,7 +691,6 @@
         statedRateBuilder_.dispose();
         statedRateBuilder_ = null;
       }
-      decodePercent_ = 0;
       cold_ = null;
       if (coldBuilder_ != null) {
         coldBuilder_.dispose();
@@ -647,6 +701,12 @@
         rampUpBuilder_.dispose();
         rampUpBuilder_ = null;
       }
+      decodePercent_ = 0;
+      speed_ = null;
+      if (speedBuilder_ != null) {
+        speedBuilder_.dispose();
+        speedBuilder_ = null;
+      }
       return this;
     }
 
@@ -707,20 +767,26 @@
         to_bitField0_ |= 0x00000002;
       }
       if (((from_bitField0_ & 0x00000080) != 0)) {
-        result.decodePercent_ = decodePercent_;
-      }
-      if (((from_bitField0_ & 0x00000100) != 0)) {
         result.cold_ = coldBuilder_ == null
             ? cold_
             : coldBuilder_.build();
         to_bitField0_ |= 0x00000004;
       }
-      if (((from_bitField0_ & 0x00000200) != 0)) {
+      if (((from_bitField0_ & 0x00000100) != 0)) {
         result.rampUp_ = rampUpBuilder_ == null
             ? rampUp_
             : rampUpBuilder_.build();
         to_bitField0_ |= 0x00000008;
       }
+      if (((from_bitField0_ & 0x00000200) != 0)) {
+        result.decodePercent_ = decodePercent_;
+      }
+      if (((from_bitField0_ & 0x00000400) != 0)) {
+        result.speed_ = speedBuilder_ == null
+            ? speed_
+            : speedBuilder_.build();
+        to_bitField0_ |= 0x00000010;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -759,15 +825,18 @@
       if (other.hasStatedRate()) {
         mergeStatedRate(other.getStatedRate());
       }
-      if (other.getDecodePercent() != 0) {
-        setDecodePercent(other.getDecodePercent());
-      }
       if (other.hasCold()) {
         mergeCold(other.getCold());
       }
       if (other.hasRampUp()) {
         mergeRampUp(other.getRampUp());
       }
+      if (other.getDecodePercent() != 0) {
+        setDecodePercent(other.getDecodePercent());
+      }
+      if (other.hasSpeed()) {
+        mergeSpeed(other.getSpeed());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -835,21 +904,28 @@
               input.readMessage(
                   internalGetColdFieldBuilder().getBuilder(),
                   extensionRegistry);
-              bitField0_ |= 0x00000100;
+              bitField0_ |= 0x00000080;
               break;
             } // case 74
             case 82: {
               input.readMessage(
                   internalGetRampUpFieldBuilder().getBuilder(),
                   extensionRegistry);
-              bitField0_ |= 0x00000200;
+              bitField0_ |= 0x00000100;
               break;
             } // case 82
             case 88: {
               decodePercent_ = input.readInt32();
-              bitField0_ |= 0x00000080;
+              bitField0_ |= 0x00000200;
               break;
             } // case 88
+            case 98: {
+              input.readMessage(
+                  internalGetSpeedFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bitField0_ |= 0x00000400;
+              break;
+            } // case 98
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1304,53 +1380,6 @@
       return statedRateBuilder_;
     }
 
-    private int decodePercent_ ;
-    /**
-     * <pre>
-     * Share of the engine's time that the sender's running streams need for decode steps so that they
-     * finish before their deadlines, in per cent; 0 if it isn't known.
-     * </pre>
-     *
-     * <code>int32 decode_percent = 11;</code>
-     * @return The decodePercent.
-     */
-    @java.lang.Override
-    public int getDecodePercent() {
-      return decodePercent_;
-    }
-    /**
-     * <pre>
-     * Share of the engine's time that the sender's running streams need for decode steps so that they
-     * finish before their deadlines, in per cent; 0 if it isn't known.
-     * </pre>
-     *
-     * <code>int32 decode_percent = 11;</code>
-     * @param value The decodePercent to set.
-     * @return This builder for chaining.
-     */
-    public Builder setDecodePercent(int value) {
-
-      decodePercent_ = value;
-      bitField0_ |= 0x00000080;
-      onChanged();
-      return this;
-    }
-    /**
-     * <pre>
-     * Share of the engine's time that the sender's running streams need for decode steps so that they
-     * finish before their deadlines, in per cent; 0 if it isn't known.
-     * </pre>
-     *
-     * <code>int32 decode_percent = 11;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearDecodePercent() {
-      bitField0_ = (bitField0_ & ~0x00000080);
-      decodePercent_ = 0;
-      onChanged();
-      return this;
-    }
-
     private org.shallothold.wire.proto.ColdState cold_;
     private com.google.protobuf.SingleFieldBuilder<
         org.shallothold.wire.proto.ColdState, org.shallothold.wire.proto.ColdState.Builder, org.shallothold.wire.proto.ColdStateOrBuilder> coldBuilder_;
@@ -1363,7 +1392,7 @@
      * @return Whether the cold field is set.
      */
     public boolean hasCold() {
-      return ((bitField0_ & 0x00000100) != 0);
+      return ((bitField0_ & 0x00000080) != 0);
     }
     /**
      * <pre>
@@ -1396,7 +1425,7 @@
       } else {
         coldBuilder_.setMessage(value);
       }
-      bitField0_ |= 0x00000100;
+      bitField0_ |= 0x00000080;
       onChanged();
       return this;
     }
@@ -1414,7 +1443,7 @@
       } else {
         coldBuilder_.setMessage(builderForValue.build());
       }
-      bitField0_ |= 0x00000100;
+      bitField0_ |= 0x00000080;
       onChanged();
       return this;
     }
@@ -1427,7 +1456,7 @@
      */
     public Builder mergeCold(org.shallothold.wire.proto.ColdState value) {
       if (coldBuilder_ == null) {
-        if (((bitField0_ & 0x00000100) != 0) &&
+        if (((bitField0_ & 0x00000080) != 0) &&
           cold_ != null &&
           cold_ != org.shallothold.wire.proto.ColdState.getDefaultInstance()) {
           getColdBuilder().mergeFrom(value);
@@ -1438,7 +1467,7 @@
         coldBuilder_.mergeFrom(value);
       }
       if (cold_ != null) {
-        bitField0_ |= 0x00000100;
+        bitField0_ |= 0x00000080;
         onChanged();
       }
       return this;
@@ -1451,7 +1480,7 @@
      * <code>.shallothold.ColdState cold = 9;</code>
      */
     public Builder clearCold() {
-      bitField0_ = (bitField0_ & ~0x00000100);
+      bitField0_ = (bitField0_ & ~0x00000080);
       cold_ = null;
       if (coldBuilder_ != null) {
         coldBuilder_.dispose();
@@ -1468,7 +1497,7 @@
      * <code>.shallothold.ColdState cold = 9;</code>
      */
     public org.shallothold.wire.proto.ColdState.Builder getColdBuilder() {
-      bitField0_ |= 0x00000100;
+      bitField0_ |= 0x00000080;
       onChanged();
       return internalGetColdFieldBuilder().getBuilder();
     }
@@ -1520,7 +1549,7 @@
      * @return Whether the rampUp field is set.
      */
     public boolean hasRampUp() {
-      return ((bitField0_ & 0x00000200) != 0);
+      return ((bitField0_ & 0x00000100) != 0);
     }
     /**
      * <pre>
@@ -1553,7 +1582,7 @@
       } else {
         rampUpBuilder_.setMessage(value);
       }
-      bitField0_ |= 0x00000200;
+      bitField0_ |= 0x00000100;
       onChanged();
       return this;
     }
@@ -1571,7 +1600,7 @@
       } else {
         rampUpBuilder_.setMessage(builderForValue.build());
       }
-      bitField0_ |= 0x00000200;
+      bitField0_ |= 0x00000100;
       onChanged();
       return this;
     }
@@ -1584,7 +1613,7 @@
      */
     public Builder mergeRampUp(org.shallothold.wire.proto.RampUpState value) {
       if (rampUpBuilder_ == null) {
-        if (((bitField0_ & 0x00000200) != 0) &&
+        if (((bitField0_ & 0x00000100) != 0) &&
           rampUp_ != null &&
           rampUp_ != org.shallothold.wire.proto.RampUpState.getDefaultInstance()) {
           getRampUpBuilder().mergeFrom(value);
@@ -1595,7 +1624,7 @@
         rampUpBuilder_.mergeFrom(value);
       }
       if (rampUp_ != null) {
-        bitField0_ |= 0x00000200;
+        bitField0_ |= 0x00000100;
         onChanged();
       }
       return this;
@@ -1608,7 +1637,7 @@
      * <code>.shallothold.RampUpState ramp_up = 10;</code>
      */
     public Builder clearRampUp() {
-      bitField0_ = (bitField0_ & ~0x00000200);
+      bitField0_ = (bitField0_ & ~0x00000100);
       rampUp_ = null;
       if (rampUpBuilder_ != null) {
         rampUpBuilder_.dispose();
@@ -1625,7 +1654,7 @@
      * <code>.shallothold.RampUpState ramp_up = 10;</code>
      */
     public org.shallothold.wire.proto.RampUpState.Builder getRampUpBuilder() {
-      bitField0_ |= 0x00000200;
+      bitField0_ |= 0x00000100;
       onChanged();
       return internalGetRampUpFieldBuilder().getBuilder();
     }
@@ -1665,6 +1694,210 @@
       return rampUpBuilder_;
     }
 
+    private int decodePercent_ ;
+    /**
+     * <pre>
+     * Share of the engine's time that the sender's running streams need for decode steps so that they
+     * finish before their deadlines, in per cent; 0 if it isn't known.
+     * </pre>
+     *
+     * <code>int32 decode_percent = 11;</code>
+     * @return The decodePercent.
+     */
+    @java.lang.Override
+    public int getDecodePercent() {
+      return decodePercent_;
+    }
+    /**
+     * <pre>
+     * Share of the engine's time that the sender's running streams need for decode steps so that they
+     * finish before their deadlines, in per cent; 0 if it isn't known.
+     * </pre>
+     *
+     * <code>int32 decode_percent = 11;</code>
+     * @param value The decodePercent to set.
+     * @return This builder for chaining.
+     */
+    public Builder setDecodePercent(int value) {
+
+      decodePercent_ = value;
+      bitField0_ |= 0x00000200;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Share of the engine's time that the sender's running streams need for decode steps so that they
+     * finish before their deadlines, in per cent; 0 if it isn't known.
+     * </pre>
+     *
+     * <code>int32 decode_percent = 11;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearDecodePercent() {
+      bitField0_ = (bitField0_ & ~0x00000200);
+      decodePercent_ = 0;
+      onChanged();
+      return this;
+    }
+
+    private org.shallothold.wire.proto.MeasuredSpeed speed_;
+    private com.google.protobuf.SingleFieldBuilder<
+        org.shallothold.wire.proto.MeasuredSpeed, org.shallothold.wire.proto.MeasuredSpeed.Builder, org.shallothold.wire.proto.MeasuredSpeedOrBuilder> speedBuilder_;
+    /**
+     * <pre>
+     * Absent unless the sender measured something that its peers don't know yet.
+     * </pre>
+     *
+     * <code>.shallothold.MeasuredSpeed speed = 12;</code>
+     * @return Whether the speed field is set.
+     */
+    public boolean hasSpeed() {
+      return ((bitField0_ & 0x00000400) != 0);
+    }
+    /**
+     * <pre>
+     * Absent unless the sender measured something that its peers don't know yet.
+     * </pre>
+     *
+     * <code>.shallothold.MeasuredSpeed speed = 12;</code>
+     * @return The speed.
+     */
+    public org.shallothold.wire.proto.MeasuredSpeed getSpeed() {
+      if (speedBuilder_ == null) {
+        return speed_ == null ? org.shallothold.wire.proto.MeasuredSpeed.getDefaultInstance() : speed_;
+      } else {
+        return speedBuilder_.getMessage();
+      }
+    }
+    /**
+     * <pre>
+     * Absent unless the sender measured something that its peers don't know yet.
+     * </pre>
+     *
+     * <code>.shallothold.MeasuredSpeed speed = 12;</code>
+     */
+    public Builder setSpeed(org.shallothold.wire.proto.MeasuredSpeed value) {
+      if (speedBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        speed_ = value;
+      } else {
+        speedBuilder_.setMessage(value);
+      }
+      bitField0_ |= 0x00000400;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Absent unless the sender measured something that its peers don't know yet.
+     * </pre>
+     *
+     * <code>.shallothold.MeasuredSpeed speed = 12;</code>
+     */
+    public Builder setSpeed(
+        org.shallothold.wire.proto.MeasuredSpeed.Builder builderForValue) {
+      if (speedBuilder_ == null) {
+        speed_ = builderForValue.build();
+      } else {
+        speedBuilder_.setMessage(builderForValue.build());
+      }
+      bitField0_ |= 0x00000400;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Absent unless the sender measured something that its peers don't know yet.
+     * </pre>
+     *
+     * <code>.shallothold.MeasuredSpeed speed = 12;</code>
+     */
+    public Builder mergeSpeed(org.shallothold.wire.proto.MeasuredSpeed value) {
+      if (speedBuilder_ == null) {
+        if (((bitField0_ & 0x00000400) != 0) &&
+          speed_ != null &&
+          speed_ != org.shallothold.wire.proto.MeasuredSpeed.getDefaultInstance()) {
+          getSpeedBuilder().mergeFrom(value);
+        } else {
+          speed_ = value;
+        }
+      } else {
+        speedBuilder_.mergeFrom(value);
+      }
+      if (speed_ != null) {
+        bitField0_ |= 0x00000400;
+        onChanged();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Absent unless the sender measured something that its peers don't know yet.
+     * </pre>
+     *
+     * <code>.shallothold.MeasuredSpeed speed = 12;</code>
+     */
+    public Builder clearSpeed() {
+      bitField0_ = (bitField0_ & ~0x00000400);
+      speed_ = null;
+      if (speedBuilder_ != null) {
+        speedBuilder_.dispose();
+        speedBuilder_ = null;
+      }
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Absent unless the sender measured something that its peers don't know yet.
+     * </pre>
+     *
+     * <code>.shallothold.MeasuredSpeed speed = 12;</code>
+     */
+    public org.shallothold.wire.proto.MeasuredSpeed.Builder getSpeedBuilder() {
+      bitField0_ |= 0x00000400;
+      onChanged();
+      return internalGetSpeedFieldBuilder().getBuilder();
+    }
+    /**
+     * <pre>
+     * Absent unless the sender measured something that its peers don't know yet.
+     * </pre>
+     *
+     * <code>.shallothold.MeasuredSpeed speed = 12;</code>
+     */
+    public org.shallothold.wire.proto.MeasuredSpeedOrBuilder getSpeedOrBuilder() {
+      if (speedBuilder_ != null) {
+        return speedBuilder_.getMessageOrBuilder();
+      } else {
+        return speed_ == null ?
+            org.shallothold.wire.proto.MeasuredSpeed.getDefaultInstance() : speed_;
+      }
+    }
+    /**
+     * <pre>
+     * Absent unless the sender measured something that its peers don't know yet.
+     * </pre>
+     *
+     * <code>.shallothold.MeasuredSpeed speed = 12;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.shallothold.wire.proto.MeasuredSpeed, org.shallothold.wire.proto.MeasuredSpeed.Builder, org.shallothold.wire.proto.MeasuredSpeedOrBuilder> 
+        internalGetSpeedFieldBuilder() {
+      if (speedBuilder_ == null) {
+        speedBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.shallothold.wire.proto.MeasuredSpeed, org.shallothold.wire.proto.MeasuredSpeed.Builder, org.shallothold.wire.proto.MeasuredSpeedOrBuilder>(
+                getSpeed(),
+                getParentForChildren(),
+                isClean());
+        speed_ = null;
+      }
+      return speedBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:shallothold.OpenWork)
   }
 
--- a/wire/src/main/java/org/shallothold/wire/proto/OpenWorkOrBuilder.java
+++ b/wire/src/main/java/org/shallothold/wire/proto/OpenWorkOrBuilder.java
@@ -100,17 +100,6 @@
    */
   org.shallothold.wire.proto.StatedRateOrBuilder getStatedRateOrBuilder();
 
-  /**
-   * <pre>
-   * Share of the engine's time that the sender's running streams need for decode steps so that they
-   * finish before their deadlines, in per cent; 0 if it isn't known.
-   * </pre>
-   *
-   * <code>int32 decode_percent = 11;</code>
-   * @return The decodePercent.
-   */
-  int getDecodePercent();
-
   /**
    * <pre>
    * Absent if the server isn't cold.
@@ -164,4 +153,42 @@
    * <code>.shallothold.RampUpState ramp_up = 10;</code>
    */
   org.shallothold.wire.proto.RampUpStateOrBuilder getRampUpOrBuilder();
+
+  /**
+   * <pre>
+   * Share of the engine's time that the sender's running streams need for decode steps so that they
+   * finish before their deadlines, in per cent; 0 if it isn't known.
+   * </pre>
+   *
+   * <code>int32 decode_percent = 11;</code>
+   * @return The decodePercent.
+   */
+  int getDecodePercent();
+
+  /**
+   * <pre>
+   * Absent unless the sender measured something that its peers don't know yet.
+   * </pre>
+   *
+   * <code>.shallothold.MeasuredSpeed speed = 12;</code>
+   * @return Whether the speed field is set.
+   */
+  boolean hasSpeed();
+  /**
+   * <pre>
+   * Absent unless the sender measured something that its peers don't know yet.
+   * </pre>
+   *
+   * <code>.shallothold.MeasuredSpeed speed = 12;</code>
+   * @return The speed.
+   */
+  org.shallothold.wire.proto.MeasuredSpeed getSpeed();
+  /**
+   * <pre>
+   * Absent unless the sender measured something that its peers don't know yet.
+   * </pre>
+   *
+   * <code>.shallothold.MeasuredSpeed speed = 12;</code>
+   */
+  org.shallothold.wire.proto.MeasuredSpeedOrBuilder getSpeedOrBuilder();
 }
