Show operators and explain why a request did not go to a starting server

Cause: a request held for a cold server or for a window looked like one held for a stated rate; a gateway that was cut off for over 20 s issued the whole rate of cold servers. The coordinator of a cold server issues the part that its live gateways are of all known within 10 minutes. Coordinators learn at once what a starting server got.

--- a/command/src/main/java/org/shallothold/command/logs/RequestStory.java
+++ b/command/src/main/java/org/shallothold/command/logs/RequestStory.java
@@ -21,7 +21,8 @@
     entries.forEach(entry -> story.add(sentence(entry)));
     LogEntry last = entries.getLast();
     beliefs(logs, last).forEach(story::add);
-    statedRate(logs, entries).ifPresent(story::add);
+    knownLimit(logs, entries, "server_rate_stated", "knew the rate of %s").ifPresent(story::add);
+    knownLimit(logs, entries, "server_cold", "knew that %s is cold").ifPresent(story::add);
     blockedPart(logs, entries).ifPresent(story::add);
     foreignBytes(logs, requestId).forEach(story::add);
     story.add("cause: " + cause(entries));
@@ -57,9 +58,7 @@
           case "answer_failed" ->
               "the answer of %s failed: %s; last event passed on: %s"
                   .formatted(entry.text("server"), entry.text("reason"), entry.text("last_event"));
-          case "server_over_rate" ->
-              "no permit for %s, which states %s requests a second for all gateways"
-                  .formatted(entry.text("server"), entry.text("stated_rate"));
+          case "server_over_rate" -> heldReason(entry);
           case "prompt_part_blocked" ->
               "part %s of its prompt is blocked, last because %s ended %s ms before"
                   .formatted(
@@ -87,6 +86,21 @@
         };
   }
 
+  /** Says why there was no permit for a server. */
+  private static String heldReason(LogEntry entry) {
+    if (!entry.text("cold_millis").isEmpty()) {
+      return "no permit for %s, which is cold for another %s ms and gets %s requests a second"
+          .formatted(entry.text("server"), entry.text("cold_millis"), entry.text("cold_rate"));
+    }
+    if (!entry.text("ramp_up_window").isEmpty()) {
+      return "no permit for %s, which started or recovered %s ms before; its window is %s requests"
+          .formatted(
+              entry.text("server"), entry.text("ramp_up_age_millis"), entry.text("ramp_up_window"));
+    }
+    return "no permit for %s, which states %s requests a second for all gateways"
+        .formatted(entry.text("server"), entry.text("stated_rate"));
+  }
+
   private static List<String> beliefs(LogFiles logs, LogEntry last) {
     List<String> beliefs = new ArrayList<>();
     Instant time = last.time();
@@ -117,8 +131,9 @@
     return beliefs;
   }
 
-  /** Returns since when, and from whom, the process knew the rate that held the request. */
-  private static Optional<String> statedRate(LogFiles logs, List<LogEntry> entries) {
+  /** Returns since when, and from whom, the process knew what held the request. */
+  private static Optional<String> knownLimit(
+      LogFiles logs, List<LogEntry> entries, String event, String knowledge) {
     return entries.stream()
         .filter(entry -> entry.event().equals("server_over_rate"))
         .findFirst()
@@ -126,15 +141,15 @@
             held ->
                 logs.lastBefore(
                         held.process(),
-                        List.of("server_rate_stated"),
+                        List.of(event),
                         held.time(),
                         entry -> entry.text("server").equals(held.text("server")))
                     .map(
                         entry ->
-                            "%s knew the rate of %s from %s for %d ms"
+                            "%s %s from %s for %d ms"
                                 .formatted(
                                     held.process(),
-                                    held.text("server"),
+                                    knowledge.formatted(held.text("server")),
                                     entry.text("source"),
                                     age(entry, held.time()))));
   }
--- a/command/src/test/java/org/shallothold/command/logs/RequestStoryTest.java
+++ b/command/src/test/java/org/shallothold/command/logs/RequestStoryTest.java
@@ -112,6 +112,39 @@
         story.getLast());
   }
 
+  /** Guards against a request that was held for a cold server without a word on that server. */
+  @Test
+  void coldServerIsToldWithItsSourceAndAge() throws IOException {
+    Path file =
+        Files.write(
+            directory.resolve("cold.log"),
+            List.of(
+                "{\"time\":\"2026-01-01T00:00:01Z\",\"process\":\"one\","
+                    + "\"event\":\"server_cold\",\"server\":\"s1\",\"source\":\"entry\"}",
+                "{\"time\":\"2026-01-01T00:00:03Z\",\"process\":\"one\",\"request\":\"r2\","
+                    + "\"event\":\"server_over_rate\",\"server\":\"s1\",\"stated_rate\":\"none\","
+                    + "\"ramp_up_window\":4,\"ramp_up_age_millis\":2000,"
+                    + "\"cold_millis\":6000,\"cold_rate\":\"6.5\"}",
+                "{\"time\":\"2026-01-01T00:00:03Z\",\"process\":\"one\",\"request\":\"r2\","
+                    + "\"event\":\"server_over_rate\",\"server\":\"s2\",\"stated_rate\":\"none\","
+                    + "\"ramp_up_window\":4,\"ramp_up_age_millis\":2000}"));
+    List<String> story = RequestStory.of(LogFiles.read(List.of(file.toString())), "r2");
+    assertTrue(
+        story
+            .getFirst()
+            .endsWith(
+                "no permit for s1, which is cold for another 6000 ms and gets 6.5 requests a second"),
+        story.toString());
+    assertTrue(
+        story
+            .get(1)
+            .endsWith(
+                "no permit for s2, which started or recovered 2000 ms before; its window is 4"
+                    + " requests"),
+        story.toString());
+    assertTrue(story.contains("one knew that s1 is cold from entry for 2000 ms"), story.toString());
+  }
+
   /**
    * Guards against a request refused for its prompt without a word on the part and the evidence.
    */
--- a/core/src/main/java/org/shallothold/core/rate/PermitIssuer.java
+++ b/core/src/main/java/org/shallothold/core/rate/PermitIssuer.java
@@ -52,8 +52,7 @@
     }
 
     private void refill(double requestsPerSecond, long nowMillis) {
-      double permitsPerSecond =
-          USABLE_FRACTION * Math.max(MIN_REQUESTS_PER_SECOND, requestsPerSecond);
+      double permitsPerSecond = USABLE_FRACTION * requestsPerSecond;
       double elapsedSeconds = Math.max(0, nowMillis - refilledMillis) / MILLIS_PER_SECOND;
       refilledMillis = Math.max(refilledMillis, nowMillis);
       available =
@@ -63,7 +62,7 @@
   }
 
   /**
-   * Issues one permit if there is one.
+   * Issues one permit for a server that states its rate, if there is one.
    *
    * @param instanceStartMillis start time of the server's instance
    * @param requestsPerSecond rate that all gateways together may use now; {@link
@@ -72,6 +71,24 @@
    */
   public boolean tryIssue(
       String serverId, long instanceStartMillis, double requestsPerSecond, long nowMillis) {
+    return tryIssueWithin(
+        serverId,
+        instanceStartMillis,
+        Math.max(MIN_REQUESTS_PER_SECOND, requestsPerSecond),
+        nowMillis);
+  }
+
+  /**
+   * Issues one permit if there is one, also at a rate so low that there may be none for long: the
+   * limit ends without a response of the server.
+   *
+   * @param instanceStartMillis start time of the server's instance
+   * @param requestsPerSecond rate that all gateways together may use now; {@link
+   *     RateObservation#NO_LIMIT} if the limit has ended, which issues any number
+   * @return whether it was issued
+   */
+  public boolean tryIssueWithin(
+      String serverId, long instanceStartMillis, double requestsPerSecond, long nowMillis) {
     if (requestsPerSecond == RateObservation.NO_LIMIT) {
       bucketsByServer.remove(serverId);
       return true;
--- a/core/src/main/java/org/shallothold/core/rate/RampUp.java
+++ b/core/src/main/java/org/shallothold/core/rate/RampUp.java
@@ -127,13 +127,19 @@
     pendingRequests.put(requestNumber, nowMillis + (long) (LATE_RATIO * expectedMillis));
   }
 
-  /** Records the first event of a request; does nothing if it counted before. */
-  public void recordFirstEvent(long requestNumber, long nowMillis) {
+  /**
+   * Records the first event of a request.
+   *
+   * @return whether it was on time and not recorded before
+   */
+  public boolean recordFirstEvent(long requestNumber, long nowMillis) {
     recordOverdue(nowMillis);
-    if (pendingRequests.remove(requestNumber) != null) {
-      own = new Counts(own.onTime() + 1, own.late());
-      window += 1;
+    if (pendingRequests.remove(requestNumber) == null) {
+      return false;
     }
+    own = new Counts(own.onTime() + 1, own.late());
+    window += 1;
+    return true;
   }
 
   /** Records that the server refused a request or broke it off before its first event. */
--- a/gateway/src/main/java/org/shallothold/gateway/forward/Attempt.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/Attempt.java
@@ -30,6 +30,7 @@
 import org.shallothold.gateway.forward.caller.CallerExchange;
 import org.shallothold.gateway.forward.port.BackendRequestMetadata;
 import org.shallothold.gateway.forward.port.ResponseMetadata;
+import org.shallothold.runtime.logging.LogLine;
 
 /**
  * One attempt to run a request at one backend server. Created by the request, which it tells of its
@@ -86,17 +87,17 @@
   void start() {
     String serverId = server.entry().id();
     owner.triedServers().add(serverId);
-    trace
-        .addLine("server_chosen")
-        .with("service", service)
-        .with("server", serverId)
-        .with("expected_millis", Math.round(placement.expectedMillis()))
-        .with("backlog_millis", Math.round(placement.backlogMillis()))
-        .with("cached_tokens", placement.cachedTokens())
-        .with("cache_source", cacheSourceAddress() == null ? "" : cacheSourceAddress())
-        .with("open_requests", server.openRequests(MonotonicClock.millis()))
-        .with("stated_rate", owner.statedRateText(server))
-        .with("run", progress.possibleRuns + 1L);
+    LogLine chosen =
+        trace
+            .addLine("server_chosen")
+            .with("service", service)
+            .with("server", serverId)
+            .with("expected_millis", Math.round(placement.expectedMillis()))
+            .with("backlog_millis", Math.round(placement.backlogMillis()))
+            .with("cached_tokens", placement.cachedTokens())
+            .with("cache_source", cacheSourceAddress() == null ? "" : cacheSourceAddress())
+            .with("open_requests", server.openRequests(MonotonicClock.millis()));
+    forwarder.rateLimits().describe(chosen, server.entry()).with("run", progress.possibleRuns + 1L);
     server.recordSent(
         requestKey,
         work,
--- a/gateway/src/main/java/org/shallothold/gateway/forward/ForwardedRequest.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/ForwardedRequest.java
@@ -17,7 +17,6 @@
 import org.shallothold.core.placement.Placement;
 import org.shallothold.core.placement.RequestProfile;
 import org.shallothold.core.placement.TrackedServer;
-import org.shallothold.core.rate.RateObservation;
 import org.shallothold.core.route.CallKind;
 import org.shallothold.core.route.CustomerIdentity;
 import org.shallothold.core.route.Rank;
@@ -355,10 +354,6 @@
             trace.addLine("server_over_rate").with("server", server.entry().id()), server.entry());
   }
 
-  String statedRateText(TrackedServer server) {
-    return RateObservation.toText(forwarder.state().statedRate(server.entry()));
-  }
-
   /**
    * Ends the request because every server that could take it gets as many requests as it states.
    *
--- a/gateway/src/main/java/org/shallothold/gateway/forward/Forwarder.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/Forwarder.java
@@ -83,6 +83,7 @@
     // Peers are told at once.
     state.setRateChangeListener(this::workAdded);
     state.coldStarts().setChangeListener(this::workAdded);
+    state.rampUps().setChangeListener(this::workAdded);
     state.coldStarts().setBeginListener(rateLimits::becameCold);
     if (options.limitsStartingServers()) {
       state.rampUps().enable();
--- a/gateway/src/main/java/org/shallothold/gateway/forward/ForwardingGateway.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/ForwardingGateway.java
@@ -302,6 +302,11 @@
       return exchange.liveGateways();
     }
 
+    @Override
+    public Collection<String> leaving() {
+      return exchange.leavingGateways();
+    }
+
     @Override
     public double reachableFraction() {
       return exchange.reachableFraction();
--- a/gateway/src/main/java/org/shallothold/gateway/forward/Gateways.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/Gateways.java
@@ -13,6 +13,9 @@
   /** Returns the addresses of the live gateways. */
   Collection<String> live();
 
+  /** Returns the addresses of gateways that lately announced that they leave. */
+  Collection<String> leaving();
+
   /** Returns the fraction of the gateways that this one reaches, in (0, 1]. */
   double reachableFraction();
 
@@ -32,6 +35,11 @@
         return List.of("");
       }
 
+      @Override
+      public Collection<String> leaving() {
+        return List.of();
+      }
+
       @Override
       public double reachableFraction() {
         return 1;
--- a/gateway/src/main/java/org/shallothold/gateway/forward/RampUps.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/RampUps.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.function.Consumer;
 import java.util.function.Function;
 import org.jspecify.annotations.Nullable;
 import org.shallothold.core.placement.TrackedServer;
@@ -30,6 +31,7 @@
   private final Map<String, RampUp> rampUpsByServer = new HashMap<>();
   private final Map<String, RampUp> activeByServer = new HashMap<>();
   private boolean enabled;
+  private Consumer<String> changeListener = serverId -> {};
 
   /** Why a ramp-up begins. */
   enum Reason {
@@ -65,6 +67,14 @@
     enabled = true;
   }
 
+  /**
+   * Sets the listener that is called with a server's id when its coordinator should learn at once
+   * of what this gateway sent it or got from it.
+   */
+  void setChangeListener(Consumer<String> listener) {
+    changeListener = listener;
+  }
+
   /** Records that a server started or recovered; ignored if that is known. */
   void began(String serverId, long instanceStartMillis, Reason reason) {
     long nowMillis = MonotonicClock.millis();
@@ -110,6 +120,7 @@
             .with("age_millis", rampUp.ageMillis(nowMillis))
             .with("reason", reason.name().toLowerCase(Locale.ROOT))
             .with("window", rampUp.window()));
+    changeListener.accept(serverId);
     return rampUp;
   }
 
@@ -201,14 +212,15 @@
     RampUp rampUp = activeByServer.get(serverId);
     if (rampUp != null) {
       rampUp.recordSent(requestNumber, expectedMillis, MonotonicClock.millis());
+      changeListener.accept(serverId);
     }
   }
 
   /** Records the first event of a request, or its whole answer. */
   void firstEvent(String serverId, long requestNumber) {
     RampUp rampUp = activeByServer.get(serverId);
-    if (rampUp != null) {
-      rampUp.recordFirstEvent(requestNumber, MonotonicClock.millis());
+    if (rampUp != null && rampUp.recordFirstEvent(requestNumber, MonotonicClock.millis())) {
+      changeListener.accept(serverId);
     }
   }
 
@@ -217,6 +229,7 @@
     RampUp rampUp = activeByServer.get(serverId);
     if (rampUp != null) {
       rampUp.recordFailure(requestNumber, MonotonicClock.millis());
+      changeListener.accept(serverId);
     }
   }
 
--- a/gateway/src/main/java/org/shallothold/gateway/forward/StatedRateLimits.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/StatedRateLimits.java
@@ -12,6 +12,7 @@
 import org.shallothold.core.placement.TrackedServer;
 import org.shallothold.core.rate.Coordinators;
 import org.shallothold.core.rate.HeldRequestAdmission;
+import org.shallothold.core.rate.KnownGateways;
 import org.shallothold.core.rate.PermitHolder;
 import org.shallothold.core.rate.PermitIssuer;
 import org.shallothold.core.rate.PermitTerms;
@@ -45,6 +46,7 @@
   private final StructuredLog log;
   private final ForwardMetrics metrics;
   private final PermitIssuer issuer = PermitIssuer.create();
+  private final KnownGateways knownGateways = KnownGateways.create();
   private final PermitHolder holder = PermitHolder.create();
   private final Map<String, Optional<String>> coordinatorsByServer = new HashMap<>();
   private final Map<String, Usage> usageByServer = new HashMap<>();
@@ -101,6 +103,7 @@
   /** Determines the coordinators again after the live gateways changed. */
   void gatewaysChanged() {
     coordinatorsByServer.clear();
+    knownGateways.changed(gateways.live(), gateways.leaving(), MonotonicClock.millis());
     issuer.gatewaysChanged(this::isCoordinator, MonotonicClock.millis() + SETTLE_MILLIS);
   }
 
@@ -225,8 +228,8 @@
     return question.build();
   }
 
-  /** Adds to a log line what limits the rate of a server. */
-  void describe(LogLine line, ServerEntry server) {
+  /** Adds to a log line what limits the requests to a server, and returns the line. */
+  LogLine describe(LogLine line, ServerEntry server) {
     double statedRate = rates.requestsPerSecond(server.id(), server.startedMillis());
     line.with("stated_rate", RateObservation.toText(statedRate));
     long nowMillis = MonotonicClock.millis();
@@ -242,6 +245,7 @@
               "cold_rate",
               RateObservation.toText(coldStarts.requestsPerSecond(server.id(), nowMillis)));
     }
+    return line;
   }
 
   /** Records that a request was held: it was sent elsewhere, waits or is refused. */
@@ -333,12 +337,16 @@
       return false;
     }
     double requestsPerSecond = requestsPerSecond(serverId, instanceStartMillis, nowMillis);
+    double share = gateways.reachableFraction();
+    boolean cold = coldStarts.requestsPerSecond(serverId, nowMillis) < RateObservation.NO_LIMIT;
     boolean issued =
-        issuer.tryIssue(
-            serverId,
-            instanceStartMillis,
-            requestsPerSecond * gateways.reachableFraction(),
-            nowMillis);
+        cold
+            ? issuer.tryIssueWithin(
+                serverId,
+                instanceStartMillis,
+                requestsPerSecond * Math.min(share, knownGateways.liveFraction(nowMillis)),
+                nowMillis)
+            : issuer.tryIssue(serverId, instanceStartMillis, requestsPerSecond * share, nowMillis);
     if (issued) {
       usage(serverId).issued++;
       coldStarts.recordIssued(serverId);
--- a/gateway/src/main/java/org/shallothold/gateway/forward/peer/PeerExchange.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/peer/PeerExchange.java
@@ -255,6 +255,11 @@
     return liveGateways;
   }
 
+  /** Returns the addresses of the gateways that lately announced that they leave. */
+  public Set<String> leavingGateways() {
+    return Set.copyOf(leavingSeenMillis.keySet());
+  }
+
   /**
    * Returns the fraction of gateways that this one reaches, itself included, among those to which
    * it was connected lately or should be. Below 1 after peers failed, or if this gateway is cut off
