--- a/gateway/src/main/java/org/shallothold/gateway/forward/Forwarder.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/Forwarder.java
@@ -87,6 +87,7 @@
     // Peers are told at once.
     state.setRateChangeListener(this::workAdded);
     state.coldStarts().setChangeListener(this::workAdded);
+    state.rampUps().setChangeListener(this::workAdded);
     state.coldStarts().setBeginListener(rateLimits::becameCold);
     if (options.limitsStartingServers()) {
       state.rampUps().enable();
