Let calls of plain services wait in the gateway while all slots are taken

Cause: calls went to servers whose slots were taken and waited there in their order of arrival, whatever their rank and deadline. Change: PlainAdmission gives each gateway its share of the slots and what servers report as free; other calls wait in the dispatch queue, or are refused when their turn would come too late. Until 8 answers were seen, and while none come, calls are sent as before. Measured: PlainAdmissionTest (new, 10 cases), PlainQueueContractTest (new), ForwardContractTest and BufferMemoryContractTest pass.

--- a/core/src/main/java/org/shallothold/core/placement/TrackedServer.java
+++ b/core/src/main/java/org/shallothold/core/placement/TrackedServer.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalInt;
 import org.shallothold.core.hash.Hashing;
 import org.shallothold.core.membership.ServerEntry;
 
@@ -376,12 +377,18 @@
    */
   public int openRequests(long nowMillis) {
     int openRequests = openRequestsById.size() + peerTotals(nowMillis).openRequests();
-    if (nowMillis - reportReceivedMillis > REPORT_MAX_AGE_MILLIS) {
-      return openRequests;
-    }
-    int estimatedFromReport =
-        reportedRunning + reportedWaiting + openRequestsById.size() - openRequestsAtReport;
-    return Math.max(openRequests, estimatedFromReport);
+    return Math.max(openRequests, reportedOpenRequests(REPORT_MAX_AGE_MILLIS, nowMillis).orElse(0));
+  }
+
+  /**
+   * Returns the number of open requests derived from the last report of the server; empty if it is
+   * older than the given age.
+   */
+  OptionalInt reportedOpenRequests(long maxAgeMillis, long nowMillis) {
+    return nowMillis - reportReceivedMillis > maxAgeMillis
+        ? OptionalInt.empty()
+        : OptionalInt.of(
+            reportedRunning + reportedWaiting + openRequestsById.size() - openRequestsAtReport);
   }
 
   /**
--- a/gateway/src/main/java/org/shallothold/gateway/forward/Attempt.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/Attempt.java
@@ -434,6 +434,7 @@
     }
     server.recordFirstEvent(requestKey, placement.expectedMillis(), MonotonicClock.millis());
     server.recordEnd(requestKey);
+    forwarder.queue(service).answered(MonotonicClock.millis() - sentMillis);
     forwarder.workRemoved(server.entry().id());
     if (streaming) {
       endStreamedResponse(responseHead);
--- a/gateway/src/main/java/org/shallothold/gateway/forward/ForwardMetrics.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/ForwardMetrics.java
@@ -16,6 +16,7 @@
   final Counter retriesDenied;
   final Counter rateLimitedSends;
   final Counter requestsHeldForRate;
+  final Counter requestsWaitedForSlot;
   final Counter misdirectedPermitRequests;
   final Counter additionalBytes;
   final Counter foreignBytes;
@@ -58,6 +59,11 @@
             "shallothold_requests_held_for_rate_total",
             "Requests that did not go to the chosen server because of its stated rate limit.",
             "service");
+    requestsWaitedForSlot =
+        metrics.counter(
+            "shallothold_requests_waited_for_slot_total",
+            "Requests that waited because no server of a plain service had a free slot.",
+            "service");
     misdirectedPermitRequests =
         metrics.counter(
             "shallothold_misdirected_permit_requests_total",
--- a/gateway/src/main/java/org/shallothold/gateway/forward/ForwardedRequest.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/ForwardedRequest.java
@@ -80,6 +80,7 @@
   private boolean ended;
   private boolean firstEventOverdue;
   private boolean heldForRate;
+  private boolean waitedForSlot;
   private @Nullable ScheduledFuture<?> deadlineTimer;
 
   ForwardedRequest(
@@ -396,6 +397,15 @@
         .with("stated_rate", statedRateText(server));
   }
 
+  /** Records that no server of a plain service had a free slot for it. */
+  void recordWaitForSlot(String service) {
+    if (!waitedForSlot) {
+      waitedForSlot = true;
+      forwarder.metrics().requestsWaitedForSlot.labelValues(service).inc();
+      trace.addLine("no_free_slot").with("service", service);
+    }
+  }
+
   String statedRateText(TrackedServer server) {
     return RateObservation.toText(forwarder.state().statedRate(server.entry()));
   }
--- a/gateway/src/main/java/org/shallothold/gateway/forward/ServiceQueue.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/ServiceQueue.java
@@ -18,6 +18,7 @@
 import org.shallothold.core.placement.EngineTimings;
 import org.shallothold.core.placement.Placement;
 import org.shallothold.core.placement.PlacementPolicy;
+import org.shallothold.core.placement.PlainAdmission;
 import org.shallothold.core.placement.PlainPlacementPolicy;
 import org.shallothold.core.placement.TrackedServer;
 import org.shallothold.core.rate.HeldRequestAdmission;
@@ -26,8 +27,8 @@
 
 /**
  * Chooses a server for each request for one service and sends it there. Requests for model engines
- * may wait in the queue until an engine has room. Those for plain services are sent at once, unless
- * all servers get as many requests as they state. Owned by the event loop.
+ * may wait in the queue until an engine has room, and those for plain services until a server has a
+ * free slot or may get more requests by its stated rate. Owned by the event loop.
  */
 final class ServiceQueue {
 
@@ -47,6 +48,7 @@
   private final StatedRateLimits rateLimits;
   private final PromptPartQuarantine promptParts;
   private final DispatchQueue<ForwardedRequest> waitingRequests = DispatchQueue.empty();
+  private final PlainAdmission plainAdmission = PlainAdmission.create();
   private boolean dispatchScheduled;
 
   ServiceQueue(
@@ -197,11 +199,13 @@
     long nowMillis = MonotonicClock.millis();
     double queuedPrefillMillis = 0;
     int heldRequests = 0;
+    int requestsAhead = 0;
     int decidedRequests = 0;
     long engineCount = Math.max(1, state.servers(service).size());
     for (ForwardedRequest request : candidates) {
       if (decidedRequests == MAX_REQUESTS_PER_DISPATCH) {
-        refuseAfterLongestWait(request, queuedPrefillMillis, nowMillis);
+        requestsAhead++;
+        refuseAfterLongestWait(request, queuedPrefillMillis, requestsAhead, nowMillis);
         continue;
       }
       if (!waitingRequests.contains(request)) {
@@ -230,16 +234,17 @@
       AdmissionDecision decision =
           onTrial
               ? new AdmissionDecision.Send()
-              : decide(request, placement, queuedPrefillMillis, nowMillis);
+              : decide(request, placement, queuedPrefillMillis, requestsAhead, nowMillis);
       switch (decision) {
         case AdmissionDecision.Send send -> {
           waitingRequests.remove(request);
           request.sendTo(service, placement);
         }
-        case AdmissionDecision.Wait wait ->
-            // Peers are assumed to queue about as much as this gateway.
-            queuedPrefillMillis +=
-                placement.prefillMillis() * gatewayCount.getAsInt() / engineCount;
+        case AdmissionDecision.Wait wait -> {
+          requestsAhead++;
+          // Peers are assumed to queue about as much as this gateway.
+          queuedPrefillMillis += placement.prefillMillis() * gatewayCount.getAsInt() / engineCount;
+        }
         case AdmissionDecision.Refuse refuse -> {
           waitingRequests.remove(request);
           request.refuseOverloaded(refuse.retryAfterMillis(), refuse.cause());
@@ -251,17 +256,64 @@
 
   /** Refuses a request at the back of the queue if it has waited for as long as it may. */
   private void refuseAfterLongestWait(
-      ForwardedRequest request, double queuedPrefillMillis, long nowMillis) {
-    if (waitingRequests.contains(request)) {
-      EngineAdmission.afterLongestWait(request.applicant(nowMillis), queuedPrefillMillis)
-          .ifPresent(
-              refuse -> {
-                waitingRequests.remove(request);
-                request.refuseOverloaded(refuse.retryAfterMillis(), refuse.cause());
-              });
+      ForwardedRequest request, double queuedPrefillMillis, int requestsAhead, long nowMillis) {
+    if (!waitingRequests.contains(request)) {
+      return;
+    }
+    Optional<? extends AdmissionDecision> decision =
+        switch (policy) {
+          case PlainPlacementPolicy plain ->
+              request.applicant(nowMillis).previouslyStarted()
+                  ? Optional.empty()
+                  : Optional.of(waitForSlot(request, requestsAhead));
+          case EnginePlacementPolicy engines ->
+              EngineAdmission.afterLongestWait(request.applicant(nowMillis), queuedPrefillMillis);
+        };
+    if (decision.isPresent() && decision.get() instanceof AdmissionDecision.Refuse refuse) {
+      waitingRequests.remove(request);
+      request.refuseOverloaded(refuse.retryAfterMillis(), refuse.cause());
+    }
+  }
+
+  private AdmissionDecision decidePlain(
+      ForwardedRequest request, TrackedServer server, int requestsAhead, long nowMillis) {
+    if (plainAdmission.hasRoom(server, gatewayCount.getAsInt(), nowMillis)) {
+      plainAdmission.recordSent(state.servers(service), nowMillis);
+      return new AdmissionDecision.Send();
+    }
+    return request.applicant(nowMillis).previouslyStarted()
+        ? new AdmissionDecision.Send()
+        : waitForSlot(request, requestsAhead);
+  }
+
+  private AdmissionDecision waitForSlot(ForwardedRequest request, int requestsAhead) {
+    request.recordWaitForSlot(service);
+    return plainAdmission.decide(request.remainingMillis(), requestsAhead, state.servers(service));
+  }
+
+  /**
+   * Records an answer of a plain service and sends the next request in its place; does nothing for
+   * model engines.
+   *
+   * @param elapsedMillis time since the request was sent
+   */
+  void answered(long elapsedMillis) {
+    if (policy instanceof PlainPlacementPolicy) {
+      plainAdmission.recordAnswer((double) elapsedMillis, MonotonicClock.millis());
+      if (!waitingRequests.isEmpty()) {
+        eventLoop.execute(this::dispatch);
+      }
     }
   }
 
+  /** Matches servers of a plain service without a free slot. */
+  private Predicate<TrackedServer> withoutRoom(long nowMillis) {
+    int gateways = gatewayCount.getAsInt();
+    return policy instanceof PlainPlacementPolicy
+        ? server -> !plainAdmission.hasRoom(server, gateways, nowMillis)
+        : server -> false;
+  }
+
   private void scheduleDispatch() {
     if (dispatchScheduled || waitingRequests.isEmpty()) {
       return;
@@ -277,9 +329,14 @@
   }
 
   private AdmissionDecision decide(
-      ForwardedRequest request, Placement placement, double queuedPrefillMillis, long nowMillis) {
+      ForwardedRequest request,
+      Placement placement,
+      double queuedPrefillMillis,
+      int requestsAhead,
+      long nowMillis) {
     return switch (policy) {
-      case PlainPlacementPolicy plain -> new AdmissionDecision.Send();
+      case PlainPlacementPolicy plain ->
+          decidePlain(request, placement.server(), requestsAhead, nowMillis);
       case EnginePlacementPolicy engines ->
           EngineAdmission.decide(
               request.applicant(nowMillis),
@@ -362,19 +419,18 @@
 
   /**
    * Chooses a server. Without a permit for the best one, the request goes to another. Servers at
-   * this gateway's share of their connection limit are chosen only if all others are excluded:
-   * other gateways may leave their shares unused, and a request must not be refused while a server
-   * has room.
+   * this gateway's share of their connection limit, and servers of plain services without a free
+   * slot, are chosen only if all others are excluded: other gateways may leave their shares unused,
+   * and a request must not be refused while a server has room.
    */
   private Choice choose(ForwardedRequest request, boolean onTrial, long nowMillis) {
     int connectionLimit = connectionLimitPerServer();
     Predicate<TrackedServer> alreadyTried = server -> request.hasTried(server.entry().id());
     Predicate<TrackedServer> atConnectionLimit =
         server -> server.ownOpenRequests() >= connectionLimit;
+    Predicate<TrackedServer> full = atConnectionLimit.or(withoutRoom(nowMillis));
     Predicate<TrackedServer> avoided =
-        onTrial
-            ? atConnectionLimit.or(busierThanIdlest(alreadyTried, nowMillis))
-            : atConnectionLimit;
+        onTrial ? full.or(busierThanIdlest(alreadyTried, nowMillis)) : full;
     Optional<Placement> preferred = choose(request, alreadyTried, avoided, nowMillis);
     if (preferred.isEmpty()) {
       return new Choice.None();
