--- a/gateway/src/main/java/org/shallothold/gateway/forward/ForwardedRequest.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/ForwardedRequest.java
@@ -79,6 +79,7 @@
   private boolean ended;
   private boolean firstEventOverdue;
   private boolean heldForRate;
+  private boolean waitedForSlot;
   private @Nullable ScheduledFuture<?> deadlineTimer;
 
   ForwardedRequest(
@@ -395,6 +396,15 @@
             trace.addLine("server_over_rate").with("server", server.entry().id()), server.entry());
   }
 
+  /** Records that no server of a plain service had a free slot for it. */
+  void recordWaitForSlot(String service) {
+    if (!waitedForSlot) {
+      waitedForSlot = true;
+      forwarder.metrics().requestsWaitedForSlot.labelValues(service).inc();
+      trace.addLine("no_free_slot").with("service", service);
+    }
+  }
+
   /**
    * Ends the request because every server that could take it gets as many requests as it states.
    *
