--- a/gateway/src/main/java/org/shallothold/gateway/forward/ForwardMetrics.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/ForwardMetrics.java
@@ -2,6 +2,7 @@
 
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.core.metrics.Histogram;
+import org.shallothold.gateway.forward.peer.PeerTraffic;
 import org.shallothold.runtime.metrics.Metrics;
 
 /** Counters and latency histograms of the direct forwarding path. Thread-safe. */
@@ -23,6 +24,7 @@
   final Counter serverEnds;
   final Counter partStandingChanges;
   final Counter requestsBlockedForPart;
+  final Counter peerBytes;
   final Histogram firstEventSeconds;
   final Histogram answerSeconds;
 
@@ -93,6 +95,13 @@
             "shallothold_requests_blocked_for_part_total",
             "Requests that ended because a part of their prompt is blocked.",
             "route");
+    peerBytes =
+        metrics.counter(
+            "shallothold_peer_sent_bytes_total",
+            "Bytes sent to other gateways, without TCP and IP headers, by cause, content and distance.",
+            "cause",
+            "content",
+            "distance");
     firstEventSeconds =
         metrics.secondsHistogram(
             "shallothold_forwarded_first_event_seconds",
@@ -111,6 +120,15 @@
     return new ForwardMetrics(Metrics.create());
   }
 
+  /** Counts a part of a message to another gateway; see {@link PeerTraffic#sent}. */
+  void recordSentToPeer(
+      PeerTraffic.Cause cause,
+      PeerTraffic.Content content,
+      PeerTraffic.Distance distance,
+      int bytes) {
+    peerBytes.labelValues(cause.label(), content.label(), distance.label()).inc(bytes);
+  }
+
   /** Returns the registry, to which gauges that are updated at each scrape can be added. */
   Metrics registry() {
     return metrics;
--- a/gateway/src/main/java/org/shallothold/gateway/forward/ForwardingGateway.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/ForwardingGateway.java
@@ -167,10 +167,13 @@
       peerExchange =
           PeerExchange.start(
               eventLoop,
-              options.processId(),
-              options.peerAddress(),
-              options.seedAddresses(),
+              new PeerExchange.Settings(
+                  options.processId(),
+                  options.failureDomain(),
+                  options.peerAddress(),
+                  options.seedAddresses()),
               new PeerSource(),
+              metrics::recordSentToPeer,
               log);
       ConnectedGateways gateways = new ConnectedGateways(peerExchange);
       forwarder.rateLimits().setGateways(gateways);
--- a/gateway/src/main/java/org/shallothold/gateway/forward/peer/PeerExchange.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/peer/PeerExchange.java
@@ -142,9 +142,25 @@
     void answerReceived(SendPermitAnswer answer);
   }
 
+  /**
+   * Who a gateway is and where its peers are.
+   *
+   * @param processId id of the gateway's process
+   * @param failureDomain failure domain of the gateway's VM
+   * @param listenAddress address on which the gateway accepts peers, and which it sends to them
+   * @param seeds addresses of gateways to connect to first; the others are learned from them
+   */
+  public record Settings(
+      String processId,
+      String failureDomain,
+      InetSocketAddress listenAddress,
+      List<InetSocketAddress> seeds) {}
+
   private final EventLoopGroup group;
   private final EventLoop eventLoop;
   private final String processId;
+  private final String failureDomain;
+  private final PeerTraffic traffic;
   private final String ownAddress;
   private final Set<String> seeds = new HashSet<>();
   private final StateHandler handler;
@@ -177,41 +193,37 @@
 
   private PeerExchange(
       EventLoop eventLoop,
-      String processId,
-      InetSocketAddress listenAddress,
-      List<InetSocketAddress> seedAddresses,
+      Settings settings,
       StateHandler handler,
+      PeerTraffic traffic,
       StructuredLog log) {
     this.group = eventLoop.parent();
     this.eventLoop = eventLoop;
-    this.processId = processId;
-    this.ownAddress = hostAndPort(listenAddress);
+    this.processId = settings.processId();
+    this.failureDomain = settings.failureDomain();
+    this.ownAddress = hostAndPort(settings.listenAddress());
     this.handler = handler;
+    this.traffic = traffic;
     this.log = log;
-    seedAddresses.stream().map(PeerExchange::hostAndPort).forEach(seeds::add);
+    settings.seeds().stream().map(PeerExchange::hostAndPort).forEach(seeds::add);
     seeds.remove(ownAddress);
   }
 
   /**
    * Starts to listen for peers and to connect to them.
    *
-   * @param processId id of this gateway's process
-   * @param listenAddress address on which this gateway accepts peers, and which it sends to them
-   * @param seeds addresses of gateways to connect to first; the others are learned from them
    * @throws IllegalStateException if the address can't be bound
    */
   public static PeerExchange start(
       EventLoop eventLoop,
-      String processId,
-      InetSocketAddress listenAddress,
-      List<InetSocketAddress> seeds,
+      Settings settings,
       StateHandler handler,
+      PeerTraffic traffic,
       StructuredLog log) {
-    PeerExchange exchange =
-        new PeerExchange(eventLoop, processId, listenAddress, seeds, handler, log);
+    PeerExchange exchange = new PeerExchange(eventLoop, settings, handler, traffic, log);
     PeerServer.bind(
         exchange.group,
-        listenAddress,
+        settings.listenAddress(),
         CONNECTION_LIMITS,
         exchange::hello,
         exchange.listener(null),
@@ -296,7 +308,10 @@
     }
     PeerConnection connection = peer.connection;
     return connection != null
-        && connection.send(Envelope.newBuilder().setSendPermitRequest(request).build());
+        && send(
+            connection,
+            Envelope.newBuilder().setSendPermitRequest(request).build(),
+            PeerTraffic.Cause.PERMIT);
   }
 
   /**
@@ -315,7 +330,7 @@
     WorkChanges.Builder changes = WorkChanges.newBuilder();
     handler.describeChanges(changes);
     if (changes.getOpenWorkCount() > 0 || changes.hasCrashEvidence()) {
-      sendToAll(Envelope.newBuilder().setWorkChanges(changes).build());
+      sendToAll(Envelope.newBuilder().setWorkChanges(changes).build(), PeerTraffic.Cause.CHANGE);
     }
   }
 
@@ -328,11 +343,11 @@
     updateConnections();
     updateLiveGateways(now);
     long changedAtRevision = publishedChangedAtRevision();
-    if (changedAtRevision != announcedRevision
-        || now - updateSentMillis >= UPDATE_INTERVAL_MILLIS) {
+    boolean announces = changedAtRevision != announcedRevision;
+    if (announces || now - updateSentMillis >= UPDATE_INTERVAL_MILLIS) {
       announcedRevision = changedAtRevision;
       updateSentMillis = now;
-      sendUpdate();
+      sendUpdate(announces ? PeerTraffic.Cause.ANNOUNCEMENT : PeerTraffic.Cause.PERIODIC);
     }
   }
 
@@ -361,7 +376,7 @@
         handler.changedAtRevision(PublishedTopic.SERVERS));
   }
 
-  private void sendUpdate() {
+  private void sendUpdate(PeerTraffic.Cause cause) {
     FleetNews.Builder update =
         FleetNews.newBuilder()
             .setProcessId(processId)
@@ -378,20 +393,37 @@
                     .addKnownAddresses(entry.getKey())
                     .addKnownAddressAgeMillis((int) (now - entry.getValue())));
     handler.describe(update);
-    sendToAll(Envelope.newBuilder().setFleetNews(update).build());
+    sendToAll(Envelope.newBuilder().setFleetNews(update).build(), cause);
   }
 
-  private void sendToAll(Envelope envelope) {
+  private void sendToAll(Envelope envelope, PeerTraffic.Cause cause) {
+    MessageSize size = MessageSize.of(envelope);
     outgoingPeers.values().stream()
         .map(peer -> peer.connection)
         .filter(connection -> connection != null && connection.isWritable())
-        .forEach(connection -> send(connection, envelope));
+        .forEach(connection -> send(connection, envelope, size, cause));
+  }
+
+  private boolean send(PeerConnection connection, Envelope envelope, PeerTraffic.Cause cause) {
+    return send(connection, envelope, MessageSize.of(envelope), cause);
   }
 
-  private static void send(@Nullable PeerConnection connection, Envelope envelope) {
-    if (connection != null) {
-      connection.send(envelope);
+  private boolean send(
+      @Nullable PeerConnection connection,
+      Envelope envelope,
+      MessageSize size,
+      PeerTraffic.Cause cause) {
+    boolean sent = connection != null && connection.send(envelope);
+    if (sent) {
+      size.count(traffic, cause, distance(connection));
     }
+    return sent;
+  }
+
+  private PeerTraffic.Distance distance(PeerConnection connection) {
+    Hello hello = connection.remoteHello();
+    return PeerTraffic.Distance.between(
+        failureDomain, hello == null ? "" : hello.getFailureDomain());
   }
 
   /** Reports a peer as lost if its last update is too old; returns whether it is. */
@@ -449,7 +481,11 @@
   }
 
   private Hello hello() {
-    return Hello.newBuilder().setProcessId(processId).setRole(Role.ROLE_GATEWAY).build();
+    return Hello.newBuilder()
+        .setProcessId(processId)
+        .setRole(Role.ROLE_GATEWAY)
+        .setFailureDomain(failureDomain)
+        .build();
   }
 
   private PeerListener listener(@Nullable OutgoingPeer peer) {
@@ -551,10 +587,12 @@
   private void handlePermitRequest(PeerConnection connection, SendPermitRequest request) {
     Hello hello = connection.remoteHello();
     if (hello != null) {
-      connection.send(
+      send(
+          connection,
           Envelope.newBuilder()
               .setSendPermitAnswer(handler.answer(hello.getProcessId(), request))
-              .build());
+              .build(),
+          PeerTraffic.Cause.PERMIT);
     }
   }
 
@@ -576,7 +614,10 @@
     WorkChanges.Builder evidence = WorkChanges.newBuilder();
     handler.describeEvidence(evidence);
     if (evidence.hasCrashEvidence()) {
-      connection.send(Envelope.newBuilder().setWorkChanges(evidence).build());
+      send(
+          connection,
+          Envelope.newBuilder().setWorkChanges(evidence).build(),
+          PeerTraffic.Cause.CONNECTION);
     }
   }
 
@@ -596,11 +637,13 @@
     if ((nothingKnown || now - sinceMillis >= PLATFORM_GRACE_MILLIS)
         && now - lastRequestMillis >= MIN_REQUEST_INTERVAL_MILLIS) {
       lastRequestMillis = now;
-      connection.send(
+      send(
+          connection,
           Envelope.newBuilder()
               .setPublishedRequest(
                   PublishedRequest.newBuilder().setTopic(toProto(topic)).setAsOf(ownRevision))
-              .build());
+              .build(),
+          PeerTraffic.Cause.PUBLISHED);
     }
   }
 
@@ -614,7 +657,10 @@
             .setTopic(request.getTopic())
             .setAsOf(handler.asOfRevision(topic));
     handler.items(topic).forEach(item -> items.addItems(toProto(item)));
-    connection.send(Envelope.newBuilder().setPublishedItems(items).build());
+    send(
+        connection,
+        Envelope.newBuilder().setPublishedItems(items).build(),
+        PeerTraffic.Cause.PUBLISHED);
   }
 
   private void handleItems(PeerConnection connection, PublishedItems items) {
--- a/gateway/src/test/java/org/shallothold/gateway/forward/peer/PeerExchangeTest.java
+++ b/gateway/src/test/java/org/shallothold/gateway/forward/peer/PeerExchangeTest.java
@@ -151,7 +151,12 @@
 
   private PeerExchange start(
       String name, InetSocketAddress listenAddress, Gateway gateway, InetSocketAddress... seeds) {
-    return PeerExchange.start(eventLoop, name, listenAddress, List.of(seeds), gateway, log);
+    return PeerExchange.start(
+        eventLoop,
+        new PeerExchange.Settings(name, "north", listenAddress, List.of(seeds)),
+        gateway,
+        (cause, content, distance, bytes) -> {},
+        log);
   }
 
   private int gatewayCount(PeerExchange exchange) {
