--- a/core/src/main/java/org/shallothold/core/crash/PartQuarantine.java
+++ b/core/src/main/java/org/shallothold/core/crash/PartQuarantine.java
@@ -13,6 +13,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.stream.Stream;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -43,7 +44,8 @@
   private final Map<Long, Question> questionsByRequest = new HashMap<>();
   private final Map<Long, PartStanding> standings = new HashMap<>();
   private final Set<Long> changedParts = new HashSet<>();
-  private final Map<Long, PartSuccess> successesToTell = new LinkedHashMap<>();
+  private final Untold own = new Untold();
+  private final Untold learned = new Untold();
   // By part, the time at which the peers were last told of a success.
   private final Map<Long, Long> successToldMillis =
       new LinkedHashMap<>() {
@@ -52,7 +54,28 @@
           return size() > MAX_TOLD_SUCCESSES;
         }
       };
-  private final List<PartSuspicion> suspicionsToTell = new ArrayList<>();
+
+  /** Evidence that the peers were not told of yet. */
+  private static final class Untold {
+    private final List<PartSuspicion> suspicions = new ArrayList<>();
+    private final Map<Long, PartSuccess> successes = new LinkedHashMap<>();
+
+    private void add(PartSuccess success) {
+      successes.put(success.partId(), success);
+    }
+
+    private boolean isEmpty() {
+      return suspicions.isEmpty() && successes.isEmpty();
+    }
+
+    private CrashStatements take() {
+      CrashStatements statements =
+          new CrashStatements(List.copyOf(suspicions), List.copyOf(successes.values()));
+      suspicions.clear();
+      successes.clear();
+      return statements;
+    }
+  }
 
   /** State of a question to the coordinator. */
   private enum Answer {
@@ -154,7 +177,7 @@
 
   /** Records that an engine has answered a request with the parts for some time. */
   public void recordSuccess(Collection<Long> partIds, long nowMillis) {
-    partIds.forEach(part -> apply(new PartSuccess(part, nowMillis)));
+    partIds.forEach(part -> apply(new PartSuccess(part, nowMillis), own));
   }
 
   /**
@@ -170,25 +193,26 @@
             .map(
                 entry -> new PartSuspicion(entry.getKey(), serverId, crashMillis, entry.getValue()))
             .toList(),
+        own,
         nowMillis);
   }
 
   /** Applies what a peer tells. What is new is told to the other peers. */
   public void received(CrashStatements statements, long nowMillis) {
-    statements.successes().forEach(this::apply);
-    apply(statements.suspicions(), nowMillis);
+    statements.successes().forEach(success -> apply(success, learned));
+    apply(statements.suspicions(), learned, nowMillis);
   }
 
-  private void apply(PartSuccess success) {
+  private void apply(PartSuccess success, Untold untold) {
     if (evidence.recordSuccess(success)) {
       trials.decided(success.partId(), success.millis());
-      successesToTell.put(success.partId(), success);
+      untold.add(success);
     }
   }
 
-  private void apply(List<PartSuspicion> suspicions, long nowMillis) {
+  private void apply(List<PartSuspicion> suspicions, Untold untold, long nowMillis) {
     List<PartSuspicion> added = evidence.recordSuspicions(suspicions, nowMillis);
-    suspicionsToTell.addAll(added);
+    untold.suspicions.addAll(added);
     added.forEach(suspicion -> changedParts.add(suspicion.partId()));
     added.forEach(suspicion -> trials.decided(suspicion.partId(), suspicion.sentMillis()));
     // Gateways without a success of their own learn of it from the coordinator alone: one answer to
@@ -208,22 +232,30 @@
     Long toldMillis = successToldMillis.get(part);
     if (toldMillis == null || nowMillis - toldMillis >= REPEAT_SUCCESS_MILLIS) {
       successToldMillis.put(part, nowMillis);
-      successesToTell.put(part, new PartSuccess(part, success.getAsLong()));
+      own.add(new PartSuccess(part, success.getAsLong()));
     }
   }
 
   /** Returns the evidence that the peers were not told of yet, and regards it as told. */
   public CrashStatements takeStatements() {
-    CrashStatements statements =
-        new CrashStatements(List.copyOf(suspicionsToTell), List.copyOf(successesToTell.values()));
-    suspicionsToTell.clear();
-    successesToTell.clear();
-    return statements;
+    CrashStatements ofPeers = learned.take();
+    CrashStatements ofThisGateway = own.take();
+    return new CrashStatements(
+        Stream.concat(ofPeers.suspicions().stream(), ofThisGateway.suspicions().stream()).toList(),
+        Stream.concat(ofPeers.successes().stream(), ofThisGateway.successes().stream()).toList());
+  }
+
+  /**
+   * Returns the evidence learned from peers that the others were not told of yet, and regards it as
+   * told.
+   */
+  public CrashStatements takeLearnedStatements() {
+    return learned.take();
   }
 
   /** Returns whether there is evidence that the peers were not told of yet. */
   public boolean hasStatements() {
-    return !suspicionsToTell.isEmpty() || !successesToTell.isEmpty();
+    return !own.isEmpty() || !learned.isEmpty();
   }
 
   /**
--- a/core/src/main/java/org/shallothold/core/publish/PublishedState.java
+++ b/core/src/main/java/org/shallothold/core/publish/PublishedState.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 /**
  * A process's copy of the published items under one prefix, with the revision up to which it is
@@ -51,6 +52,40 @@
     return items.values().stream().sorted(Comparator.comparing(PublishedItem::key)).toList();
   }
 
+  /**
+   * Returns the changes after a revision. A copy that is complete up to that revision is equal to
+   * this one after {@link #apply}.
+   */
+  public PublishedChanges changesAfter(long revision) {
+    return new PublishedChanges(
+        items().stream().filter(item -> item.revision() > revision).toList(),
+        removedRevisions.entrySet().stream()
+            .filter(entry -> entry.getValue() > revision)
+            .collect(Collectors.toMap(Map.Entry::getKey, Map.Entry::getValue)));
+  }
+
+  /**
+   * Applies the changes of another copy after a revision up to which this copy is complete.
+   *
+   * @param asOfRevision revision up to which the other copy is complete; nothing is applied if this
+   *     copy is as new
+   * @return whether any item was added, updated or removed
+   */
+  public boolean apply(PublishedChanges changes, long asOfRevision) {
+    if (asOfRevision <= completeRevision) {
+      return false;
+    }
+    boolean changed = false;
+    for (PublishedItem item : changes.items()) {
+      changed |= put(item);
+    }
+    for (Map.Entry<String, Long> removed : changes.removedRevisions().entrySet()) {
+      changed |= remove(removed.getKey(), removed.getValue(), false, 0);
+    }
+    advanceCompleteRevision(asOfRevision);
+    return changed;
+  }
+
   /**
    * Adds or updates an item, unless the held item or its removal has the same or a newer revision.
    *
--- a/core/src/test/java/org/shallothold/core/publish/PublishedStateTest.java
+++ b/core/src/test/java/org/shallothold/core/publish/PublishedStateTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
+import java.util.Map;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -56,6 +57,62 @@
     }
   }
 
+  @Nested
+  class ChangesOfAPeer {
+
+    private final PublishedState peer = PublishedState.empty();
+
+    private void readBoth() {
+      state.replaceAll(List.of(item("a", 5), item("b", 6)), 10, false, 0);
+      peer.replaceAll(List.of(item("a", 5), item("b", 6)), 10, false, 0);
+    }
+
+    /** Guards against a copy that lacks changes because a peer sent only those that it missed. */
+    @Test
+    void makeTheCopyEqual() {
+      readBoth();
+      peer.put(item("a", 12));
+      peer.put(item("c", 13));
+      peer.remove("b", 14, false, 0);
+      peer.advanceCompleteRevision(14);
+      assertTrue(state.apply(peer.changesAfter(10), 14));
+      assertEquals(peer.items(), state.items());
+      assertEquals(peer.completeRevision(), state.completeRevision());
+      assertEquals(peer.lastChangeRevision(), state.lastChangeRevision());
+    }
+
+    /** Guards against messages that grow with the number of items instead of the changes. */
+    @Test
+    void leaveOutWhatIsKnown() {
+      readBoth();
+      peer.put(item("c", 13));
+      assertEquals(
+          List.of("c"), peer.changesAfter(10).items().stream().map(PublishedItem::key).toList());
+      assertEquals(Map.of(), peer.changesAfter(10).removedRevisions());
+    }
+
+    /** Guards against a removal that is missed since the peer saw it only in a later listing. */
+    @Test
+    void includeRemovalsThatAListingShowed() {
+      readBoth();
+      peer.replaceAll(List.of(item("a", 5)), 20, false, 0);
+      state.apply(peer.changesAfter(10), 20);
+      assertEquals(List.of("a"), keys());
+    }
+
+    /** Guards against an older peer that removes or restores what is known to be newer. */
+    @Test
+    void areIgnoredIfOutdated() {
+      readBoth();
+      peer.remove("a", 11, false, 0);
+      peer.advanceCompleteRevision(11);
+      state.put(item("a", 15));
+      state.advanceCompleteRevision(15);
+      assertFalse(state.apply(peer.changesAfter(10), 11));
+      assertEquals(List.of("a", "b"), keys());
+    }
+  }
+
   @Nested
   class AfterAnOutage {
 
--- a/gateway/src/main/java/org/shallothold/gateway/forward/ForwardingGateway.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/ForwardingGateway.java
@@ -14,6 +14,7 @@
 import org.shallothold.core.memory.MemoryBudget;
 import org.shallothold.core.placement.EngineEstimate;
 import org.shallothold.core.placement.TrackedServer;
+import org.shallothold.core.publish.PublishedChanges;
 import org.shallothold.core.publish.PublishedItem;
 import org.shallothold.core.rate.RateObservation;
 import org.shallothold.gateway.forward.caller.CallerListener;
@@ -384,7 +385,6 @@
                             update.putEngineSpeeds(service, toProto(estimator.ownEstimate())));
               });
       prefixReads.drain().stream().map(PeerSource::toProto).forEach(update::addPrefixReads);
-      forwarder.promptParts().repeatedEvidence().ifPresent(update::setCrashEvidence);
     }
 
     @Override
@@ -393,8 +393,13 @@
     }
 
     @Override
-    public void evidenceReceived(String peer, CrashEvidence evidence) {
-      forwarder.promptParts().received(evidence, peer);
+    public void describeRepeatedEvidence(WorkChanges.Builder changes) {
+      forwarder.promptParts().repeatedEvidence().ifPresent(changes::setCrashEvidence);
+    }
+
+    @Override
+    public Optional<CrashEvidence> evidenceReceived(String peer, CrashEvidence evidence) {
+      return forwarder.promptParts().received(evidence, peer);
     }
 
     @Override
@@ -463,9 +468,6 @@
                       .ifPresent(estimator -> estimator.updatePeer(peer, fromProto(speed))));
       forwarder.queues().forEach(this::applyPeerLoads);
       update.getPrefixReadsList().forEach(this::applyPrefixRead);
-      if (update.hasCrashEvidence()) {
-        forwarder.promptParts().received(update.getCrashEvidence(), peer);
-      }
     }
 
     @Override
@@ -529,6 +531,17 @@
       state.learned(topic, items, asOfRevision, peer);
     }
 
+    @Override
+    public PublishedChanges changes(PublishedTopic topic, long afterRevision) {
+      return state.changesAfter(topic, afterRevision);
+    }
+
+    @Override
+    public void changesReceived(
+        PublishedTopic topic, PublishedChanges changes, long asOfRevision, String peer) {
+      state.learned(topic, changes, asOfRevision, peer);
+    }
+
     @Override
     public boolean isLeaving() {
       return forwarder.isLeaving();
--- a/gateway/src/main/java/org/shallothold/gateway/forward/PromptPartQuarantine.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/PromptPartQuarantine.java
@@ -188,8 +188,8 @@
     return partIds.stream().map(Long::toHexString).sorted().collect(Collectors.joining(","));
   }
 
-  /** Applies evidence of a peer. */
-  void received(CrashEvidence evidence, String peer) {
+  /** Applies evidence of a peer; returns what was not known yet, or empty if it was all known. */
+  Optional<CrashEvidence> received(CrashEvidence evidence, String peer) {
     long nowMillis = MonotonicClock.millis();
     quarantine.received(
         new CrashStatements(
@@ -203,7 +203,9 @@
                             success.getPartId(), nowMillis - Math.max(0, success.getAgeMillis())))
                 .toList()),
         nowMillis);
+    Optional<CrashEvidence> learned = toProto(quarantine.takeLearnedStatements());
     evidenceChanged(peer);
+    return learned;
   }
 
   private void evidenceChanged(String source) {
@@ -251,7 +253,7 @@
     return toProto(quarantine.takeStatements());
   }
 
-  /** Returns recent evidence for the periodic update, once in a while; empty if there is none. */
+  /** Returns recent evidence for peers that missed it, once in a while; empty if there is none. */
   Optional<CrashEvidence> repeatedEvidence() {
     long nowMillis = MonotonicClock.millis();
     if (nowMillis - evidenceRepeatedMillis < REPEAT_EVIDENCE_MILLIS) {
--- a/gateway/src/main/java/org/shallothold/gateway/forward/RoutingState.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/RoutingState.java
@@ -20,6 +20,7 @@
 import org.shallothold.core.membership.ServerEntry;
 import org.shallothold.core.placement.TrackedServer;
 import org.shallothold.core.publish.PlatformContact;
+import org.shallothold.core.publish.PublishedChanges;
 import org.shallothold.core.publish.PublishedItem;
 import org.shallothold.core.publish.PublishedState;
 import org.shallothold.core.rate.RateObservation;
@@ -209,6 +210,11 @@
     return publishedState(topic).items();
   }
 
+  /** Returns the changes of a topic after a revision. */
+  PublishedChanges changesAfter(PublishedTopic topic, long revision) {
+    return publishedState(topic).changesAfter(revision);
+  }
+
   /** Returns the milliseconds since a topic was last read from the platform. */
   long readAgeMillis(PublishedTopic topic) {
     return MonotonicClock.millis() - contact(topic).lastAnswerMillis();
@@ -269,6 +275,19 @@
     apply(topic, peer);
   }
 
+  /**
+   * Applies a peer's changes of a topic; ignored if this gateway's copy is as new.
+   *
+   * @param changes changes after a revision up to which this gateway's copy is complete
+   * @param asOf revision up to which the peer's copy is complete
+   * @param peer process id of the peer
+   */
+  void learned(PublishedTopic topic, PublishedChanges changes, long asOf, String peer) {
+    if (publishedState(topic).apply(changes, asOf)) {
+      apply(topic, peer);
+    }
+  }
+
   /**
    * Records that an instance of a server announced that it leaves. It gets no further requests.
    *
--- a/gateway/src/main/java/org/shallothold/gateway/forward/peer/MessageSize.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/peer/MessageSize.java
@@ -5,14 +5,16 @@
 import java.util.Collection;
 import java.util.EnumMap;
 import java.util.Map;
-import org.shallothold.wire.proto.CrashEvidence;
 import org.shallothold.wire.proto.Envelope;
 import org.shallothold.wire.proto.FleetNews;
+import org.shallothold.wire.proto.StateDifference;
 import org.shallothold.wire.proto.WorkChanges;
 
 /** Size of a message between gateways, by content. Immutable. */
 final class MessageSize {
 
+  private static final int HASH_BYTES = 4;
+
   private final Map<PeerTraffic.Content, Integer> bytesByContent;
 
   private MessageSize(Map<PeerTraffic.Content, Integer> bytesByContent) {
@@ -37,8 +39,16 @@
   }
 
   private static void addUpdate(Map<PeerTraffic.Content, Integer> bytes, FleetNews update) {
-    bytes.put(PeerTraffic.Content.WORK, size(update.getOpenWorkList()));
-    bytes.put(PeerTraffic.Content.PROMPT_PARTS, size(update.getPrefixReadsList()));
+    StateDifference difference = update.getDifference();
+    StateDifference removed =
+        StateDifference.newBuilder()
+            .addAllRemovedServerIds(difference.getRemovedServerIdsList())
+            .build();
+    bytes.put(
+        PeerTraffic.Content.WORK, size(update.getOpenWorkList()) + removed.getSerializedSize());
+    bytes.put(
+        PeerTraffic.Content.PROMPT_PARTS,
+        size(update.getPrefixReadsList()) + size(difference.getReadsByServerList()));
     bytes.put(PeerTraffic.Content.CRASH_EVIDENCE, size(update.getCrashEvidence()));
     FleetNews services =
         FleetNews.newBuilder()
@@ -52,17 +62,27 @@
             .addAllKnownAddresses(update.getKnownAddressesList())
             .addAllKnownAddressAgeMillis(update.getKnownAddressAgeMillisList())
             .build();
-    bytes.put(PeerTraffic.Content.ADDRESSES, addresses.getSerializedSize());
+    StateDifference ages =
+        StateDifference.newBuilder().addAllAddressAges(difference.getAddressAgesList()).build();
+    bytes.put(
+        PeerTraffic.Content.ADDRESSES, addresses.getSerializedSize() + ages.getSerializedSize());
   }
 
   private static void addChanges(Map<PeerTraffic.Content, Integer> bytes, WorkChanges changes) {
     bytes.put(PeerTraffic.Content.WORK, size(changes.getOpenWorkList()));
-    bytes.put(PeerTraffic.Content.PROMPT_PARTS, size(changes.getPrefixReadsList()));
-    bytes.put(PeerTraffic.Content.CRASH_EVIDENCE, size(changes.getCrashEvidence()));
+    bytes.put(
+        PeerTraffic.Content.PROMPT_PARTS,
+        size(changes.getPrefixReadsList()) + size(changes.getReadsByServerList()));
+    bytes.put(
+        PeerTraffic.Content.CRASH_EVIDENCE,
+        size(changes.getCrashEvidence())
+            + size(changes.getCompactEvidence())
+            + HASH_BYTES * changes.getSentToCount());
   }
 
-  private static int size(CrashEvidence evidence) {
-    int bytes = evidence.getSerializedSize();
+  /** Returns the size of a message in a field; that without content is absent. */
+  private static int size(MessageLite element) {
+    int bytes = element.getSerializedSize();
     return bytes == 0 ? 0 : fieldSize(bytes);
   }
 
--- a/gateway/src/main/java/org/shallothold/gateway/forward/peer/PeerExchange.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/peer/PeerExchange.java
@@ -4,16 +4,20 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import java.net.InetSocketAddress;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 import org.jspecify.annotations.Nullable;
+import org.shallothold.core.publish.PublishedChanges;
 import org.shallothold.core.publish.PublishedItem;
 import org.shallothold.gateway.forward.MonotonicClock;
 import org.shallothold.gateway.forward.port.PublishedTopic;
@@ -29,6 +33,7 @@
 import org.shallothold.wire.proto.FleetNews;
 import org.shallothold.wire.proto.Hello;
 import org.shallothold.wire.proto.PublishedItems;
+import org.shallothold.wire.proto.PublishedRemoval;
 import org.shallothold.wire.proto.PublishedRequest;
 import org.shallothold.wire.proto.Role;
 import org.shallothold.wire.proto.SendPermitAnswer;
@@ -109,6 +114,9 @@
     /** Returns all known items of a topic. */
     List<PublishedItem> items(PublishedTopic topic);
 
+    /** Returns the changes of a topic after a revision. */
+    PublishedChanges changes(PublishedTopic topic, long afterRevision);
+
     /**
      * Applies all items of a topic as a peer knows them.
      *
@@ -119,18 +127,32 @@
     void itemsReceived(
         PublishedTopic topic, List<PublishedItem> items, long asOfRevision, String peer);
 
+    /**
+     * Applies the changes of a topic after a revision that this gateway knows.
+     *
+     * @param asOfRevision revision up to which the peer knows every change; newer than this
+     *     gateway's
+     * @param peer process id of the peer
+     */
+    void changesReceived(
+        PublishedTopic topic, PublishedChanges changes, long asOfRevision, String peer);
+
     /** Returns whether this gateway is leaving. */
     boolean isLeaving();
 
     /** Adds the evidence about crashes that a peer needs which may know nothing. */
     void describeEvidence(WorkChanges.Builder changes);
 
+    /** Adds recent evidence for peers that may have missed it; once in a while. */
+    void describeRepeatedEvidence(WorkChanges.Builder changes);
+
     /**
      * Applies evidence about crashes from a peer.
      *
      * @param peer process id of the peer
+     * @return what this gateway did not know yet, for other peers
      */
-    void evidenceReceived(String peer, CrashEvidence evidence);
+    Optional<CrashEvidence> evidenceReceived(String peer, CrashEvidence evidence);
 
     /** Called when the set of {@link PeerExchange#liveGateways} changed. */
     void gatewaysChanged();
@@ -180,11 +202,10 @@
   private long updateSentMillis = Long.MIN_VALUE / 2;
   private long announcedRevision;
 
-  private static final class OutgoingPeer {
-    private @Nullable PeerClient client;
-    private @Nullable PeerConnection connection;
-    private long disconnectedMillis = MonotonicClock.millis();
-  }
+  private final SentState sentState = new SentState();
+  private final Map<PeerConnection, ReceivedState> receivedStates = new HashMap<>();
+  private final EvidenceLedger evidenceLedger = new EvidenceLedger();
+  private final EvidenceRelay evidenceRelay;
 
   private static final class PeerStatus {
     private long updateReceivedMillis;
@@ -202,6 +223,8 @@
     this.processId = settings.processId();
     this.failureDomain = settings.failureDomain();
     this.ownAddress = hostAndPort(settings.listenAddress());
+    this.evidenceRelay =
+        new EvidenceRelay(new SecondSources.Gateway(ownAddress, settings.failureDomain()));
     this.handler = handler;
     this.traffic = traffic;
     this.log = log;
@@ -274,21 +297,16 @@
    */
   public double reachableFraction() {
     long now = MonotonicClock.millis();
-    long connected = outgoingPeers.values().stream().filter(PeerExchange::isConnected).count();
+    long connected = outgoingPeers.values().stream().filter(OutgoingPeer::isConnected).count();
     long lost =
         outgoingPeers.entrySet().stream()
-            .filter(entry -> !isConnected(entry.getValue()))
+            .filter(entry -> !entry.getValue().isConnected())
             .filter(entry -> !leavingSeenMillis.containsKey(entry.getKey()))
-            .filter(entry -> now - entry.getValue().disconnectedMillis <= ADDRESS_TIMEOUT_MILLIS)
+            .filter(entry -> now - entry.getValue().disconnectedMillis() <= ADDRESS_TIMEOUT_MILLIS)
             .count();
     return (1.0 + connected) / (1.0 + connected + lost);
   }
 
-  private static boolean isConnected(OutgoingPeer peer) {
-    PeerConnection connection = peer.connection;
-    return connection != null && connection.isOpen();
-  }
-
   /**
    * Asks the gateway at an address for a permit. Without a connection one is opened for later
    * requests.
@@ -306,7 +324,7 @@
       // The coordinator needs the end of a server that led to the question to answer it.
       sendChanges();
     }
-    PeerConnection connection = peer.connection;
+    PeerConnection connection = peer.connection().orElse(null);
     return connection != null
         && send(
             connection,
@@ -329,9 +347,68 @@
     changesScheduled = false;
     WorkChanges.Builder changes = WorkChanges.newBuilder();
     handler.describeChanges(changes);
-    if (changes.getOpenWorkCount() > 0 || changes.hasCrashEvidence()) {
-      sendToAll(Envelope.newBuilder().setWorkChanges(changes).build(), PeerTraffic.Cause.CHANGE);
+    if (changes.hasCrashEvidence()) {
+      evidenceLedger.recordChange();
+    }
+    if (changes.hasCrashEvidence() || changes.getOpenWorkCount() > 0) {
+      sentState.changesSent(changes.build(), MonotonicClock.millis());
+      sendChangesTo(outgoingPeers.values(), changes.build(), PeerTraffic.Cause.CHANGE);
+    }
+    outgoingPeers.values().forEach(this::sendEvidenceOfOthers);
+  }
+
+  private void sendEvidenceOfOthers(OutgoingPeer peer) {
+    peer.takeEvidence()
+        .forEach(
+            (hops, evidence) ->
+                sendChangesTo(
+                    List.of(peer),
+                    WorkChanges.newBuilder().setCrashEvidence(evidence).setHops(hops).build(),
+                    PeerTraffic.Cause.RELAY));
+  }
+
+  private void sendChangesTo(
+      Collection<OutgoingPeer> receivers, WorkChanges changes, PeerTraffic.Cause cause) {
+    if (!changes.hasCrashEvidence() || changes.getHops() >= EvidenceRelay.MAX_HOPS) {
+      sendMessageTo(receivers, changes, cause);
+      return;
     }
+    // The receivers need not pass evidence on to each other.
+    List<Integer> informed = writableAddressHashes();
+    boolean areTold = sentState.isConnectedTo(informed);
+    Map<Boolean, List<OutgoingPeer>> receiversByKnowledge =
+        receivers.stream()
+            .collect(
+                Collectors.partitioningBy(peer -> areTold && peer.hasUpdate(sentState.number())));
+    receiversByKnowledge.forEach(
+        (knowsInformed, peers) ->
+            sendMessageTo(
+                peers,
+                knowsInformed
+                    ? changes.toBuilder().setSentToConnected(true).build()
+                    : changes.toBuilder().addAllSentTo(informed).build(),
+                cause));
+  }
+
+  private void sendMessageTo(
+      Collection<OutgoingPeer> receivers, WorkChanges changes, PeerTraffic.Cause cause) {
+    ChangesMessage message = ChangesMessage.of(changes);
+    for (OutgoingPeer peer : receivers) {
+      Optional<PeerConnection> connection = peer.writableConnection();
+      if (connection.isPresent()) {
+        send(connection.get(), message.forPeer(connection.get().remoteHello()), cause);
+      } else {
+        peer.recordMissed(changes);
+      }
+    }
+  }
+
+  /** Returns hashes of the addresses of the peers that can be sent something now, in order. */
+  private List<Integer> writableAddressHashes() {
+    return outgoingPeers.values().stream()
+        .filter(peer -> peer.writableConnection().isPresent())
+        .map(OutgoingPeer::addressHash)
+        .toList();
   }
 
   private void maintain() {
@@ -349,6 +426,7 @@
       updateSentMillis = now;
       sendUpdate(announces ? PeerTraffic.Cause.ANNOUNCEMENT : PeerTraffic.Cause.PERIODIC);
     }
+    repeatEvidence();
   }
 
   private void updateLiveGateways(long now) {
@@ -383,39 +461,49 @@
             .setAddress(ownAddress)
             .setConfigurationChangedAt(handler.changedAtRevision(PublishedTopic.CONFIGURATION))
             .setServersChangedAt(handler.changedAtRevision(PublishedTopic.SERVERS))
-            .setLeaving(handler.isLeaving());
-    long now = MonotonicClock.millis();
-    addressSeenMillis.entrySet().stream()
-        .filter(entry -> !leavingSeenMillis.containsKey(entry.getKey()))
-        .forEach(
-            entry ->
-                update
-                    .addKnownAddresses(entry.getKey())
-                    .addKnownAddressAgeMillis((int) (now - entry.getValue())));
+            .setLeaving(handler.isLeaving())
+            .addAllConnectedTo(writableAddressHashes());
     handler.describe(update);
-    sendToAll(Envelope.newBuilder().setFleetNews(update).build(), cause);
+    long now = MonotonicClock.millis();
+    SentState.Update next = sentState.next(update.build(), knownAddressAges(now), now);
+    SizedEnvelope whole =
+        SizedEnvelope.of(Envelope.newBuilder().setFleetNews(next.whole()).build());
+    SizedEnvelope difference =
+        next.difference() == null
+            ? whole
+            : SizedEnvelope.of(Envelope.newBuilder().setFleetNews(next.difference()).build());
+    for (OutgoingPeer peer : outgoingPeers.values()) {
+      PeerConnection connection = peer.writableConnection().orElse(null);
+      if (connection != null) {
+        boolean isUpToDate =
+            ChangesMessage.isUnderstoodBy(connection.remoteHello())
+                && peer.hasUpdate(next.number() - 1);
+        send(connection, isUpToDate ? difference : whole, cause);
+        peer.recordUpdate(next.number());
+      }
+    }
   }
 
-  private void sendToAll(Envelope envelope, PeerTraffic.Cause cause) {
-    MessageSize size = MessageSize.of(envelope);
-    outgoingPeers.values().stream()
-        .map(peer -> peer.connection)
-        .filter(connection -> connection != null && connection.isWritable())
-        .forEach(connection -> send(connection, envelope, size, cause));
+  /** Returns the time since each known address was last heard of, in milliseconds. */
+  private Map<String, Long> knownAddressAges(long now) {
+    Map<String, Long> ages = new TreeMap<>();
+    addressSeenMillis.forEach(
+        (address, seenMillis) -> {
+          if (!leavingSeenMillis.containsKey(address)) {
+            ages.put(address, now - seenMillis);
+          }
+        });
+    return ages;
   }
 
   private boolean send(PeerConnection connection, Envelope envelope, PeerTraffic.Cause cause) {
-    return send(connection, envelope, MessageSize.of(envelope), cause);
+    return send(connection, SizedEnvelope.of(envelope), cause);
   }
 
-  private boolean send(
-      @Nullable PeerConnection connection,
-      Envelope envelope,
-      MessageSize size,
-      PeerTraffic.Cause cause) {
-    boolean sent = connection != null && connection.send(envelope);
+  private boolean send(PeerConnection connection, SizedEnvelope message, PeerTraffic.Cause cause) {
+    boolean sent = connection.send(message.envelope());
     if (sent) {
-      size.count(traffic, cause, distance(connection));
+      message.size().count(traffic, cause, distance(connection));
     }
     return sent;
   }
@@ -457,8 +545,8 @@
     for (String address : List.copyOf(outgoingPeers.keySet())) {
       if (!chosen.contains(address)) {
         OutgoingPeer gone = outgoingPeers.remove(address);
-        if (gone != null && gone.client != null) {
-          gone.client.close();
+        if (gone != null) {
+          gone.close();
         }
       }
     }
@@ -467,9 +555,9 @@
 
   private void connect(String address) {
     int colon = address.lastIndexOf(':');
-    OutgoingPeer peer = new OutgoingPeer();
+    OutgoingPeer peer = new OutgoingPeer(address);
     outgoingPeers.put(address, peer);
-    peer.client =
+    peer.setClient(
         PeerClient.start(
             group,
             new InetSocketAddress(
@@ -477,7 +565,7 @@
             CONNECTION_LIMITS,
             this::hello,
             listener(peer),
-            null);
+            null));
   }
 
   private Hello hello() {
@@ -495,7 +583,7 @@
         eventLoop.execute(
             () -> {
               if (peer != null) {
-                peer.connection = connection;
+                peer.connected(connection);
               }
               sendEvidence(connection);
             });
@@ -508,20 +596,17 @@
 
       @Override
       public void disconnected(PeerConnection connection) {
-        if (peer != null) {
-          eventLoop.execute(() -> clearConnection(peer, connection));
-        }
+        eventLoop.execute(
+            () -> {
+              receivedStates.remove(connection);
+              if (peer != null) {
+                peer.disconnected(connection);
+              }
+            });
       }
     };
   }
 
-  private static void clearConnection(OutgoingPeer peer, PeerConnection connection) {
-    if (peer.connection == connection) {
-      peer.connection = null;
-      peer.disconnectedMillis = MonotonicClock.millis();
-    }
-  }
-
   private void handle(PeerConnection connection, Envelope envelope) {
     switch (envelope.getMessageCase()) {
       case FLEET_NEWS -> handleUpdate(connection, envelope.getFleetNews());
@@ -536,7 +621,21 @@
     }
   }
 
-  private void handleUpdate(PeerConnection connection, FleetNews update) {
+  private void handleUpdate(PeerConnection connection, FleetNews received) {
+    Optional<FleetNews> complete =
+        receivedStates
+            .computeIfAbsent(connection, key -> new ReceivedState())
+            .complete(received, MonotonicClock.millis());
+    if (complete.isPresent()) {
+      applyUpdate(connection, complete.get());
+    } else if (connection.isOpen()) {
+      // The peer sends its whole state on a new connection.
+      log.add(LogLine.of("peer_difference_unusable").with("number", received.getNumber()));
+      connection.close();
+    }
+  }
+
+  private void applyUpdate(PeerConnection connection, FleetNews update) {
     long now = MonotonicClock.millis();
     PeerStatus known = peers.get(update.getProcessId());
     if (known == null) {
@@ -557,6 +656,11 @@
     }
     learnAddresses(update, now);
     handler.updateReceived(update);
+    if (update.hasCrashEvidence()) {
+      // Older builds repeat it in their updates.
+      handleEvidence(
+          update.getProcessId(), update.getCrashEvidence(), Set.of(), EvidenceRelay.MAX_HOPS);
+    }
     requestIfBehind(
         connection, PublishedTopic.CONFIGURATION, update.getConfigurationChangedAt(), now);
     requestIfBehind(connection, PublishedTopic.SERVERS, update.getServersChangedAt(), now);
@@ -596,28 +700,79 @@
     }
   }
 
-  private void handleChanges(PeerConnection connection, WorkChanges changes) {
+  private void handleChanges(PeerConnection connection, WorkChanges received) {
     Hello hello = connection.remoteHello();
     if (hello == null) {
       return;
     }
+    WorkChanges changes = CompactForm.expand(received);
+    ReceivedState state = receivedStates.get(connection);
+    if (state != null) {
+      state.changesReceived(changes, MonotonicClock.millis());
+    }
     if (changes.hasCrashEvidence()) {
-      handler.evidenceReceived(hello.getProcessId(), changes.getCrashEvidence());
+      Set<Integer> informed =
+          changes.getSentToConnected() && state != null
+              ? Set.copyOf(state.connectedTo())
+              : Set.copyOf(changes.getSentToList());
+      handleEvidence(hello.getProcessId(), changes.getCrashEvidence(), informed, changes.getHops());
     }
     if (peers.containsKey(hello.getProcessId())) {
       handler.changesReceived(hello.getProcessId(), changes);
     }
   }
 
+  /** Applies evidence and passes on what is new. */
+  private void handleEvidence(
+      String source, CrashEvidence evidence, Set<Integer> informed, int hops) {
+    handler
+        .evidenceReceived(source, evidence)
+        .ifPresent(
+            learned -> {
+              evidenceLedger.recordChange();
+              evidenceRelay.passOn(learned, source, informed, hops, outgoingPeers.values());
+              announceChanges();
+            });
+  }
+
+  /**
+   * Sends evidence again: all of it to peers that missed some, and now and then recent evidence.
+   */
+  private void repeatEvidence() {
+    outgoingPeers.values().stream()
+        .filter(OutgoingPeer::hasMissedEvidence)
+        .forEach(
+            peer ->
+                peer.writableConnection()
+                    .ifPresent(
+                        connection -> {
+                          peer.recordAllEvidence();
+                          sendEvidence(connection);
+                        }));
+    WorkChanges.Builder changes = WorkChanges.newBuilder().setHops(EvidenceRelay.MAX_HOPS);
+    handler.describeRepeatedEvidence(changes);
+    if (changes.hasCrashEvidence()) {
+      sendChangesTo(
+          evidenceRelay.secondSourcePeers(outgoingPeers.values()),
+          changes.build(),
+          PeerTraffic.Cause.PERIODIC);
+    }
+  }
+
   /** Tells a peer that may have just started what is known, before its requests do harm. */
   private void sendEvidence(PeerConnection connection) {
-    WorkChanges.Builder evidence = WorkChanges.newBuilder();
+    Hello hello = connection.remoteHello();
+    if (hello == null || evidenceLedger.hasAll(hello.getProcessId(), MonotonicClock.millis())) {
+      return;
+    }
+    WorkChanges.Builder evidence = WorkChanges.newBuilder().setHops(EvidenceRelay.MAX_HOPS);
     handler.describeEvidence(evidence);
     if (evidence.hasCrashEvidence()) {
       send(
           connection,
-          Envelope.newBuilder().setWorkChanges(evidence).build(),
+          ChangesMessage.of(evidence.build()).forPeer(hello),
           PeerTraffic.Cause.CONNECTION);
+      evidenceLedger.recordSent(hello.getProcessId(), connection, MonotonicClock.millis());
     }
   }
 
@@ -641,7 +796,10 @@
           connection,
           Envelope.newBuilder()
               .setPublishedRequest(
-                  PublishedRequest.newBuilder().setTopic(toProto(topic)).setAsOf(ownRevision))
+                  PublishedRequest.newBuilder()
+                      .setTopic(toProto(topic))
+                      .setAsOf(ownRevision)
+                      .setAcceptsChanges(true))
               .build(),
           PeerTraffic.Cause.PUBLISHED);
     }
@@ -656,7 +814,19 @@
         PublishedItems.newBuilder()
             .setTopic(request.getTopic())
             .setAsOf(handler.asOfRevision(topic));
-    handler.items(topic).forEach(item -> items.addItems(toProto(item)));
+    if (request.getAcceptsChanges() && request.getAsOf() > 0) {
+      PublishedChanges changes = handler.changes(topic, request.getAsOf());
+      items.setChangesSince(request.getAsOf());
+      changes.items().forEach(item -> items.addItems(toProto(item)));
+      changes
+          .removedRevisions()
+          .forEach(
+              (key, revision) ->
+                  items.addRemovals(
+                      PublishedRemoval.newBuilder().setKey(key).setRevision(revision)));
+    } else {
+      handler.items(topic).forEach(item -> items.addItems(toProto(item)));
+    }
     send(
         connection,
         Envelope.newBuilder().setPublishedItems(items).build(),
@@ -676,7 +846,19 @@
                     new PublishedItem(
                         item.getKey(), item.getValue().toByteArray(), item.getRevision()))
             .toList();
-    handler.itemsReceived(topic, decoded, items.getAsOf(), hello.getProcessId());
+    if (!items.hasChangesSince()) {
+      handler.itemsReceived(topic, decoded, items.getAsOf(), hello.getProcessId());
+    } else if (items.getChangesSince() <= handler.asOfRevision(topic)) {
+      Map<String, Long> removedRevisions = new TreeMap<>();
+      items
+          .getRemovalsList()
+          .forEach(removal -> removedRevisions.put(removal.getKey(), removal.getRevision()));
+      handler.changesReceived(
+          topic,
+          new PublishedChanges(decoded, removedRevisions),
+          items.getAsOf(),
+          hello.getProcessId());
+    }
   }
 
   private static org.shallothold.wire.proto.PublishedItem toProto(PublishedItem item) {
--- a/gateway/src/main/java/org/shallothold/gateway/forward/peer/PeerTraffic.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/peer/PeerTraffic.java
@@ -14,6 +14,8 @@
     ANNOUNCEMENT,
     /** Work or crash evidence changed. */
     CHANGE,
+    /** Crash evidence of another gateway. */
+    RELAY,
     /** A peer connected, or missed messages. */
     CONNECTION,
     /** Published items, and requests for them. */
--- a/gateway/src/test/java/org/shallothold/gateway/forward/PeerTrafficProgram.java
+++ b/gateway/src/test/java/org/shallothold/gateway/forward/PeerTrafficProgram.java
@@ -57,6 +57,8 @@
   private static final int ITEM_BYTES = 260;
   private static final int CONFIGURATION_BYTES = 12_000;
   private static final int CALLER_TIMEOUT_MILLIS = 20_000;
+  private static final int MAX_WAITS = 150;
+  private static final int WAIT_MILLIS = 100;
   private static final Pattern SAMPLE =
       Pattern.compile(
           "shallothold_peer_sent_bytes_total\\{cause=\"(\\w+)\",content=\"(\\w+)\","
@@ -68,6 +70,7 @@
   private final List<Member> members = new ArrayList<>();
   private final Map<String, PublishedItem> store = new TreeMap<>();
   private final AtomicInteger answered = new AtomicInteger();
+  private final AtomicInteger notAnswered = new AtomicInteger();
   private long revision = 1;
 
   /** What the program runs. */
@@ -150,6 +153,7 @@
     Thread.ofVirtual().start(this::endEngines);
     sendRequests();
     Map<String, Double> after = sentBytes();
+    awaitCalls();
     print(before, after);
   }
 
@@ -315,6 +319,13 @@
     }
   }
 
+  private void awaitCalls() {
+    int requests = options.rate() * options.seconds();
+    for (int i = 0; i < MAX_WAITS && answered.get() + notAnswered.get() < requests; i++) {
+      sleep(WAIT_MILLIS);
+    }
+  }
+
   private void call(Member member, int number, String parts) {
     try (Socket socket =
         new Socket(InetAddress.getLoopbackAddress(), member.gateway().callerPort())) {
@@ -329,9 +340,11 @@
       if (new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8)
           .endsWith("0\r\n\r\n")) {
         answered.incrementAndGet();
+      } else {
+        notAnswered.incrementAndGet();
       }
     } catch (IOException e) {
-      // Counts as not answered.
+      notAnswered.incrementAndGet();
     }
   }
 
@@ -361,13 +374,13 @@
     Map<String, double[]> rows = new TreeMap<>();
     after.forEach(
         (key, bytes) -> {
-          String[] labels = key.split(" ");
+          String[] labels = key.split(" ", -1);
           double sent = bytes - before.getOrDefault(key, 0.0);
           int column = labels[2].equals("same_domain") ? 0 : 1;
           rows.computeIfAbsent(labels[0] + " " + labels[1], row -> new double[2])[column] += sent;
           rows.computeIfAbsent("total", row -> new double[2])[column] += sent;
         });
-    System.err.printf("%s, %d answered%n", options, answered.get());
+    System.err.printf("%s, %d answered, %d not%n", options, answered.get(), notAnswered.get());
     System.err.printf("%-32s %14s %14s%n", "cause, content", "same domain", "other domains");
     rows.forEach(
         (row, bytes) -> System.err.printf("%-32s %14.0f %14.0f%n", row, bytes[0], bytes[1]));
@@ -409,7 +422,7 @@
 
     @Override
     public Optional<ServerEntry> server(PublishedItem item) {
-      String[] fields = new String(item.value(), StandardCharsets.UTF_8).split(",");
+      String[] fields = new String(item.value(), StandardCharsets.UTF_8).split(",", -1);
       return Optional.of(
           new ServerEntry(
               item.key(),
--- a/gateway/src/test/java/org/shallothold/gateway/forward/peer/PeerExchangeTest.java
+++ b/gateway/src/test/java/org/shallothold/gateway/forward/peer/PeerExchangeTest.java
@@ -1,6 +1,7 @@
 package org.shallothold.gateway.forward.peer;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.channel.EventLoop;
@@ -11,13 +12,18 @@
 import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.shallothold.core.publish.PublishedChanges;
 import org.shallothold.core.publish.PublishedItem;
 import org.shallothold.gateway.forward.port.PublishedTopic;
 import org.shallothold.runtime.logging.StructuredLog;
@@ -25,15 +31,18 @@
 import org.shallothold.wire.connection.PeerClient;
 import org.shallothold.wire.connection.PeerConnection;
 import org.shallothold.wire.connection.PeerListener;
+import org.shallothold.wire.connection.PeerServer;
 import org.shallothold.wire.connection.Transport;
 import org.shallothold.wire.proto.CrashEvidence;
 import org.shallothold.wire.proto.Envelope;
 import org.shallothold.wire.proto.FleetNews;
 import org.shallothold.wire.proto.Hello;
 import org.shallothold.wire.proto.OpenWork;
+import org.shallothold.wire.proto.PartSuspicion;
 import org.shallothold.wire.proto.Role;
 import org.shallothold.wire.proto.SendPermitAnswer;
 import org.shallothold.wire.proto.SendPermitRequest;
+import org.shallothold.wire.proto.StateDifference;
 import org.shallothold.wire.proto.WorkChanges;
 
 /** Tests the exchange of state between gateways that are connected over loopback. */
@@ -61,16 +70,24 @@
     private final BlockingQueue<SendPermitAnswer> answers = new LinkedBlockingQueue<>();
     // Changes and permit requests, in the order in which they arrived.
     private final BlockingQueue<String> ordered = new LinkedBlockingQueue<>();
+    private final Set<CrashEvidence> knownEvidence = ConcurrentHashMap.newKeySet();
 
     Gateway(long revision) {
       this.revision = revision;
     }
 
     @Override
-    public void describeEvidence(WorkChanges.Builder changes) {}
+    public void describeEvidence(WorkChanges.Builder workChanges) {
+      knownEvidence.forEach(workChanges::setCrashEvidence);
+    }
+
+    @Override
+    public void describeRepeatedEvidence(WorkChanges.Builder changes) {}
 
     @Override
-    public void evidenceReceived(String peer, CrashEvidence evidence) {}
+    public Optional<CrashEvidence> evidenceReceived(String peer, CrashEvidence evidence) {
+      return knownEvidence.add(evidence) ? Optional.of(evidence) : Optional.empty();
+    }
 
     @Override
     public void describe(FleetNews.Builder update) {
@@ -119,6 +136,17 @@
           topic + " " + items.getFirst().key() + " " + asOfRevision + " from " + peer);
     }
 
+    @Override
+    public PublishedChanges changes(PublishedTopic topic, long afterRevision) {
+      return new PublishedChanges(items(topic), Map.of());
+    }
+
+    @Override
+    public void changesReceived(
+        PublishedTopic topic, PublishedChanges changes, long asOfRevision, String peer) {
+      itemsReceived(topic, changes.items(), asOfRevision, peer);
+    }
+
     @Override
     public boolean isLeaving() {
       return false;
@@ -232,6 +260,217 @@
     assertTrue(receiver.changes.isEmpty());
   }
 
+  /** Accepts connections as a gateway of some build, and records what it receives. */
+  private final class ScriptedPeer implements PeerListener {
+
+    private final BlockingQueue<Envelope> received = new LinkedBlockingQueue<>();
+    private final BlockingQueue<PeerConnection> connections = new LinkedBlockingQueue<>();
+    private final InetSocketAddress address = freeAddress();
+
+    /**
+     * Starts to listen.
+     *
+     * @param failureDomain failure domain in its hello; empty for an older build
+     */
+    ScriptedPeer(String name, String failureDomain) throws IOException {
+      PeerServer.bind(
+          group,
+          address,
+          new ConnectionLimits(1024 * 1024, 1_000, 2_500, 500),
+          () ->
+              Hello.newBuilder()
+                  .setProcessId(name)
+                  .setRole(Role.ROLE_GATEWAY)
+                  .setFailureDomain(failureDomain)
+                  .build(),
+          this,
+          null);
+    }
+
+    @Override
+    public void connected(PeerConnection connection, Hello hello) {
+      connections.add(connection);
+    }
+
+    @Override
+    public void received(PeerConnection connection, Envelope envelope) {
+      received.add(envelope);
+    }
+
+    @Override
+    public void disconnected(PeerConnection connection) {}
+
+    private FleetNews nextUpdate() throws InterruptedException {
+      Envelope envelope = received.take();
+      while (!envelope.hasFleetNews()) {
+        envelope = received.take();
+      }
+      return envelope.getFleetNews();
+    }
+
+    private WorkChanges nextEvidence() throws InterruptedException {
+      Envelope envelope = received.take();
+      while (!envelope.getWorkChanges().hasCrashEvidence()
+          && !envelope.getWorkChanges().hasCompactEvidence()) {
+        envelope = received.take();
+      }
+      return envelope.getWorkChanges();
+    }
+  }
+
+  private static CrashEvidence evidence(long partId) {
+    return CrashEvidence.newBuilder()
+        .addSuspicions(PartSuspicion.newBuilder().setPartId(partId).setServerId("engine-1"))
+        .build();
+  }
+
+  @Nested
+  class Builds {
+
+    /** Guards against older gateways that lose the state of newer ones during a rolling restart. */
+    @Test
+    void olderPeerGetsWholeStates() throws IOException, InterruptedException {
+      ScriptedPeer older = new ScriptedPeer("older", "");
+      start("first", freeAddress(), new Gateway(1), older.address);
+      for (int i = 0; i < 3; i++) {
+        FleetNews update = older.nextUpdate();
+        assertEquals("first", update.getProcessId());
+        assertEquals(1, update.getOpenWorkCount());
+        assertFalse(update.hasDifference());
+      }
+    }
+
+    /** Guards against older gateways that can't read crash evidence. */
+    @Test
+    void olderPeerGetsEvidenceInItsForm() throws IOException, InterruptedException {
+      ScriptedPeer older = new ScriptedPeer("older", "");
+      Gateway gateway = new Gateway(1);
+      gateway.knownEvidence.add(evidence(5));
+      start("first", freeAddress(), gateway, older.address);
+      assertEquals(evidence(5), older.nextEvidence().getCrashEvidence());
+    }
+
+    /** Guards against work that is told in full each time although nothing changed. */
+    @Test
+    void peerGetsOneWholeStateAndThenDifferences() throws IOException, InterruptedException {
+      ScriptedPeer peer = new ScriptedPeer("peer", "south");
+      start("first", freeAddress(), new Gateway(1), peer.address);
+      assertEquals(1, peer.nextUpdate().getOpenWorkCount());
+      FleetNews difference = peer.nextUpdate();
+      assertTrue(difference.hasDifference());
+      assertEquals(0, difference.getOpenWorkCount());
+    }
+
+    /** Guards against a peer that keeps an old state after its connection was lost. */
+    @Test
+    void peerGetsTheWholeStateAfterAReconnect() throws IOException, InterruptedException {
+      ScriptedPeer peer = new ScriptedPeer("peer", "south");
+      start("first", freeAddress(), new Gateway(1), peer.address);
+      peer.nextUpdate();
+      assertTrue(peer.nextUpdate().hasDifference());
+      peer.connections.take().close();
+      peer.connections.take();
+      FleetNews update = peer.nextUpdate();
+      while (update.hasDifference()) {
+        update = peer.nextUpdate();
+      }
+      assertEquals(1, update.getOpenWorkCount());
+    }
+  }
+
+  @Nested
+  class EvidenceOfPeers {
+
+    private PeerConnection connect(String name, InetSocketAddress address) {
+      CompletableFuture<PeerConnection> opened = new CompletableFuture<>();
+      PeerClient.start(
+          group,
+          address,
+          new ConnectionLimits(1024 * 1024, 1_000, 2_500, 500),
+          () ->
+              Hello.newBuilder()
+                  .setProcessId(name)
+                  .setRole(Role.ROLE_GATEWAY)
+                  .setFailureDomain("east")
+                  .build(),
+          new PeerListener() {
+            @Override
+            public void connected(PeerConnection connection, Hello hello) {
+              opened.complete(connection);
+            }
+
+            @Override
+            public void received(PeerConnection connection, Envelope envelope) {}
+
+            @Override
+            public void disconnected(PeerConnection connection) {}
+          },
+          null);
+      return opened.join();
+    }
+
+    /**
+     * Guards against a gateway that learns nothing of an end since it is cut off from its source.
+     */
+    @Test
+    void newEvidenceIsPassedOnOnceToWhoMayNotHaveIt() throws IOException, InterruptedException {
+      ScriptedPeer peer = new ScriptedPeer("peer", "south");
+      InetSocketAddress address = freeAddress();
+      start("first", address, new Gateway(1), peer.address);
+      peer.nextUpdate();
+      PeerConnection source = connect("source", address);
+      WorkChanges known = WorkChanges.newBuilder().setCrashEvidence(evidence(5)).build();
+      source.send(Envelope.newBuilder().setWorkChanges(known).build());
+      source.send(Envelope.newBuilder().setWorkChanges(known).build());
+      source.send(
+          Envelope.newBuilder()
+              .setWorkChanges(WorkChanges.newBuilder().setCrashEvidence(evidence(6)))
+              .build());
+      WorkChanges passedOn = CompactForm.expand(peer.nextEvidence());
+      // Both parts may share a message.
+      int parts = passedOn.getCrashEvidence().getSuspicionsCount();
+      while (parts < 2) {
+        parts += CompactForm.expand(peer.nextEvidence()).getCrashEvidence().getSuspicionsCount();
+      }
+      assertEquals(2, parts);
+      assertEquals(1, passedOn.getHops());
+    }
+  }
+
+  /** Guards against a gateway that goes on with an incomplete state of a peer. */
+  @Test
+  void differenceWithoutWholeStateEndsTheConnection() throws IOException, InterruptedException {
+    InetSocketAddress address = freeAddress();
+    start("first", address, new Gateway(1));
+    FleetNews difference =
+        FleetNews.newBuilder()
+            .setNumber(7)
+            .setDifference(StateDifference.getDefaultInstance())
+            .build();
+    BlockingQueue<String> events = new LinkedBlockingQueue<>();
+    PeerClient.start(
+        group,
+        address,
+        new ConnectionLimits(1024 * 1024, 1_000, 2_500, 500),
+        () -> Hello.newBuilder().setProcessId("peer").setRole(Role.ROLE_GATEWAY).build(),
+        new PeerListener() {
+          @Override
+          public void connected(PeerConnection connection, Hello hello) {
+            connection.send(Envelope.newBuilder().setFleetNews(difference).build());
+          }
+
+          @Override
+          public void received(PeerConnection connection, Envelope envelope) {}
+
+          @Override
+          public void disconnected(PeerConnection connection) {
+            events.add("disconnected");
+          }
+        },
+        null);
+    assertEquals("disconnected", events.take());
+  }
+
   /** Guards against permits that are asked for and never come. */
   @Test
   void permitIsAnsweredByTheGatewayAtTheAddress() throws IOException, InterruptedException {
--- a/wire/src/main/java/org/shallothold/wire/proto/FleetNews.java
+++ b/wire/src/main/java/org/shallothold/wire/proto/FleetNews.java
@@ -40,6 +40,7 @@
     openWork_ = java.util.Collections.emptyList();
     prefixReads_ = java.util.Collections.emptyList();
     knownAddressAgeMillis_ = emptyIntList();
+    connectedTo_ = emptyIntList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -685,7 +686,7 @@
   private org.shallothold.wire.proto.CrashEvidence crashEvidence_;
   /**
    * <pre>
-   * Recent evidence, repeated so that lost messages do no harm.
+   * Recent evidence, repeated so that lost messages do no harm. Sent by older builds only.
    * </pre>
    *
    * <code>.shallothold.CrashEvidence crash_evidence = 13;</code>
@@ -697,7 +698,7 @@
   }
   /**
    * <pre>
-   * Recent evidence, repeated so that lost messages do no harm.
+   * Recent evidence, repeated so that lost messages do no harm. Sent by older builds only.
    * </pre>
    *
    * <code>.shallothold.CrashEvidence crash_evidence = 13;</code>
@@ -709,7 +710,7 @@
   }
   /**
    * <pre>
-   * Recent evidence, repeated so that lost messages do no harm.
+   * Recent evidence, repeated so that lost messages do no harm. Sent by older builds only.
    * </pre>
    *
    * <code>.shallothold.CrashEvidence crash_evidence = 13;</code>
@@ -719,6 +720,113 @@
     return crashEvidence_ == null ? org.shallothold.wire.proto.CrashEvidence.getDefaultInstance() : crashEvidence_;
   }
 
+  public static final int NUMBER_FIELD_NUMBER = 16;
+  private long number_ = 0L;
+  /**
+   * <pre>
+   * Number of this update of the sender, from 1; absent from older senders.
+   * </pre>
+   *
+   * <code>int64 number = 16;</code>
+   * @return The number.
+   */
+  @java.lang.Override
+  public long getNumber() {
+    return number_;
+  }
+
+  public static final int DIFFERENCE_FIELD_NUMBER = 17;
+  private org.shallothold.wire.proto.StateDifference difference_;
+  /**
+   * <pre>
+   * Present if this update contains only what has changed since the update with the number before it
+   * and the WorkChanges since then, all of them on this connection: open_work without servers whose
+   * work is the same, the loads and speeds of services without those that are the same, and only
+   * addresses that were not sent before. The process id and address are omitted.
+   * </pre>
+   *
+   * <code>.shallothold.StateDifference difference = 17;</code>
+   * @return Whether the difference field is set.
+   */
+  @java.lang.Override
+  public boolean hasDifference() {
+    return ((bitField0_ & 0x00000002) != 0);
+  }
+  /**
+   * <pre>
+   * Present if this update contains only what has changed since the update with the number before it
+   * and the WorkChanges since then, all of them on this connection: open_work without servers whose
+   * work is the same, the loads and speeds of services without those that are the same, and only
+   * addresses that were not sent before. The process id and address are omitted.
+   * </pre>
+   *
+   * <code>.shallothold.StateDifference difference = 17;</code>
+   * @return The difference.
+   */
+  @java.lang.Override
+  public org.shallothold.wire.proto.StateDifference getDifference() {
+    return difference_ == null ? org.shallothold.wire.proto.StateDifference.getDefaultInstance() : difference_;
+  }
+  /**
+   * <pre>
+   * Present if this update contains only what has changed since the update with the number before it
+   * and the WorkChanges since then, all of them on this connection: open_work without servers whose
+   * work is the same, the loads and speeds of services without those that are the same, and only
+   * addresses that were not sent before. The process id and address are omitted.
+   * </pre>
+   *
+   * <code>.shallothold.StateDifference difference = 17;</code>
+   */
+  @java.lang.Override
+  public org.shallothold.wire.proto.StateDifferenceOrBuilder getDifferenceOrBuilder() {
+    return difference_ == null ? org.shallothold.wire.proto.StateDifference.getDefaultInstance() : difference_;
+  }
+
+  public static final int CONNECTED_TO_FIELD_NUMBER = 18;
+  @SuppressWarnings("serial")
+  private com.google.protobuf.Internal.IntList connectedTo_ =
+      emptyIntList();
+  /**
+   * <pre>
+   * Hashes of the addresses to which the sender sends updates and changes; absent from a difference
+   * if they are the same as before.
+   * </pre>
+   *
+   * <code>repeated fixed32 connected_to = 18;</code>
+   * @return A list containing the connectedTo.
+   */
+  @java.lang.Override
+  public java.util.List<java.lang.Integer>
+      getConnectedToList() {
+    return connectedTo_;
+  }
+  /**
+   * <pre>
+   * Hashes of the addresses to which the sender sends updates and changes; absent from a difference
+   * if they are the same as before.
+   * </pre>
+   *
+   * <code>repeated fixed32 connected_to = 18;</code>
+   * @return The count of connectedTo.
+   */
+  public int getConnectedToCount() {
+    return connectedTo_.size();
+  }
+  /**
+   * <pre>
+   * Hashes of the addresses to which the sender sends updates and changes; absent from a difference
+   * if they are the same as before.
+   * </pre>
+   *
+   * <code>repeated fixed32 connected_to = 18;</code>
+   * @param index The index of the element to return.
+   * @return The connectedTo at the given index.
+   */
+  public int getConnectedTo(int index) {
+    return connectedTo_.getInt(index);
+  }
+  private int connectedToMemoizedSerializedSize = -1;
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -786,6 +894,19 @@
     if (((bitField0_ & 0x00000001) != 0)) {
       output.writeMessage(13, getCrashEvidence());
     }
+    if (number_ != 0L) {
+      output.writeInt64(16, number_);
+    }
+    if (((bitField0_ & 0x00000002) != 0)) {
+      output.writeMessage(17, getDifference());
+    }
+    if (getConnectedToList().size() > 0) {
+      output.writeUInt32NoTag(146);
+      output.writeUInt32NoTag(connectedToMemoizedSerializedSize);
+    }
+    for (int i = 0; i < connectedTo_.size(); i++) {
+      output.writeFixed32NoTag(connectedTo_.getInt(i));
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -887,6 +1008,25 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(13, getCrashEvidence());
     }
+    if (number_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(16, number_);
+    }
+    if (((bitField0_ & 0x00000002) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(17, getDifference());
+    }
+    {
+      int dataSize = 0;
+      dataSize = 4 * getConnectedToList().size();
+      size += dataSize;
+      if (!getConnectedToList().isEmpty()) {
+        size += 2;
+        size += com.google.protobuf.CodedOutputStream
+            .computeInt32SizeNoTag(dataSize);
+      }
+      connectedToMemoizedSerializedSize = dataSize;
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -931,6 +1071,15 @@
       if (!getCrashEvidence()
           .equals(other.getCrashEvidence())) return false;
     }
+    if (getNumber()
+        != other.getNumber()) return false;
+    if (hasDifference() != other.hasDifference()) return false;
+    if (hasDifference()) {
+      if (!getDifference()
+          .equals(other.getDifference())) return false;
+    }
+    if (!getConnectedToList()
+        .equals(other.getConnectedToList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -987,6 +1136,17 @@
       hash = (37 * hash) + CRASH_EVIDENCE_FIELD_NUMBER;
       hash = (53 * hash) + getCrashEvidence().hashCode();
     }
+    hash = (37 * hash) + NUMBER_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getNumber());
+    if (hasDifference()) {
+      hash = (37 * hash) + DIFFERENCE_FIELD_NUMBER;
+      hash = (53 * hash) + getDifference().hashCode();
+    }
+    if (getConnectedToCount() > 0) {
+      hash = (37 * hash) + CONNECTED_TO_FIELD_NUMBER;
+      hash = (53 * hash) + getConnectedToList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -1155,6 +1315,7 @@
         internalGetOpenWorkFieldBuilder();
         internalGetPrefixReadsFieldBuilder();
         internalGetCrashEvidenceFieldBuilder();
+        internalGetDifferenceFieldBuilder();
       }
     }
     @java.lang.Override
@@ -1191,6 +1352,13 @@
         crashEvidenceBuilder_.dispose();
         crashEvidenceBuilder_ = null;
       }
+      number_ = 0L;
+      difference_ = null;
+      if (differenceBuilder_ != null) {
+        differenceBuilder_.dispose();
+        differenceBuilder_ = null;
+      }
+      connectedTo_ = emptyIntList();
       return this;
     }
 
@@ -1287,6 +1455,19 @@
             : crashEvidenceBuilder_.build();
         to_bitField0_ |= 0x00000001;
       }
+      if (((from_bitField0_ & 0x00002000) != 0)) {
+        result.number_ = number_;
+      }
+      if (((from_bitField0_ & 0x00004000) != 0)) {
+        result.difference_ = differenceBuilder_ == null
+            ? difference_
+            : differenceBuilder_.build();
+        to_bitField0_ |= 0x00000002;
+      }
+      if (((from_bitField0_ & 0x00008000) != 0)) {
+        connectedTo_.makeImmutable();
+        result.connectedTo_ = connectedTo_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -1406,6 +1587,23 @@
       if (other.hasCrashEvidence()) {
         mergeCrashEvidence(other.getCrashEvidence());
       }
+      if (other.getNumber() != 0L) {
+        setNumber(other.getNumber());
+      }
+      if (other.hasDifference()) {
+        mergeDifference(other.getDifference());
+      }
+      if (!other.connectedTo_.isEmpty()) {
+        if (connectedTo_.isEmpty()) {
+          connectedTo_ = other.connectedTo_;
+          connectedTo_.makeImmutable();
+          bitField0_ |= 0x00008000;
+        } else {
+          ensureConnectedToIsMutable();
+          connectedTo_.addAll(other.connectedTo_);
+        }
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1538,6 +1736,35 @@
               bitField0_ |= 0x00001000;
               break;
             } // case 106
+            case 128: {
+              number_ = input.readInt64();
+              bitField0_ |= 0x00002000;
+              break;
+            } // case 128
+            case 138: {
+              input.readMessage(
+                  internalGetDifferenceFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bitField0_ |= 0x00004000;
+              break;
+            } // case 138
+            case 149: {
+              int v = input.readFixed32();
+              ensureConnectedToIsMutable();
+              connectedTo_.addInt(v);
+              break;
+            } // case 149
+            case 146: {
+              int length = input.readRawVarint32();
+              int limit = input.pushLimit(length);
+              int alloc = length > 4096 ? 4096 : length;
+              ensureConnectedToIsMutable(alloc / 4);
+              while (input.getBytesUntilLimit() > 0) {
+                connectedTo_.addInt(input.readFixed32());
+              }
+              input.popLimit(limit);
+              break;
+            } // case 146
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -3143,7 +3370,7 @@
         org.shallothold.wire.proto.CrashEvidence, org.shallothold.wire.proto.CrashEvidence.Builder, org.shallothold.wire.proto.CrashEvidenceOrBuilder> crashEvidenceBuilder_;
     /**
      * <pre>
-     * Recent evidence, repeated so that lost messages do no harm.
+     * Recent evidence, repeated so that lost messages do no harm. Sent by older builds only.
      * </pre>
      *
      * <code>.shallothold.CrashEvidence crash_evidence = 13;</code>
@@ -3154,7 +3381,7 @@
     }
     /**
      * <pre>
-     * Recent evidence, repeated so that lost messages do no harm.
+     * Recent evidence, repeated so that lost messages do no harm. Sent by older builds only.
      * </pre>
      *
      * <code>.shallothold.CrashEvidence crash_evidence = 13;</code>
@@ -3169,7 +3396,7 @@
     }
     /**
      * <pre>
-     * Recent evidence, repeated so that lost messages do no harm.
+     * Recent evidence, repeated so that lost messages do no harm. Sent by older builds only.
      * </pre>
      *
      * <code>.shallothold.CrashEvidence crash_evidence = 13;</code>
@@ -3189,7 +3416,7 @@
     }
     /**
      * <pre>
-     * Recent evidence, repeated so that lost messages do no harm.
+     * Recent evidence, repeated so that lost messages do no harm. Sent by older builds only.
      * </pre>
      *
      * <code>.shallothold.CrashEvidence crash_evidence = 13;</code>
@@ -3207,7 +3434,7 @@
     }
     /**
      * <pre>
-     * Recent evidence, repeated so that lost messages do no harm.
+     * Recent evidence, repeated so that lost messages do no harm. Sent by older builds only.
      * </pre>
      *
      * <code>.shallothold.CrashEvidence crash_evidence = 13;</code>
@@ -3232,7 +3459,7 @@
     }
     /**
      * <pre>
-     * Recent evidence, repeated so that lost messages do no harm.
+     * Recent evidence, repeated so that lost messages do no harm. Sent by older builds only.
      * </pre>
      *
      * <code>.shallothold.CrashEvidence crash_evidence = 13;</code>
@@ -3249,7 +3476,7 @@
     }
     /**
      * <pre>
-     * Recent evidence, repeated so that lost messages do no harm.
+     * Recent evidence, repeated so that lost messages do no harm. Sent by older builds only.
      * </pre>
      *
      * <code>.shallothold.CrashEvidence crash_evidence = 13;</code>
@@ -3261,7 +3488,7 @@
     }
     /**
      * <pre>
-     * Recent evidence, repeated so that lost messages do no harm.
+     * Recent evidence, repeated so that lost messages do no harm. Sent by older builds only.
      * </pre>
      *
      * <code>.shallothold.CrashEvidence crash_evidence = 13;</code>
@@ -3276,7 +3503,7 @@
     }
     /**
      * <pre>
-     * Recent evidence, repeated so that lost messages do no harm.
+     * Recent evidence, repeated so that lost messages do no harm. Sent by older builds only.
      * </pre>
      *
      * <code>.shallothold.CrashEvidence crash_evidence = 13;</code>
@@ -3295,6 +3522,359 @@
       return crashEvidenceBuilder_;
     }
 
+    private long number_ ;
+    /**
+     * <pre>
+     * Number of this update of the sender, from 1; absent from older senders.
+     * </pre>
+     *
+     * <code>int64 number = 16;</code>
+     * @return The number.
+     */
+    @java.lang.Override
+    public long getNumber() {
+      return number_;
+    }
+    /**
+     * <pre>
+     * Number of this update of the sender, from 1; absent from older senders.
+     * </pre>
+     *
+     * <code>int64 number = 16;</code>
+     * @param value The number to set.
+     * @return This builder for chaining.
+     */
+    public Builder setNumber(long value) {
+
+      number_ = value;
+      bitField0_ |= 0x00002000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Number of this update of the sender, from 1; absent from older senders.
+     * </pre>
+     *
+     * <code>int64 number = 16;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearNumber() {
+      bitField0_ = (bitField0_ & ~0x00002000);
+      number_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private org.shallothold.wire.proto.StateDifference difference_;
+    private com.google.protobuf.SingleFieldBuilder<
+        org.shallothold.wire.proto.StateDifference, org.shallothold.wire.proto.StateDifference.Builder, org.shallothold.wire.proto.StateDifferenceOrBuilder> differenceBuilder_;
+    /**
+     * <pre>
+     * Present if this update contains only what has changed since the update with the number before it
+     * and the WorkChanges since then, all of them on this connection: open_work without servers whose
+     * work is the same, the loads and speeds of services without those that are the same, and only
+     * addresses that were not sent before. The process id and address are omitted.
+     * </pre>
+     *
+     * <code>.shallothold.StateDifference difference = 17;</code>
+     * @return Whether the difference field is set.
+     */
+    public boolean hasDifference() {
+      return ((bitField0_ & 0x00004000) != 0);
+    }
+    /**
+     * <pre>
+     * Present if this update contains only what has changed since the update with the number before it
+     * and the WorkChanges since then, all of them on this connection: open_work without servers whose
+     * work is the same, the loads and speeds of services without those that are the same, and only
+     * addresses that were not sent before. The process id and address are omitted.
+     * </pre>
+     *
+     * <code>.shallothold.StateDifference difference = 17;</code>
+     * @return The difference.
+     */
+    public org.shallothold.wire.proto.StateDifference getDifference() {
+      if (differenceBuilder_ == null) {
+        return difference_ == null ? org.shallothold.wire.proto.StateDifference.getDefaultInstance() : difference_;
+      } else {
+        return differenceBuilder_.getMessage();
+      }
+    }
+    /**
+     * <pre>
+     * Present if this update contains only what has changed since the update with the number before it
+     * and the WorkChanges since then, all of them on this connection: open_work without servers whose
+     * work is the same, the loads and speeds of services without those that are the same, and only
+     * addresses that were not sent before. The process id and address are omitted.
+     * </pre>
+     *
+     * <code>.shallothold.StateDifference difference = 17;</code>
+     */
+    public Builder setDifference(org.shallothold.wire.proto.StateDifference value) {
+      if (differenceBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        difference_ = value;
+      } else {
+        differenceBuilder_.setMessage(value);
+      }
+      bitField0_ |= 0x00004000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Present if this update contains only what has changed since the update with the number before it
+     * and the WorkChanges since then, all of them on this connection: open_work without servers whose
+     * work is the same, the loads and speeds of services without those that are the same, and only
+     * addresses that were not sent before. The process id and address are omitted.
+     * </pre>
+     *
+     * <code>.shallothold.StateDifference difference = 17;</code>
+     */
+    public Builder setDifference(
+        org.shallothold.wire.proto.StateDifference.Builder builderForValue) {
+      if (differenceBuilder_ == null) {
+        difference_ = builderForValue.build();
+      } else {
+        differenceBuilder_.setMessage(builderForValue.build());
+      }
+      bitField0_ |= 0x00004000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Present if this update contains only what has changed since the update with the number before it
+     * and the WorkChanges since then, all of them on this connection: open_work without servers whose
+     * work is the same, the loads and speeds of services without those that are the same, and only
+     * addresses that were not sent before. The process id and address are omitted.
+     * </pre>
+     *
+     * <code>.shallothold.StateDifference difference = 17;</code>
+     */
+    public Builder mergeDifference(org.shallothold.wire.proto.StateDifference value) {
+      if (differenceBuilder_ == null) {
+        if (((bitField0_ & 0x00004000) != 0) &&
+          difference_ != null &&
+          difference_ != org.shallothold.wire.proto.StateDifference.getDefaultInstance()) {
+          getDifferenceBuilder().mergeFrom(value);
+        } else {
+          difference_ = value;
+        }
+      } else {
+        differenceBuilder_.mergeFrom(value);
+      }
+      if (difference_ != null) {
+        bitField0_ |= 0x00004000;
+        onChanged();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Present if this update contains only what has changed since the update with the number before it
+     * and the WorkChanges since then, all of them on this connection: open_work without servers whose
+     * work is the same, the loads and speeds of services without those that are the same, and only
+     * addresses that were not sent before. The process id and address are omitted.
+     * </pre>
+     *
+     * <code>.shallothold.StateDifference difference = 17;</code>
+     */
+    public Builder clearDifference() {
+      bitField0_ = (bitField0_ & ~0x00004000);
+      difference_ = null;
+      if (differenceBuilder_ != null) {
+        differenceBuilder_.dispose();
+        differenceBuilder_ = null;
+      }
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Present if this update contains only what has changed since the update with the number before it
+     * and the WorkChanges since then, all of them on this connection: open_work without servers whose
+     * work is the same, the loads and speeds of services without those that are the same, and only
+     * addresses that were not sent before. The process id and address are omitted.
+     * </pre>
+     *
+     * <code>.shallothold.StateDifference difference = 17;</code>
+     */
+    public org.shallothold.wire.proto.StateDifference.Builder getDifferenceBuilder() {
+      bitField0_ |= 0x00004000;
+      onChanged();
+      return internalGetDifferenceFieldBuilder().getBuilder();
+    }
+    /**
+     * <pre>
+     * Present if this update contains only what has changed since the update with the number before it
+     * and the WorkChanges since then, all of them on this connection: open_work without servers whose
+     * work is the same, the loads and speeds of services without those that are the same, and only
+     * addresses that were not sent before. The process id and address are omitted.
+     * </pre>
+     *
+     * <code>.shallothold.StateDifference difference = 17;</code>
+     */
+    public org.shallothold.wire.proto.StateDifferenceOrBuilder getDifferenceOrBuilder() {
+      if (differenceBuilder_ != null) {
+        return differenceBuilder_.getMessageOrBuilder();
+      } else {
+        return difference_ == null ?
+            org.shallothold.wire.proto.StateDifference.getDefaultInstance() : difference_;
+      }
+    }
+    /**
+     * <pre>
+     * Present if this update contains only what has changed since the update with the number before it
+     * and the WorkChanges since then, all of them on this connection: open_work without servers whose
+     * work is the same, the loads and speeds of services without those that are the same, and only
+     * addresses that were not sent before. The process id and address are omitted.
+     * </pre>
+     *
+     * <code>.shallothold.StateDifference difference = 17;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.shallothold.wire.proto.StateDifference, org.shallothold.wire.proto.StateDifference.Builder, org.shallothold.wire.proto.StateDifferenceOrBuilder> 
+        internalGetDifferenceFieldBuilder() {
+      if (differenceBuilder_ == null) {
+        differenceBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.shallothold.wire.proto.StateDifference, org.shallothold.wire.proto.StateDifference.Builder, org.shallothold.wire.proto.StateDifferenceOrBuilder>(
+                getDifference(),
+                getParentForChildren(),
+                isClean());
+        difference_ = null;
+      }
+      return differenceBuilder_;
+    }
+
+    private com.google.protobuf.Internal.IntList connectedTo_ = emptyIntList();
+    private void ensureConnectedToIsMutable() {
+      if (!connectedTo_.isModifiable()) {
+        connectedTo_ = makeMutableCopy(connectedTo_);
+      }
+      bitField0_ |= 0x00008000;
+    }
+    private void ensureConnectedToIsMutable(int capacity) {
+      if (!connectedTo_.isModifiable()) {
+        connectedTo_ = makeMutableCopy(connectedTo_, capacity);
+      }
+      bitField0_ |= 0x00008000;
+    }
+    /**
+     * <pre>
+     * Hashes of the addresses to which the sender sends updates and changes; absent from a difference
+     * if they are the same as before.
+     * </pre>
+     *
+     * <code>repeated fixed32 connected_to = 18;</code>
+     * @return A list containing the connectedTo.
+     */
+    public java.util.List<java.lang.Integer>
+        getConnectedToList() {
+      connectedTo_.makeImmutable();
+      return connectedTo_;
+    }
+    /**
+     * <pre>
+     * Hashes of the addresses to which the sender sends updates and changes; absent from a difference
+     * if they are the same as before.
+     * </pre>
+     *
+     * <code>repeated fixed32 connected_to = 18;</code>
+     * @return The count of connectedTo.
+     */
+    public int getConnectedToCount() {
+      return connectedTo_.size();
+    }
+    /**
+     * <pre>
+     * Hashes of the addresses to which the sender sends updates and changes; absent from a difference
+     * if they are the same as before.
+     * </pre>
+     *
+     * <code>repeated fixed32 connected_to = 18;</code>
+     * @param index The index of the element to return.
+     * @return The connectedTo at the given index.
+     */
+    public int getConnectedTo(int index) {
+      return connectedTo_.getInt(index);
+    }
+    /**
+     * <pre>
+     * Hashes of the addresses to which the sender sends updates and changes; absent from a difference
+     * if they are the same as before.
+     * </pre>
+     *
+     * <code>repeated fixed32 connected_to = 18;</code>
+     * @param index The index to set the value at.
+     * @param value The connectedTo to set.
+     * @return This builder for chaining.
+     */
+    public Builder setConnectedTo(
+        int index, int value) {
+
+      ensureConnectedToIsMutable();
+      connectedTo_.setInt(index, value);
+      bitField0_ |= 0x00008000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Hashes of the addresses to which the sender sends updates and changes; absent from a difference
+     * if they are the same as before.
+     * </pre>
+     *
+     * <code>repeated fixed32 connected_to = 18;</code>
+     * @param value The connectedTo to add.
+     * @return This builder for chaining.
+     */
+    public Builder addConnectedTo(int value) {
+
+      ensureConnectedToIsMutable();
+      connectedTo_.addInt(value);
+      bitField0_ |= 0x00008000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Hashes of the addresses to which the sender sends updates and changes; absent from a difference
+     * if they are the same as before.
+     * </pre>
+     *
+     * <code>repeated fixed32 connected_to = 18;</code>
+     * @param values The connectedTo to add.
+     * @return This builder for chaining.
+     */
+    public Builder addAllConnectedTo(
+        java.lang.Iterable<? extends java.lang.Integer> values) {
+      ensureConnectedToIsMutable();
+      com.google.protobuf.AbstractMessageLite.Builder.addAll(
+          values, connectedTo_);
+      bitField0_ |= 0x00008000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Hashes of the addresses to which the sender sends updates and changes; absent from a difference
+     * if they are the same as before.
+     * </pre>
+     *
+     * <code>repeated fixed32 connected_to = 18;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearConnectedTo() {
+      connectedTo_ = emptyIntList();
+      bitField0_ = (bitField0_ & ~0x00008000);
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:shallothold.FleetNews)
   }
 
--- a/wire/src/main/java/org/shallothold/wire/proto/FleetNewsOrBuilder.java
+++ b/wire/src/main/java/org/shallothold/wire/proto/FleetNewsOrBuilder.java
@@ -365,7 +365,7 @@
 
   /**
    * <pre>
-   * Recent evidence, repeated so that lost messages do no harm.
+   * Recent evidence, repeated so that lost messages do no harm. Sent by older builds only.
    * </pre>
    *
    * <code>.shallothold.CrashEvidence crash_evidence = 13;</code>
@@ -374,7 +374,7 @@
   boolean hasCrashEvidence();
   /**
    * <pre>
-   * Recent evidence, repeated so that lost messages do no harm.
+   * Recent evidence, repeated so that lost messages do no harm. Sent by older builds only.
    * </pre>
    *
    * <code>.shallothold.CrashEvidence crash_evidence = 13;</code>
@@ -383,10 +383,88 @@
   org.shallothold.wire.proto.CrashEvidence getCrashEvidence();
   /**
    * <pre>
-   * Recent evidence, repeated so that lost messages do no harm.
+   * Recent evidence, repeated so that lost messages do no harm. Sent by older builds only.
    * </pre>
    *
    * <code>.shallothold.CrashEvidence crash_evidence = 13;</code>
    */
   org.shallothold.wire.proto.CrashEvidenceOrBuilder getCrashEvidenceOrBuilder();
+
+  /**
+   * <pre>
+   * Number of this update of the sender, from 1; absent from older senders.
+   * </pre>
+   *
+   * <code>int64 number = 16;</code>
+   * @return The number.
+   */
+  long getNumber();
+
+  /**
+   * <pre>
+   * Present if this update contains only what has changed since the update with the number before it
+   * and the WorkChanges since then, all of them on this connection: open_work without servers whose
+   * work is the same, the loads and speeds of services without those that are the same, and only
+   * addresses that were not sent before. The process id and address are omitted.
+   * </pre>
+   *
+   * <code>.shallothold.StateDifference difference = 17;</code>
+   * @return Whether the difference field is set.
+   */
+  boolean hasDifference();
+  /**
+   * <pre>
+   * Present if this update contains only what has changed since the update with the number before it
+   * and the WorkChanges since then, all of them on this connection: open_work without servers whose
+   * work is the same, the loads and speeds of services without those that are the same, and only
+   * addresses that were not sent before. The process id and address are omitted.
+   * </pre>
+   *
+   * <code>.shallothold.StateDifference difference = 17;</code>
+   * @return The difference.
+   */
+  org.shallothold.wire.proto.StateDifference getDifference();
+  /**
+   * <pre>
+   * Present if this update contains only what has changed since the update with the number before it
+   * and the WorkChanges since then, all of them on this connection: open_work without servers whose
+   * work is the same, the loads and speeds of services without those that are the same, and only
+   * addresses that were not sent before. The process id and address are omitted.
+   * </pre>
+   *
+   * <code>.shallothold.StateDifference difference = 17;</code>
+   */
+  org.shallothold.wire.proto.StateDifferenceOrBuilder getDifferenceOrBuilder();
+
+  /**
+   * <pre>
+   * Hashes of the addresses to which the sender sends updates and changes; absent from a difference
+   * if they are the same as before.
+   * </pre>
+   *
+   * <code>repeated fixed32 connected_to = 18;</code>
+   * @return A list containing the connectedTo.
+   */
+  java.util.List<java.lang.Integer> getConnectedToList();
+  /**
+   * <pre>
+   * Hashes of the addresses to which the sender sends updates and changes; absent from a difference
+   * if they are the same as before.
+   * </pre>
+   *
+   * <code>repeated fixed32 connected_to = 18;</code>
+   * @return The count of connectedTo.
+   */
+  int getConnectedToCount();
+  /**
+   * <pre>
+   * Hashes of the addresses to which the sender sends updates and changes; absent from a difference
+   * if they are the same as before.
+   * </pre>
+   *
+   * <code>repeated fixed32 connected_to = 18;</code>
+   * @param index The index of the element to return.
+   * @return The connectedTo at the given index.
+   */
+  int getConnectedTo(int index);
 }
--- a/wire/src/main/java/org/shallothold/wire/proto/Hello.java
+++ b/wire/src/main/java/org/shallothold/wire/proto/Hello.java
@@ -134,6 +134,11 @@
   @SuppressWarnings("serial")
   private volatile java.lang.Object failureDomain_ = "";
   /**
+   * <pre>
+   * A gateway on the direct path that tells it also understands differences (FleetNews.difference) and
+   * the fields 4 to 7 of WorkChanges.
+   * </pre>
+   *
    * <code>string failure_domain = 4;</code>
    * @return The failureDomain.
    */
@@ -151,6 +156,11 @@
     }
   }
   /**
+   * <pre>
+   * A gateway on the direct path that tells it also understands differences (FleetNews.difference) and
+   * the fields 4 to 7 of WorkChanges.
+   * </pre>
+   *
    * <code>string failure_domain = 4;</code>
    * @return The bytes for failureDomain.
    */
@@ -883,6 +893,11 @@
 
     private java.lang.Object failureDomain_ = "";
     /**
+     * <pre>
+     * A gateway on the direct path that tells it also understands differences (FleetNews.difference) and
+     * the fields 4 to 7 of WorkChanges.
+     * </pre>
+     *
      * <code>string failure_domain = 4;</code>
      * @return The failureDomain.
      */
@@ -899,6 +914,11 @@
       }
     }
     /**
+     * <pre>
+     * A gateway on the direct path that tells it also understands differences (FleetNews.difference) and
+     * the fields 4 to 7 of WorkChanges.
+     * </pre>
+     *
      * <code>string failure_domain = 4;</code>
      * @return The bytes for failureDomain.
      */
@@ -916,6 +936,11 @@
       }
     }
     /**
+     * <pre>
+     * A gateway on the direct path that tells it also understands differences (FleetNews.difference) and
+     * the fields 4 to 7 of WorkChanges.
+     * </pre>
+     *
      * <code>string failure_domain = 4;</code>
      * @param value The failureDomain to set.
      * @return This builder for chaining.
@@ -929,6 +954,11 @@
       return this;
     }
     /**
+     * <pre>
+     * A gateway on the direct path that tells it also understands differences (FleetNews.difference) and
+     * the fields 4 to 7 of WorkChanges.
+     * </pre>
+     *
      * <code>string failure_domain = 4;</code>
      * @return This builder for chaining.
      */
@@ -939,6 +969,11 @@
       return this;
     }
     /**
+     * <pre>
+     * A gateway on the direct path that tells it also understands differences (FleetNews.difference) and
+     * the fields 4 to 7 of WorkChanges.
+     * </pre>
+     *
      * <code>string failure_domain = 4;</code>
      * @param value The bytes for failureDomain to set.
      * @return This builder for chaining.
--- a/wire/src/main/java/org/shallothold/wire/proto/HelloOrBuilder.java
+++ b/wire/src/main/java/org/shallothold/wire/proto/HelloOrBuilder.java
@@ -44,11 +44,21 @@
   com.google.protobuf.ByteString getIncarnation();
 
   /**
+   * <pre>
+   * A gateway on the direct path that tells it also understands differences (FleetNews.difference) and
+   * the fields 4 to 7 of WorkChanges.
+   * </pre>
+   *
    * <code>string failure_domain = 4;</code>
    * @return The failureDomain.
    */
   java.lang.String getFailureDomain();
   /**
+   * <pre>
+   * A gateway on the direct path that tells it also understands differences (FleetNews.difference) and
+   * the fields 4 to 7 of WorkChanges.
+   * </pre>
+   *
    * <code>string failure_domain = 4;</code>
    * @return The bytes for failureDomain.
    */
--- a/wire/src/main/java/org/shallothold/wire/proto/PublishedItems.java
+++ b/wire/src/main/java/org/shallothold/wire/proto/PublishedItems.java
@@ -7,7 +7,7 @@
 
 /**
  * <pre>
- * All items of a topic as of a revision.
+ * All items of a topic as of a revision, or the changes since an earlier one.
  * </pre>
  *
  * Protobuf type {@code shallothold.PublishedItems}
@@ -34,6 +34,7 @@
   private PublishedItems() {
     topic_ = 0;
     items_ = java.util.Collections.emptyList();
+    removals_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -54,6 +55,7 @@
             org.shallothold.wire.proto.PublishedItems.class, org.shallothold.wire.proto.PublishedItems.Builder.class);
   }
 
+  private int bitField0_;
   public static final int TOPIC_FIELD_NUMBER = 1;
   private int topic_ = 0;
   /**
@@ -124,6 +126,94 @@
     return items_.get(index);
   }
 
+  public static final int CHANGES_SINCE_FIELD_NUMBER = 4;
+  private long changesSince_ = 0L;
+  /**
+   * <pre>
+   * Present if the items are only those that changed after this revision.
+   * </pre>
+   *
+   * <code>optional int64 changes_since = 4;</code>
+   * @return Whether the changesSince field is set.
+   */
+  @java.lang.Override
+  public boolean hasChangesSince() {
+    return ((bitField0_ & 0x00000001) != 0);
+  }
+  /**
+   * <pre>
+   * Present if the items are only those that changed after this revision.
+   * </pre>
+   *
+   * <code>optional int64 changes_since = 4;</code>
+   * @return The changesSince.
+   */
+  @java.lang.Override
+  public long getChangesSince() {
+    return changesSince_;
+  }
+
+  public static final int REMOVALS_FIELD_NUMBER = 5;
+  @SuppressWarnings("serial")
+  private java.util.List<org.shallothold.wire.proto.PublishedRemoval> removals_;
+  /**
+   * <pre>
+   * Removals after that revision.
+   * </pre>
+   *
+   * <code>repeated .shallothold.PublishedRemoval removals = 5;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.shallothold.wire.proto.PublishedRemoval> getRemovalsList() {
+    return removals_;
+  }
+  /**
+   * <pre>
+   * Removals after that revision.
+   * </pre>
+   *
+   * <code>repeated .shallothold.PublishedRemoval removals = 5;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.shallothold.wire.proto.PublishedRemovalOrBuilder> 
+      getRemovalsOrBuilderList() {
+    return removals_;
+  }
+  /**
+   * <pre>
+   * Removals after that revision.
+   * </pre>
+   *
+   * <code>repeated .shallothold.PublishedRemoval removals = 5;</code>
+   */
+  @java.lang.Override
+  public int getRemovalsCount() {
+    return removals_.size();
+  }
+  /**
+   * <pre>
+   * Removals after that revision.
+   * </pre>
+   *
+   * <code>repeated .shallothold.PublishedRemoval removals = 5;</code>
+   */
+  @java.lang.Override
+  public org.shallothold.wire.proto.PublishedRemoval getRemovals(int index) {
+    return removals_.get(index);
+  }
+  /**
+   * <pre>
+   * Removals after that revision.
+   * </pre>
+   *
+   * <code>repeated .shallothold.PublishedRemoval removals = 5;</code>
+   */
+  @java.lang.Override
+  public org.shallothold.wire.proto.PublishedRemovalOrBuilder getRemovalsOrBuilder(
+      int index) {
+    return removals_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -147,6 +237,12 @@
     for (int i = 0; i < items_.size(); i++) {
       output.writeMessage(3, items_.get(i));
     }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      output.writeInt64(4, changesSince_);
+    }
+    for (int i = 0; i < removals_.size(); i++) {
+      output.writeMessage(5, removals_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -173,6 +269,19 @@
           }
           size += 1 * count;
         }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(4, changesSince_);
+    }
+
+        {
+          final int count = removals_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(removals_.get(i));
+          }
+          size += 1 * count;
+        }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -193,6 +302,13 @@
         != other.getAsOf()) return false;
     if (!getItemsList()
         .equals(other.getItemsList())) return false;
+    if (hasChangesSince() != other.hasChangesSince()) return false;
+    if (hasChangesSince()) {
+      if (getChangesSince()
+          != other.getChangesSince()) return false;
+    }
+    if (!getRemovalsList()
+        .equals(other.getRemovalsList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -213,6 +329,15 @@
       hash = (37 * hash) + ITEMS_FIELD_NUMBER;
       hash = (53 * hash) + getItemsList().hashCode();
     }
+    if (hasChangesSince()) {
+      hash = (37 * hash) + CHANGES_SINCE_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getChangesSince());
+    }
+    if (getRemovalsCount() > 0) {
+      hash = (37 * hash) + REMOVALS_FIELD_NUMBER;
+      hash = (53 * hash) + getRemovalsList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -312,7 +437,7 @@
   }
   /**
    * <pre>
-   * All items of a topic as of a revision.
+   * All items of a topic as of a revision, or the changes since an earlier one.
    * </pre>
    *
    * Protobuf type {@code shallothold.PublishedItems}
@@ -357,6 +482,14 @@
         itemsBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000004);
+      changesSince_ = 0L;
+      if (removalsBuilder_ == null) {
+        removals_ = java.util.Collections.emptyList();
+      } else {
+        removals_ = null;
+        removalsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000010);
       return this;
     }
 
@@ -399,6 +532,15 @@
       } else {
         result.items_ = itemsBuilder_.build();
       }
+      if (removalsBuilder_ == null) {
+        if (((bitField0_ & 0x00000010) != 0)) {
+          removals_ = java.util.Collections.unmodifiableList(removals_);
+          bitField0_ = (bitField0_ & ~0x00000010);
+        }
+        result.removals_ = removals_;
+      } else {
+        result.removals_ = removalsBuilder_.build();
+      }
     }
 
     private void buildPartial0(org.shallothold.wire.proto.PublishedItems result) {
@@ -409,6 +551,12 @@
       if (((from_bitField0_ & 0x00000002) != 0)) {
         result.asOf_ = asOf_;
       }
+      int to_bitField0_ = 0;
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.changesSince_ = changesSince_;
+        to_bitField0_ |= 0x00000001;
+      }
+      result.bitField0_ |= to_bitField0_;
     }
 
     @java.lang.Override
@@ -455,6 +603,35 @@
           }
         }
       }
+      if (other.hasChangesSince()) {
+        setChangesSince(other.getChangesSince());
+      }
+      if (removalsBuilder_ == null) {
+        if (!other.removals_.isEmpty()) {
+          if (removals_.isEmpty()) {
+            removals_ = other.removals_;
+            bitField0_ = (bitField0_ & ~0x00000010);
+          } else {
+            ensureRemovalsIsMutable();
+            removals_.addAll(other.removals_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.removals_.isEmpty()) {
+          if (removalsBuilder_.isEmpty()) {
+            removalsBuilder_.dispose();
+            removalsBuilder_ = null;
+            removals_ = other.removals_;
+            bitField0_ = (bitField0_ & ~0x00000010);
+            removalsBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetRemovalsFieldBuilder() : null;
+          } else {
+            removalsBuilder_.addAllMessages(other.removals_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -504,6 +681,24 @@
               }
               break;
             } // case 26
+            case 32: {
+              changesSince_ = input.readInt64();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 32
+            case 42: {
+              org.shallothold.wire.proto.PublishedRemoval m =
+                  input.readMessage(
+                      org.shallothold.wire.proto.PublishedRemoval.parser(),
+                      extensionRegistry);
+              if (removalsBuilder_ == null) {
+                ensureRemovalsIsMutable();
+                removals_.add(m);
+              } else {
+                removalsBuilder_.addMessage(m);
+              }
+              break;
+            } // case 42
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -845,6 +1040,374 @@
       return itemsBuilder_;
     }
 
+    private long changesSince_ ;
+    /**
+     * <pre>
+     * Present if the items are only those that changed after this revision.
+     * </pre>
+     *
+     * <code>optional int64 changes_since = 4;</code>
+     * @return Whether the changesSince field is set.
+     */
+    @java.lang.Override
+    public boolean hasChangesSince() {
+      return ((bitField0_ & 0x00000008) != 0);
+    }
+    /**
+     * <pre>
+     * Present if the items are only those that changed after this revision.
+     * </pre>
+     *
+     * <code>optional int64 changes_since = 4;</code>
+     * @return The changesSince.
+     */
+    @java.lang.Override
+    public long getChangesSince() {
+      return changesSince_;
+    }
+    /**
+     * <pre>
+     * Present if the items are only those that changed after this revision.
+     * </pre>
+     *
+     * <code>optional int64 changes_since = 4;</code>
+     * @param value The changesSince to set.
+     * @return This builder for chaining.
+     */
+    public Builder setChangesSince(long value) {
+
+      changesSince_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Present if the items are only those that changed after this revision.
+     * </pre>
+     *
+     * <code>optional int64 changes_since = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearChangesSince() {
+      bitField0_ = (bitField0_ & ~0x00000008);
+      changesSince_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private java.util.List<org.shallothold.wire.proto.PublishedRemoval> removals_ =
+      java.util.Collections.emptyList();
+    private void ensureRemovalsIsMutable() {
+      if (!((bitField0_ & 0x00000010) != 0)) {
+        removals_ = new java.util.ArrayList<org.shallothold.wire.proto.PublishedRemoval>(removals_);
+        bitField0_ |= 0x00000010;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.shallothold.wire.proto.PublishedRemoval, org.shallothold.wire.proto.PublishedRemoval.Builder, org.shallothold.wire.proto.PublishedRemovalOrBuilder> removalsBuilder_;
+
+    /**
+     * <pre>
+     * Removals after that revision.
+     * </pre>
+     *
+     * <code>repeated .shallothold.PublishedRemoval removals = 5;</code>
+     */
+    public java.util.List<org.shallothold.wire.proto.PublishedRemoval> getRemovalsList() {
+      if (removalsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(removals_);
+      } else {
+        return removalsBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * Removals after that revision.
+     * </pre>
+     *
+     * <code>repeated .shallothold.PublishedRemoval removals = 5;</code>
+     */
+    public int getRemovalsCount() {
+      if (removalsBuilder_ == null) {
+        return removals_.size();
+      } else {
+        return removalsBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * Removals after that revision.
+     * </pre>
+     *
+     * <code>repeated .shallothold.PublishedRemoval removals = 5;</code>
+     */
+    public org.shallothold.wire.proto.PublishedRemoval getRemovals(int index) {
+      if (removalsBuilder_ == null) {
+        return removals_.get(index);
+      } else {
+        return removalsBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * Removals after that revision.
+     * </pre>
+     *
+     * <code>repeated .shallothold.PublishedRemoval removals = 5;</code>
+     */
+    public Builder setRemovals(
+        int index, org.shallothold.wire.proto.PublishedRemoval value) {
+      if (removalsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureRemovalsIsMutable();
+        removals_.set(index, value);
+        onChanged();
+      } else {
+        removalsBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Removals after that revision.
+     * </pre>
+     *
+     * <code>repeated .shallothold.PublishedRemoval removals = 5;</code>
+     */
+    public Builder setRemovals(
+        int index, org.shallothold.wire.proto.PublishedRemoval.Builder builderForValue) {
+      if (removalsBuilder_ == null) {
+        ensureRemovalsIsMutable();
+        removals_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        removalsBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Removals after that revision.
+     * </pre>
+     *
+     * <code>repeated .shallothold.PublishedRemoval removals = 5;</code>
+     */
+    public Builder addRemovals(org.shallothold.wire.proto.PublishedRemoval value) {
+      if (removalsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureRemovalsIsMutable();
+        removals_.add(value);
+        onChanged();
+      } else {
+        removalsBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Removals after that revision.
+     * </pre>
+     *
+     * <code>repeated .shallothold.PublishedRemoval removals = 5;</code>
+     */
+    public Builder addRemovals(
+        int index, org.shallothold.wire.proto.PublishedRemoval value) {
+      if (removalsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureRemovalsIsMutable();
+        removals_.add(index, value);
+        onChanged();
+      } else {
+        removalsBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Removals after that revision.
+     * </pre>
+     *
+     * <code>repeated .shallothold.PublishedRemoval removals = 5;</code>
+     */
+    public Builder addRemovals(
+        org.shallothold.wire.proto.PublishedRemoval.Builder builderForValue) {
+      if (removalsBuilder_ == null) {
+        ensureRemovalsIsMutable();
+        removals_.add(builderForValue.build());
+        onChanged();
+      } else {
+        removalsBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Removals after that revision.
+     * </pre>
+     *
+     * <code>repeated .shallothold.PublishedRemoval removals = 5;</code>
+     */
+    public Builder addRemovals(
+        int index, org.shallothold.wire.proto.PublishedRemoval.Builder builderForValue) {
+      if (removalsBuilder_ == null) {
+        ensureRemovalsIsMutable();
+        removals_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        removalsBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Removals after that revision.
+     * </pre>
+     *
+     * <code>repeated .shallothold.PublishedRemoval removals = 5;</code>
+     */
+    public Builder addAllRemovals(
+        java.lang.Iterable<? extends org.shallothold.wire.proto.PublishedRemoval> values) {
+      if (removalsBuilder_ == null) {
+        ensureRemovalsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, removals_);
+        onChanged();
+      } else {
+        removalsBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Removals after that revision.
+     * </pre>
+     *
+     * <code>repeated .shallothold.PublishedRemoval removals = 5;</code>
+     */
+    public Builder clearRemovals() {
+      if (removalsBuilder_ == null) {
+        removals_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000010);
+        onChanged();
+      } else {
+        removalsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Removals after that revision.
+     * </pre>
+     *
+     * <code>repeated .shallothold.PublishedRemoval removals = 5;</code>
+     */
+    public Builder removeRemovals(int index) {
+      if (removalsBuilder_ == null) {
+        ensureRemovalsIsMutable();
+        removals_.remove(index);
+        onChanged();
+      } else {
+        removalsBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Removals after that revision.
+     * </pre>
+     *
+     * <code>repeated .shallothold.PublishedRemoval removals = 5;</code>
+     */
+    public org.shallothold.wire.proto.PublishedRemoval.Builder getRemovalsBuilder(
+        int index) {
+      return internalGetRemovalsFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * Removals after that revision.
+     * </pre>
+     *
+     * <code>repeated .shallothold.PublishedRemoval removals = 5;</code>
+     */
+    public org.shallothold.wire.proto.PublishedRemovalOrBuilder getRemovalsOrBuilder(
+        int index) {
+      if (removalsBuilder_ == null) {
+        return removals_.get(index);  } else {
+        return removalsBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * Removals after that revision.
+     * </pre>
+     *
+     * <code>repeated .shallothold.PublishedRemoval removals = 5;</code>
+     */
+    public java.util.List<? extends org.shallothold.wire.proto.PublishedRemovalOrBuilder> 
+         getRemovalsOrBuilderList() {
+      if (removalsBuilder_ != null) {
+        return removalsBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(removals_);
+      }
+    }
+    /**
+     * <pre>
+     * Removals after that revision.
+     * </pre>
+     *
+     * <code>repeated .shallothold.PublishedRemoval removals = 5;</code>
+     */
+    public org.shallothold.wire.proto.PublishedRemoval.Builder addRemovalsBuilder() {
+      return internalGetRemovalsFieldBuilder().addBuilder(
+          org.shallothold.wire.proto.PublishedRemoval.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Removals after that revision.
+     * </pre>
+     *
+     * <code>repeated .shallothold.PublishedRemoval removals = 5;</code>
+     */
+    public org.shallothold.wire.proto.PublishedRemoval.Builder addRemovalsBuilder(
+        int index) {
+      return internalGetRemovalsFieldBuilder().addBuilder(
+          index, org.shallothold.wire.proto.PublishedRemoval.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Removals after that revision.
+     * </pre>
+     *
+     * <code>repeated .shallothold.PublishedRemoval removals = 5;</code>
+     */
+    public java.util.List<org.shallothold.wire.proto.PublishedRemoval.Builder> 
+         getRemovalsBuilderList() {
+      return internalGetRemovalsFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.shallothold.wire.proto.PublishedRemoval, org.shallothold.wire.proto.PublishedRemoval.Builder, org.shallothold.wire.proto.PublishedRemovalOrBuilder> 
+        internalGetRemovalsFieldBuilder() {
+      if (removalsBuilder_ == null) {
+        removalsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.shallothold.wire.proto.PublishedRemoval, org.shallothold.wire.proto.PublishedRemoval.Builder, org.shallothold.wire.proto.PublishedRemovalOrBuilder>(
+                removals_,
+                ((bitField0_ & 0x00000010) != 0),
+                getParentForChildren(),
+                isClean());
+        removals_ = null;
+      }
+      return removalsBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:shallothold.PublishedItems)
   }
 
--- a/wire/src/main/java/org/shallothold/wire/proto/PublishedItemsOrBuilder.java
+++ b/wire/src/main/java/org/shallothold/wire/proto/PublishedItemsOrBuilder.java
@@ -50,4 +50,67 @@
    */
   org.shallothold.wire.proto.PublishedItemOrBuilder getItemsOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * Present if the items are only those that changed after this revision.
+   * </pre>
+   *
+   * <code>optional int64 changes_since = 4;</code>
+   * @return Whether the changesSince field is set.
+   */
+  boolean hasChangesSince();
+  /**
+   * <pre>
+   * Present if the items are only those that changed after this revision.
+   * </pre>
+   *
+   * <code>optional int64 changes_since = 4;</code>
+   * @return The changesSince.
+   */
+  long getChangesSince();
+
+  /**
+   * <pre>
+   * Removals after that revision.
+   * </pre>
+   *
+   * <code>repeated .shallothold.PublishedRemoval removals = 5;</code>
+   */
+  java.util.List<org.shallothold.wire.proto.PublishedRemoval> 
+      getRemovalsList();
+  /**
+   * <pre>
+   * Removals after that revision.
+   * </pre>
+   *
+   * <code>repeated .shallothold.PublishedRemoval removals = 5;</code>
+   */
+  org.shallothold.wire.proto.PublishedRemoval getRemovals(int index);
+  /**
+   * <pre>
+   * Removals after that revision.
+   * </pre>
+   *
+   * <code>repeated .shallothold.PublishedRemoval removals = 5;</code>
+   */
+  int getRemovalsCount();
+  /**
+   * <pre>
+   * Removals after that revision.
+   * </pre>
+   *
+   * <code>repeated .shallothold.PublishedRemoval removals = 5;</code>
+   */
+  java.util.List<? extends org.shallothold.wire.proto.PublishedRemovalOrBuilder> 
+      getRemovalsOrBuilderList();
+  /**
+   * <pre>
+   * Removals after that revision.
+   * </pre>
+   *
+   * <code>repeated .shallothold.PublishedRemoval removals = 5;</code>
+   */
+  org.shallothold.wire.proto.PublishedRemovalOrBuilder getRemovalsOrBuilder(
+      int index);
 }
--- a/wire/src/main/java/org/shallothold/wire/proto/PublishedRequest.java
+++ b/wire/src/main/java/org/shallothold/wire/proto/PublishedRequest.java
@@ -82,6 +82,21 @@
     return asOf_;
   }
 
+  public static final int ACCEPTS_CHANGES_FIELD_NUMBER = 4;
+  private boolean acceptsChanges_ = false;
+  /**
+   * <pre>
+   * The answer may contain only the changes after as_of.
+   * </pre>
+   *
+   * <code>bool accepts_changes = 4;</code>
+   * @return The acceptsChanges.
+   */
+  @java.lang.Override
+  public boolean getAcceptsChanges() {
+    return acceptsChanges_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -102,6 +117,9 @@
     if (asOf_ != 0L) {
       output.writeInt64(2, asOf_);
     }
+    if (acceptsChanges_ != false) {
+      output.writeBool(4, acceptsChanges_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -119,6 +137,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt64Size(2, asOf_);
     }
+    if (acceptsChanges_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(4, acceptsChanges_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -137,6 +159,8 @@
     if (topic_ != other.topic_) return false;
     if (getAsOf()
         != other.getAsOf()) return false;
+    if (getAcceptsChanges()
+        != other.getAcceptsChanges()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -153,6 +177,9 @@
     hash = (37 * hash) + AS_OF_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getAsOf());
+    hash = (37 * hash) + ACCEPTS_CHANGES_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getAcceptsChanges());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -290,6 +317,7 @@
       bitField0_ = 0;
       topic_ = 0;
       asOf_ = 0L;
+      acceptsChanges_ = false;
       return this;
     }
 
@@ -329,6 +357,9 @@
       if (((from_bitField0_ & 0x00000002) != 0)) {
         result.asOf_ = asOf_;
       }
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        result.acceptsChanges_ = acceptsChanges_;
+      }
     }
 
     @java.lang.Override
@@ -349,6 +380,9 @@
       if (other.getAsOf() != 0L) {
         setAsOf(other.getAsOf());
       }
+      if (other.getAcceptsChanges() != false) {
+        setAcceptsChanges(other.getAcceptsChanges());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -385,6 +419,11 @@
               bitField0_ |= 0x00000002;
               break;
             } // case 16
+            case 32: {
+              acceptsChanges_ = input.readBool();
+              bitField0_ |= 0x00000004;
+              break;
+            } // case 32
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -486,6 +525,50 @@
       return this;
     }
 
+    private boolean acceptsChanges_ ;
+    /**
+     * <pre>
+     * The answer may contain only the changes after as_of.
+     * </pre>
+     *
+     * <code>bool accepts_changes = 4;</code>
+     * @return The acceptsChanges.
+     */
+    @java.lang.Override
+    public boolean getAcceptsChanges() {
+      return acceptsChanges_;
+    }
+    /**
+     * <pre>
+     * The answer may contain only the changes after as_of.
+     * </pre>
+     *
+     * <code>bool accepts_changes = 4;</code>
+     * @param value The acceptsChanges to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAcceptsChanges(boolean value) {
+
+      acceptsChanges_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The answer may contain only the changes after as_of.
+     * </pre>
+     *
+     * <code>bool accepts_changes = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearAcceptsChanges() {
+      bitField0_ = (bitField0_ & ~0x00000004);
+      acceptsChanges_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:shallothold.PublishedRequest)
   }
 
--- a/wire/src/main/java/org/shallothold/wire/proto/PublishedRequestOrBuilder.java
+++ b/wire/src/main/java/org/shallothold/wire/proto/PublishedRequestOrBuilder.java
@@ -26,4 +26,14 @@
    * @return The asOf.
    */
   long getAsOf();
+
+  /**
+   * <pre>
+   * The answer may contain only the changes after as_of.
+   * </pre>
+   *
+   * <code>bool accepts_changes = 4;</code>
+   * @return The acceptsChanges.
+   */
+  boolean getAcceptsChanges();
 }
--- a/wire/src/main/java/org/shallothold/wire/proto/WorkChanges.java
+++ b/wire/src/main/java/org/shallothold/wire/proto/WorkChanges.java
@@ -35,6 +35,8 @@
   private WorkChanges() {
     openWork_ = java.util.Collections.emptyList();
     prefixReads_ = java.util.Collections.emptyList();
+    readsByServer_ = java.util.Collections.emptyList();
+    sentTo_ = emptyIntList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -164,6 +166,158 @@
     return crashEvidence_ == null ? org.shallothold.wire.proto.CrashEvidence.getDefaultInstance() : crashEvidence_;
   }
 
+  public static final int READS_BY_SERVER_FIELD_NUMBER = 4;
+  @SuppressWarnings("serial")
+  private java.util.List<org.shallothold.wire.proto.ServerReads> readsByServer_;
+  /**
+   * <code>repeated .shallothold.ServerReads reads_by_server = 4;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.shallothold.wire.proto.ServerReads> getReadsByServerList() {
+    return readsByServer_;
+  }
+  /**
+   * <code>repeated .shallothold.ServerReads reads_by_server = 4;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.shallothold.wire.proto.ServerReadsOrBuilder> 
+      getReadsByServerOrBuilderList() {
+    return readsByServer_;
+  }
+  /**
+   * <code>repeated .shallothold.ServerReads reads_by_server = 4;</code>
+   */
+  @java.lang.Override
+  public int getReadsByServerCount() {
+    return readsByServer_.size();
+  }
+  /**
+   * <code>repeated .shallothold.ServerReads reads_by_server = 4;</code>
+   */
+  @java.lang.Override
+  public org.shallothold.wire.proto.ServerReads getReadsByServer(int index) {
+    return readsByServer_.get(index);
+  }
+  /**
+   * <code>repeated .shallothold.ServerReads reads_by_server = 4;</code>
+   */
+  @java.lang.Override
+  public org.shallothold.wire.proto.ServerReadsOrBuilder getReadsByServerOrBuilder(
+      int index) {
+    return readsByServer_.get(index);
+  }
+
+  public static final int COMPACT_EVIDENCE_FIELD_NUMBER = 5;
+  private org.shallothold.wire.proto.CompactEvidence compactEvidence_;
+  /**
+   * <pre>
+   * In place of crash_evidence.
+   * </pre>
+   *
+   * <code>.shallothold.CompactEvidence compact_evidence = 5;</code>
+   * @return Whether the compactEvidence field is set.
+   */
+  @java.lang.Override
+  public boolean hasCompactEvidence() {
+    return ((bitField0_ & 0x00000002) != 0);
+  }
+  /**
+   * <pre>
+   * In place of crash_evidence.
+   * </pre>
+   *
+   * <code>.shallothold.CompactEvidence compact_evidence = 5;</code>
+   * @return The compactEvidence.
+   */
+  @java.lang.Override
+  public org.shallothold.wire.proto.CompactEvidence getCompactEvidence() {
+    return compactEvidence_ == null ? org.shallothold.wire.proto.CompactEvidence.getDefaultInstance() : compactEvidence_;
+  }
+  /**
+   * <pre>
+   * In place of crash_evidence.
+   * </pre>
+   *
+   * <code>.shallothold.CompactEvidence compact_evidence = 5;</code>
+   */
+  @java.lang.Override
+  public org.shallothold.wire.proto.CompactEvidenceOrBuilder getCompactEvidenceOrBuilder() {
+    return compactEvidence_ == null ? org.shallothold.wire.proto.CompactEvidence.getDefaultInstance() : compactEvidence_;
+  }
+
+  public static final int SENT_TO_CONNECTED_FIELD_NUMBER = 6;
+  private boolean sentToConnected_ = false;
+  /**
+   * <pre>
+   * All gateways in the sender's last FleetNews.connected_to have the evidence or get it now.
+   * </pre>
+   *
+   * <code>bool sent_to_connected = 6;</code>
+   * @return The sentToConnected.
+   */
+  @java.lang.Override
+  public boolean getSentToConnected() {
+    return sentToConnected_;
+  }
+
+  public static final int HOPS_FIELD_NUMBER = 7;
+  private int hops_ = 0;
+  /**
+   * <pre>
+   * How many gateways have passed the evidence on. It is not passed on after 4, which is also the
+   * number for evidence that all other gateways probably have.
+   * </pre>
+   *
+   * <code>int32 hops = 7;</code>
+   * @return The hops.
+   */
+  @java.lang.Override
+  public int getHops() {
+    return hops_;
+  }
+
+  public static final int SENT_TO_FIELD_NUMBER = 8;
+  @SuppressWarnings("serial")
+  private com.google.protobuf.Internal.IntList sentTo_ =
+      emptyIntList();
+  /**
+   * <pre>
+   * In place of sent_to_connected, if those are others: hashes of the gateways' addresses.
+   * </pre>
+   *
+   * <code>repeated fixed32 sent_to = 8;</code>
+   * @return A list containing the sentTo.
+   */
+  @java.lang.Override
+  public java.util.List<java.lang.Integer>
+      getSentToList() {
+    return sentTo_;
+  }
+  /**
+   * <pre>
+   * In place of sent_to_connected, if those are others: hashes of the gateways' addresses.
+   * </pre>
+   *
+   * <code>repeated fixed32 sent_to = 8;</code>
+   * @return The count of sentTo.
+   */
+  public int getSentToCount() {
+    return sentTo_.size();
+  }
+  /**
+   * <pre>
+   * In place of sent_to_connected, if those are others: hashes of the gateways' addresses.
+   * </pre>
+   *
+   * <code>repeated fixed32 sent_to = 8;</code>
+   * @param index The index of the element to return.
+   * @return The sentTo at the given index.
+   */
+  public int getSentTo(int index) {
+    return sentTo_.getInt(index);
+  }
+  private int sentToMemoizedSerializedSize = -1;
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -178,6 +332,7 @@
   @java.lang.Override
   public void writeTo(com.google.protobuf.CodedOutputStream output)
                       throws java.io.IOException {
+    getSerializedSize();
     for (int i = 0; i < openWork_.size(); i++) {
       output.writeMessage(1, openWork_.get(i));
     }
@@ -187,6 +342,25 @@
     if (((bitField0_ & 0x00000001) != 0)) {
       output.writeMessage(3, getCrashEvidence());
     }
+    for (int i = 0; i < readsByServer_.size(); i++) {
+      output.writeMessage(4, readsByServer_.get(i));
+    }
+    if (((bitField0_ & 0x00000002) != 0)) {
+      output.writeMessage(5, getCompactEvidence());
+    }
+    if (sentToConnected_ != false) {
+      output.writeBool(6, sentToConnected_);
+    }
+    if (hops_ != 0) {
+      output.writeInt32(7, hops_);
+    }
+    if (getSentToList().size() > 0) {
+      output.writeUInt32NoTag(66);
+      output.writeUInt32NoTag(sentToMemoizedSerializedSize);
+    }
+    for (int i = 0; i < sentTo_.size(); i++) {
+      output.writeFixed32NoTag(sentTo_.getInt(i));
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -218,6 +392,38 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(3, getCrashEvidence());
     }
+
+        {
+          final int count = readsByServer_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(readsByServer_.get(i));
+          }
+          size += 1 * count;
+        }
+    if (((bitField0_ & 0x00000002) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(5, getCompactEvidence());
+    }
+    if (sentToConnected_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(6, sentToConnected_);
+    }
+    if (hops_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt32Size(7, hops_);
+    }
+    {
+      int dataSize = 0;
+      dataSize = 4 * getSentToList().size();
+      size += dataSize;
+      if (!getSentToList().isEmpty()) {
+        size += 1;
+        size += com.google.protobuf.CodedOutputStream
+            .computeInt32SizeNoTag(dataSize);
+      }
+      sentToMemoizedSerializedSize = dataSize;
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -242,6 +448,19 @@
       if (!getCrashEvidence()
           .equals(other.getCrashEvidence())) return false;
     }
+    if (!getReadsByServerList()
+        .equals(other.getReadsByServerList())) return false;
+    if (hasCompactEvidence() != other.hasCompactEvidence()) return false;
+    if (hasCompactEvidence()) {
+      if (!getCompactEvidence()
+          .equals(other.getCompactEvidence())) return false;
+    }
+    if (getSentToConnected()
+        != other.getSentToConnected()) return false;
+    if (getHops()
+        != other.getHops()) return false;
+    if (!getSentToList()
+        .equals(other.getSentToList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -265,6 +484,23 @@
       hash = (37 * hash) + CRASH_EVIDENCE_FIELD_NUMBER;
       hash = (53 * hash) + getCrashEvidence().hashCode();
     }
+    if (getReadsByServerCount() > 0) {
+      hash = (37 * hash) + READS_BY_SERVER_FIELD_NUMBER;
+      hash = (53 * hash) + getReadsByServerList().hashCode();
+    }
+    if (hasCompactEvidence()) {
+      hash = (37 * hash) + COMPACT_EVIDENCE_FIELD_NUMBER;
+      hash = (53 * hash) + getCompactEvidence().hashCode();
+    }
+    hash = (37 * hash) + SENT_TO_CONNECTED_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getSentToConnected());
+    hash = (37 * hash) + HOPS_FIELD_NUMBER;
+    hash = (53 * hash) + getHops();
+    if (getSentToCount() > 0) {
+      hash = (37 * hash) + SENT_TO_FIELD_NUMBER;
+      hash = (53 * hash) + getSentToList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -403,6 +639,8 @@
         internalGetOpenWorkFieldBuilder();
         internalGetPrefixReadsFieldBuilder();
         internalGetCrashEvidenceFieldBuilder();
+        internalGetReadsByServerFieldBuilder();
+        internalGetCompactEvidenceFieldBuilder();
       }
     }
     @java.lang.Override
@@ -428,6 +666,21 @@
         crashEvidenceBuilder_.dispose();
         crashEvidenceBuilder_ = null;
       }
+      if (readsByServerBuilder_ == null) {
+        readsByServer_ = java.util.Collections.emptyList();
+      } else {
+        readsByServer_ = null;
+        readsByServerBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000008);
+      compactEvidence_ = null;
+      if (compactEvidenceBuilder_ != null) {
+        compactEvidenceBuilder_.dispose();
+        compactEvidenceBuilder_ = null;
+      }
+      sentToConnected_ = false;
+      hops_ = 0;
+      sentTo_ = emptyIntList();
       return this;
     }
 
@@ -479,6 +732,15 @@
       } else {
         result.prefixReads_ = prefixReadsBuilder_.build();
       }
+      if (readsByServerBuilder_ == null) {
+        if (((bitField0_ & 0x00000008) != 0)) {
+          readsByServer_ = java.util.Collections.unmodifiableList(readsByServer_);
+          bitField0_ = (bitField0_ & ~0x00000008);
+        }
+        result.readsByServer_ = readsByServer_;
+      } else {
+        result.readsByServer_ = readsByServerBuilder_.build();
+      }
     }
 
     private void buildPartial0(org.shallothold.wire.proto.WorkChanges result) {
@@ -490,6 +752,22 @@
             : crashEvidenceBuilder_.build();
         to_bitField0_ |= 0x00000001;
       }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.compactEvidence_ = compactEvidenceBuilder_ == null
+            ? compactEvidence_
+            : compactEvidenceBuilder_.build();
+        to_bitField0_ |= 0x00000002;
+      }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.sentToConnected_ = sentToConnected_;
+      }
+      if (((from_bitField0_ & 0x00000040) != 0)) {
+        result.hops_ = hops_;
+      }
+      if (((from_bitField0_ & 0x00000080) != 0)) {
+        sentTo_.makeImmutable();
+        result.sentTo_ = sentTo_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -560,6 +838,52 @@
       if (other.hasCrashEvidence()) {
         mergeCrashEvidence(other.getCrashEvidence());
       }
+      if (readsByServerBuilder_ == null) {
+        if (!other.readsByServer_.isEmpty()) {
+          if (readsByServer_.isEmpty()) {
+            readsByServer_ = other.readsByServer_;
+            bitField0_ = (bitField0_ & ~0x00000008);
+          } else {
+            ensureReadsByServerIsMutable();
+            readsByServer_.addAll(other.readsByServer_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.readsByServer_.isEmpty()) {
+          if (readsByServerBuilder_.isEmpty()) {
+            readsByServerBuilder_.dispose();
+            readsByServerBuilder_ = null;
+            readsByServer_ = other.readsByServer_;
+            bitField0_ = (bitField0_ & ~0x00000008);
+            readsByServerBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetReadsByServerFieldBuilder() : null;
+          } else {
+            readsByServerBuilder_.addAllMessages(other.readsByServer_);
+          }
+        }
+      }
+      if (other.hasCompactEvidence()) {
+        mergeCompactEvidence(other.getCompactEvidence());
+      }
+      if (other.getSentToConnected() != false) {
+        setSentToConnected(other.getSentToConnected());
+      }
+      if (other.getHops() != 0) {
+        setHops(other.getHops());
+      }
+      if (!other.sentTo_.isEmpty()) {
+        if (sentTo_.isEmpty()) {
+          sentTo_ = other.sentTo_;
+          sentTo_.makeImmutable();
+          bitField0_ |= 0x00000080;
+        } else {
+          ensureSentToIsMutable();
+          sentTo_.addAll(other.sentTo_);
+        }
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -619,6 +943,53 @@
               bitField0_ |= 0x00000004;
               break;
             } // case 26
+            case 34: {
+              org.shallothold.wire.proto.ServerReads m =
+                  input.readMessage(
+                      org.shallothold.wire.proto.ServerReads.parser(),
+                      extensionRegistry);
+              if (readsByServerBuilder_ == null) {
+                ensureReadsByServerIsMutable();
+                readsByServer_.add(m);
+              } else {
+                readsByServerBuilder_.addMessage(m);
+              }
+              break;
+            } // case 34
+            case 42: {
+              input.readMessage(
+                  internalGetCompactEvidenceFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 42
+            case 48: {
+              sentToConnected_ = input.readBool();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 48
+            case 56: {
+              hops_ = input.readInt32();
+              bitField0_ |= 0x00000040;
+              break;
+            } // case 56
+            case 69: {
+              int v = input.readFixed32();
+              ensureSentToIsMutable();
+              sentTo_.addInt(v);
+              break;
+            } // case 69
+            case 66: {
+              int length = input.readRawVarint32();
+              int limit = input.pushLimit(length);
+              int alloc = length > 4096 ? 4096 : length;
+              ensureSentToIsMutable(alloc / 4);
+              while (input.getBytesUntilLimit() > 0) {
+                sentTo_.addInt(input.readFixed32());
+              }
+              input.popLimit(limit);
+              break;
+            } // case 66
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1237,6 +1608,612 @@
       return crashEvidenceBuilder_;
     }
 
+    private java.util.List<org.shallothold.wire.proto.ServerReads> readsByServer_ =
+      java.util.Collections.emptyList();
+    private void ensureReadsByServerIsMutable() {
+      if (!((bitField0_ & 0x00000008) != 0)) {
+        readsByServer_ = new java.util.ArrayList<org.shallothold.wire.proto.ServerReads>(readsByServer_);
+        bitField0_ |= 0x00000008;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.shallothold.wire.proto.ServerReads, org.shallothold.wire.proto.ServerReads.Builder, org.shallothold.wire.proto.ServerReadsOrBuilder> readsByServerBuilder_;
+
+    /**
+     * <code>repeated .shallothold.ServerReads reads_by_server = 4;</code>
+     */
+    public java.util.List<org.shallothold.wire.proto.ServerReads> getReadsByServerList() {
+      if (readsByServerBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(readsByServer_);
+      } else {
+        return readsByServerBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <code>repeated .shallothold.ServerReads reads_by_server = 4;</code>
+     */
+    public int getReadsByServerCount() {
+      if (readsByServerBuilder_ == null) {
+        return readsByServer_.size();
+      } else {
+        return readsByServerBuilder_.getCount();
+      }
+    }
+    /**
+     * <code>repeated .shallothold.ServerReads reads_by_server = 4;</code>
+     */
+    public org.shallothold.wire.proto.ServerReads getReadsByServer(int index) {
+      if (readsByServerBuilder_ == null) {
+        return readsByServer_.get(index);
+      } else {
+        return readsByServerBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <code>repeated .shallothold.ServerReads reads_by_server = 4;</code>
+     */
+    public Builder setReadsByServer(
+        int index, org.shallothold.wire.proto.ServerReads value) {
+      if (readsByServerBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureReadsByServerIsMutable();
+        readsByServer_.set(index, value);
+        onChanged();
+      } else {
+        readsByServerBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .shallothold.ServerReads reads_by_server = 4;</code>
+     */
+    public Builder setReadsByServer(
+        int index, org.shallothold.wire.proto.ServerReads.Builder builderForValue) {
+      if (readsByServerBuilder_ == null) {
+        ensureReadsByServerIsMutable();
+        readsByServer_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        readsByServerBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .shallothold.ServerReads reads_by_server = 4;</code>
+     */
+    public Builder addReadsByServer(org.shallothold.wire.proto.ServerReads value) {
+      if (readsByServerBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureReadsByServerIsMutable();
+        readsByServer_.add(value);
+        onChanged();
+      } else {
+        readsByServerBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .shallothold.ServerReads reads_by_server = 4;</code>
+     */
+    public Builder addReadsByServer(
+        int index, org.shallothold.wire.proto.ServerReads value) {
+      if (readsByServerBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureReadsByServerIsMutable();
+        readsByServer_.add(index, value);
+        onChanged();
+      } else {
+        readsByServerBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .shallothold.ServerReads reads_by_server = 4;</code>
+     */
+    public Builder addReadsByServer(
+        org.shallothold.wire.proto.ServerReads.Builder builderForValue) {
+      if (readsByServerBuilder_ == null) {
+        ensureReadsByServerIsMutable();
+        readsByServer_.add(builderForValue.build());
+        onChanged();
+      } else {
+        readsByServerBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .shallothold.ServerReads reads_by_server = 4;</code>
+     */
+    public Builder addReadsByServer(
+        int index, org.shallothold.wire.proto.ServerReads.Builder builderForValue) {
+      if (readsByServerBuilder_ == null) {
+        ensureReadsByServerIsMutable();
+        readsByServer_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        readsByServerBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .shallothold.ServerReads reads_by_server = 4;</code>
+     */
+    public Builder addAllReadsByServer(
+        java.lang.Iterable<? extends org.shallothold.wire.proto.ServerReads> values) {
+      if (readsByServerBuilder_ == null) {
+        ensureReadsByServerIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, readsByServer_);
+        onChanged();
+      } else {
+        readsByServerBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .shallothold.ServerReads reads_by_server = 4;</code>
+     */
+    public Builder clearReadsByServer() {
+      if (readsByServerBuilder_ == null) {
+        readsByServer_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000008);
+        onChanged();
+      } else {
+        readsByServerBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .shallothold.ServerReads reads_by_server = 4;</code>
+     */
+    public Builder removeReadsByServer(int index) {
+      if (readsByServerBuilder_ == null) {
+        ensureReadsByServerIsMutable();
+        readsByServer_.remove(index);
+        onChanged();
+      } else {
+        readsByServerBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .shallothold.ServerReads reads_by_server = 4;</code>
+     */
+    public org.shallothold.wire.proto.ServerReads.Builder getReadsByServerBuilder(
+        int index) {
+      return internalGetReadsByServerFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <code>repeated .shallothold.ServerReads reads_by_server = 4;</code>
+     */
+    public org.shallothold.wire.proto.ServerReadsOrBuilder getReadsByServerOrBuilder(
+        int index) {
+      if (readsByServerBuilder_ == null) {
+        return readsByServer_.get(index);  } else {
+        return readsByServerBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <code>repeated .shallothold.ServerReads reads_by_server = 4;</code>
+     */
+    public java.util.List<? extends org.shallothold.wire.proto.ServerReadsOrBuilder> 
+         getReadsByServerOrBuilderList() {
+      if (readsByServerBuilder_ != null) {
+        return readsByServerBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(readsByServer_);
+      }
+    }
+    /**
+     * <code>repeated .shallothold.ServerReads reads_by_server = 4;</code>
+     */
+    public org.shallothold.wire.proto.ServerReads.Builder addReadsByServerBuilder() {
+      return internalGetReadsByServerFieldBuilder().addBuilder(
+          org.shallothold.wire.proto.ServerReads.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .shallothold.ServerReads reads_by_server = 4;</code>
+     */
+    public org.shallothold.wire.proto.ServerReads.Builder addReadsByServerBuilder(
+        int index) {
+      return internalGetReadsByServerFieldBuilder().addBuilder(
+          index, org.shallothold.wire.proto.ServerReads.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .shallothold.ServerReads reads_by_server = 4;</code>
+     */
+    public java.util.List<org.shallothold.wire.proto.ServerReads.Builder> 
+         getReadsByServerBuilderList() {
+      return internalGetReadsByServerFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.shallothold.wire.proto.ServerReads, org.shallothold.wire.proto.ServerReads.Builder, org.shallothold.wire.proto.ServerReadsOrBuilder> 
+        internalGetReadsByServerFieldBuilder() {
+      if (readsByServerBuilder_ == null) {
+        readsByServerBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.shallothold.wire.proto.ServerReads, org.shallothold.wire.proto.ServerReads.Builder, org.shallothold.wire.proto.ServerReadsOrBuilder>(
+                readsByServer_,
+                ((bitField0_ & 0x00000008) != 0),
+                getParentForChildren(),
+                isClean());
+        readsByServer_ = null;
+      }
+      return readsByServerBuilder_;
+    }
+
+    private org.shallothold.wire.proto.CompactEvidence compactEvidence_;
+    private com.google.protobuf.SingleFieldBuilder<
+        org.shallothold.wire.proto.CompactEvidence, org.shallothold.wire.proto.CompactEvidence.Builder, org.shallothold.wire.proto.CompactEvidenceOrBuilder> compactEvidenceBuilder_;
+    /**
+     * <pre>
+     * In place of crash_evidence.
+     * </pre>
+     *
+     * <code>.shallothold.CompactEvidence compact_evidence = 5;</code>
+     * @return Whether the compactEvidence field is set.
+     */
+    public boolean hasCompactEvidence() {
+      return ((bitField0_ & 0x00000010) != 0);
+    }
+    /**
+     * <pre>
+     * In place of crash_evidence.
+     * </pre>
+     *
+     * <code>.shallothold.CompactEvidence compact_evidence = 5;</code>
+     * @return The compactEvidence.
+     */
+    public org.shallothold.wire.proto.CompactEvidence getCompactEvidence() {
+      if (compactEvidenceBuilder_ == null) {
+        return compactEvidence_ == null ? org.shallothold.wire.proto.CompactEvidence.getDefaultInstance() : compactEvidence_;
+      } else {
+        return compactEvidenceBuilder_.getMessage();
+      }
+    }
+    /**
+     * <pre>
+     * In place of crash_evidence.
+     * </pre>
+     *
+     * <code>.shallothold.CompactEvidence compact_evidence = 5;</code>
+     */
+    public Builder setCompactEvidence(org.shallothold.wire.proto.CompactEvidence value) {
+      if (compactEvidenceBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        compactEvidence_ = value;
+      } else {
+        compactEvidenceBuilder_.setMessage(value);
+      }
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * In place of crash_evidence.
+     * </pre>
+     *
+     * <code>.shallothold.CompactEvidence compact_evidence = 5;</code>
+     */
+    public Builder setCompactEvidence(
+        org.shallothold.wire.proto.CompactEvidence.Builder builderForValue) {
+      if (compactEvidenceBuilder_ == null) {
+        compactEvidence_ = builderForValue.build();
+      } else {
+        compactEvidenceBuilder_.setMessage(builderForValue.build());
+      }
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * In place of crash_evidence.
+     * </pre>
+     *
+     * <code>.shallothold.CompactEvidence compact_evidence = 5;</code>
+     */
+    public Builder mergeCompactEvidence(org.shallothold.wire.proto.CompactEvidence value) {
+      if (compactEvidenceBuilder_ == null) {
+        if (((bitField0_ & 0x00000010) != 0) &&
+          compactEvidence_ != null &&
+          compactEvidence_ != org.shallothold.wire.proto.CompactEvidence.getDefaultInstance()) {
+          getCompactEvidenceBuilder().mergeFrom(value);
+        } else {
+          compactEvidence_ = value;
+        }
+      } else {
+        compactEvidenceBuilder_.mergeFrom(value);
+      }
+      if (compactEvidence_ != null) {
+        bitField0_ |= 0x00000010;
+        onChanged();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * In place of crash_evidence.
+     * </pre>
+     *
+     * <code>.shallothold.CompactEvidence compact_evidence = 5;</code>
+     */
+    public Builder clearCompactEvidence() {
+      bitField0_ = (bitField0_ & ~0x00000010);
+      compactEvidence_ = null;
+      if (compactEvidenceBuilder_ != null) {
+        compactEvidenceBuilder_.dispose();
+        compactEvidenceBuilder_ = null;
+      }
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * In place of crash_evidence.
+     * </pre>
+     *
+     * <code>.shallothold.CompactEvidence compact_evidence = 5;</code>
+     */
+    public org.shallothold.wire.proto.CompactEvidence.Builder getCompactEvidenceBuilder() {
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return internalGetCompactEvidenceFieldBuilder().getBuilder();
+    }
+    /**
+     * <pre>
+     * In place of crash_evidence.
+     * </pre>
+     *
+     * <code>.shallothold.CompactEvidence compact_evidence = 5;</code>
+     */
+    public org.shallothold.wire.proto.CompactEvidenceOrBuilder getCompactEvidenceOrBuilder() {
+      if (compactEvidenceBuilder_ != null) {
+        return compactEvidenceBuilder_.getMessageOrBuilder();
+      } else {
+        return compactEvidence_ == null ?
+            org.shallothold.wire.proto.CompactEvidence.getDefaultInstance() : compactEvidence_;
+      }
+    }
+    /**
+     * <pre>
+     * In place of crash_evidence.
+     * </pre>
+     *
+     * <code>.shallothold.CompactEvidence compact_evidence = 5;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.shallothold.wire.proto.CompactEvidence, org.shallothold.wire.proto.CompactEvidence.Builder, org.shallothold.wire.proto.CompactEvidenceOrBuilder> 
+        internalGetCompactEvidenceFieldBuilder() {
+      if (compactEvidenceBuilder_ == null) {
+        compactEvidenceBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.shallothold.wire.proto.CompactEvidence, org.shallothold.wire.proto.CompactEvidence.Builder, org.shallothold.wire.proto.CompactEvidenceOrBuilder>(
+                getCompactEvidence(),
+                getParentForChildren(),
+                isClean());
+        compactEvidence_ = null;
+      }
+      return compactEvidenceBuilder_;
+    }
+
+    private boolean sentToConnected_ ;
+    /**
+     * <pre>
+     * All gateways in the sender's last FleetNews.connected_to have the evidence or get it now.
+     * </pre>
+     *
+     * <code>bool sent_to_connected = 6;</code>
+     * @return The sentToConnected.
+     */
+    @java.lang.Override
+    public boolean getSentToConnected() {
+      return sentToConnected_;
+    }
+    /**
+     * <pre>
+     * All gateways in the sender's last FleetNews.connected_to have the evidence or get it now.
+     * </pre>
+     *
+     * <code>bool sent_to_connected = 6;</code>
+     * @param value The sentToConnected to set.
+     * @return This builder for chaining.
+     */
+    public Builder setSentToConnected(boolean value) {
+
+      sentToConnected_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * All gateways in the sender's last FleetNews.connected_to have the evidence or get it now.
+     * </pre>
+     *
+     * <code>bool sent_to_connected = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearSentToConnected() {
+      bitField0_ = (bitField0_ & ~0x00000020);
+      sentToConnected_ = false;
+      onChanged();
+      return this;
+    }
+
+    private int hops_ ;
+    /**
+     * <pre>
+     * How many gateways have passed the evidence on. It is not passed on after 4, which is also the
+     * number for evidence that all other gateways probably have.
+     * </pre>
+     *
+     * <code>int32 hops = 7;</code>
+     * @return The hops.
+     */
+    @java.lang.Override
+    public int getHops() {
+      return hops_;
+    }
+    /**
+     * <pre>
+     * How many gateways have passed the evidence on. It is not passed on after 4, which is also the
+     * number for evidence that all other gateways probably have.
+     * </pre>
+     *
+     * <code>int32 hops = 7;</code>
+     * @param value The hops to set.
+     * @return This builder for chaining.
+     */
+    public Builder setHops(int value) {
+
+      hops_ = value;
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * How many gateways have passed the evidence on. It is not passed on after 4, which is also the
+     * number for evidence that all other gateways probably have.
+     * </pre>
+     *
+     * <code>int32 hops = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearHops() {
+      bitField0_ = (bitField0_ & ~0x00000040);
+      hops_ = 0;
+      onChanged();
+      return this;
+    }
+
+    private com.google.protobuf.Internal.IntList sentTo_ = emptyIntList();
+    private void ensureSentToIsMutable() {
+      if (!sentTo_.isModifiable()) {
+        sentTo_ = makeMutableCopy(sentTo_);
+      }
+      bitField0_ |= 0x00000080;
+    }
+    private void ensureSentToIsMutable(int capacity) {
+      if (!sentTo_.isModifiable()) {
+        sentTo_ = makeMutableCopy(sentTo_, capacity);
+      }
+      bitField0_ |= 0x00000080;
+    }
+    /**
+     * <pre>
+     * In place of sent_to_connected, if those are others: hashes of the gateways' addresses.
+     * </pre>
+     *
+     * <code>repeated fixed32 sent_to = 8;</code>
+     * @return A list containing the sentTo.
+     */
+    public java.util.List<java.lang.Integer>
+        getSentToList() {
+      sentTo_.makeImmutable();
+      return sentTo_;
+    }
+    /**
+     * <pre>
+     * In place of sent_to_connected, if those are others: hashes of the gateways' addresses.
+     * </pre>
+     *
+     * <code>repeated fixed32 sent_to = 8;</code>
+     * @return The count of sentTo.
+     */
+    public int getSentToCount() {
+      return sentTo_.size();
+    }
+    /**
+     * <pre>
+     * In place of sent_to_connected, if those are others: hashes of the gateways' addresses.
+     * </pre>
+     *
+     * <code>repeated fixed32 sent_to = 8;</code>
+     * @param index The index of the element to return.
+     * @return The sentTo at the given index.
+     */
+    public int getSentTo(int index) {
+      return sentTo_.getInt(index);
+    }
+    /**
+     * <pre>
+     * In place of sent_to_connected, if those are others: hashes of the gateways' addresses.
+     * </pre>
+     *
+     * <code>repeated fixed32 sent_to = 8;</code>
+     * @param index The index to set the value at.
+     * @param value The sentTo to set.
+     * @return This builder for chaining.
+     */
+    public Builder setSentTo(
+        int index, int value) {
+
+      ensureSentToIsMutable();
+      sentTo_.setInt(index, value);
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * In place of sent_to_connected, if those are others: hashes of the gateways' addresses.
+     * </pre>
+     *
+     * <code>repeated fixed32 sent_to = 8;</code>
+     * @param value The sentTo to add.
+     * @return This builder for chaining.
+     */
+    public Builder addSentTo(int value) {
+
+      ensureSentToIsMutable();
+      sentTo_.addInt(value);
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * In place of sent_to_connected, if those are others: hashes of the gateways' addresses.
+     * </pre>
+     *
+     * <code>repeated fixed32 sent_to = 8;</code>
+     * @param values The sentTo to add.
+     * @return This builder for chaining.
+     */
+    public Builder addAllSentTo(
+        java.lang.Iterable<? extends java.lang.Integer> values) {
+      ensureSentToIsMutable();
+      com.google.protobuf.AbstractMessageLite.Builder.addAll(
+          values, sentTo_);
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * In place of sent_to_connected, if those are others: hashes of the gateways' addresses.
+     * </pre>
+     *
+     * <code>repeated fixed32 sent_to = 8;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearSentTo() {
+      sentTo_ = emptyIntList();
+      bitField0_ = (bitField0_ & ~0x00000080);
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:shallothold.WorkChanges)
   }
 
--- a/wire/src/main/java/org/shallothold/wire/proto/WorkChangesOrBuilder.java
+++ b/wire/src/main/java/org/shallothold/wire/proto/WorkChangesOrBuilder.java
@@ -72,4 +72,105 @@
    * <code>.shallothold.CrashEvidence crash_evidence = 3;</code>
    */
   org.shallothold.wire.proto.CrashEvidenceOrBuilder getCrashEvidenceOrBuilder();
+
+  /**
+   * <code>repeated .shallothold.ServerReads reads_by_server = 4;</code>
+   */
+  java.util.List<org.shallothold.wire.proto.ServerReads> 
+      getReadsByServerList();
+  /**
+   * <code>repeated .shallothold.ServerReads reads_by_server = 4;</code>
+   */
+  org.shallothold.wire.proto.ServerReads getReadsByServer(int index);
+  /**
+   * <code>repeated .shallothold.ServerReads reads_by_server = 4;</code>
+   */
+  int getReadsByServerCount();
+  /**
+   * <code>repeated .shallothold.ServerReads reads_by_server = 4;</code>
+   */
+  java.util.List<? extends org.shallothold.wire.proto.ServerReadsOrBuilder> 
+      getReadsByServerOrBuilderList();
+  /**
+   * <code>repeated .shallothold.ServerReads reads_by_server = 4;</code>
+   */
+  org.shallothold.wire.proto.ServerReadsOrBuilder getReadsByServerOrBuilder(
+      int index);
+
+  /**
+   * <pre>
+   * In place of crash_evidence.
+   * </pre>
+   *
+   * <code>.shallothold.CompactEvidence compact_evidence = 5;</code>
+   * @return Whether the compactEvidence field is set.
+   */
+  boolean hasCompactEvidence();
+  /**
+   * <pre>
+   * In place of crash_evidence.
+   * </pre>
+   *
+   * <code>.shallothold.CompactEvidence compact_evidence = 5;</code>
+   * @return The compactEvidence.
+   */
+  org.shallothold.wire.proto.CompactEvidence getCompactEvidence();
+  /**
+   * <pre>
+   * In place of crash_evidence.
+   * </pre>
+   *
+   * <code>.shallothold.CompactEvidence compact_evidence = 5;</code>
+   */
+  org.shallothold.wire.proto.CompactEvidenceOrBuilder getCompactEvidenceOrBuilder();
+
+  /**
+   * <pre>
+   * All gateways in the sender's last FleetNews.connected_to have the evidence or get it now.
+   * </pre>
+   *
+   * <code>bool sent_to_connected = 6;</code>
+   * @return The sentToConnected.
+   */
+  boolean getSentToConnected();
+
+  /**
+   * <pre>
+   * How many gateways have passed the evidence on. It is not passed on after 4, which is also the
+   * number for evidence that all other gateways probably have.
+   * </pre>
+   *
+   * <code>int32 hops = 7;</code>
+   * @return The hops.
+   */
+  int getHops();
+
+  /**
+   * <pre>
+   * In place of sent_to_connected, if those are others: hashes of the gateways' addresses.
+   * </pre>
+   *
+   * <code>repeated fixed32 sent_to = 8;</code>
+   * @return A list containing the sentTo.
+   */
+  java.util.List<java.lang.Integer> getSentToList();
+  /**
+   * <pre>
+   * In place of sent_to_connected, if those are others: hashes of the gateways' addresses.
+   * </pre>
+   *
+   * <code>repeated fixed32 sent_to = 8;</code>
+   * @return The count of sentTo.
+   */
+  int getSentToCount();
+  /**
+   * <pre>
+   * In place of sent_to_connected, if those are others: hashes of the gateways' addresses.
+   * </pre>
+   *
+   * <code>repeated fixed32 sent_to = 8;</code>
+   * @param index The index of the element to return.
+   * @return The sentTo at the given index.
+   */
+  int getSentTo(int index);
 }
