--- a/gateway/src/main/java/org/shallothold/gateway/forward/peer/PeerExchange.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/peer/PeerExchange.java
@@ -4,16 +4,20 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import java.net.InetSocketAddress;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 import org.jspecify.annotations.Nullable;
+import org.shallothold.core.publish.PublishedChanges;
 import org.shallothold.core.publish.PublishedItem;
 import org.shallothold.gateway.forward.MonotonicClock;
 import org.shallothold.gateway.forward.port.PublishedTopic;
@@ -29,6 +33,7 @@
 import org.shallothold.wire.proto.FleetNews;
 import org.shallothold.wire.proto.Hello;
 import org.shallothold.wire.proto.PublishedItems;
+import org.shallothold.wire.proto.PublishedRemoval;
 import org.shallothold.wire.proto.PublishedRequest;
 import org.shallothold.wire.proto.Role;
 import org.shallothold.wire.proto.SendPermitAnswer;
@@ -109,6 +114,9 @@
     /** Returns all known items of a topic. */
     List<PublishedItem> items(PublishedTopic topic);
 
+    /** Returns the changes of a topic after a revision. */
+    PublishedChanges changes(PublishedTopic topic, long afterRevision);
+
     /**
      * Applies all items of a topic as a peer knows them.
      *
@@ -119,18 +127,32 @@
     void itemsReceived(
         PublishedTopic topic, List<PublishedItem> items, long asOfRevision, String peer);
 
+    /**
+     * Applies the changes of a topic after a revision that this gateway knows.
+     *
+     * @param asOfRevision revision up to which the peer knows every change; newer than this
+     *     gateway's
+     * @param peer process id of the peer
+     */
+    void changesReceived(
+        PublishedTopic topic, PublishedChanges changes, long asOfRevision, String peer);
+
     /** Returns whether this gateway is leaving. */
     boolean isLeaving();
 
     /** Adds the evidence about crashes that a peer needs which may know nothing. */
     void describeEvidence(WorkChanges.Builder changes);
 
+    /** Adds recent evidence for peers that may have missed it; once in a while. */
+    void describeRepeatedEvidence(WorkChanges.Builder changes);
+
     /**
      * Applies evidence about crashes from a peer.
      *
      * @param peer process id of the peer
+     * @return what this gateway did not know yet, for other peers
      */
-    void evidenceReceived(String peer, CrashEvidence evidence);
+    Optional<CrashEvidence> evidenceReceived(String peer, CrashEvidence evidence);
 
     /** Called when the set of {@link PeerExchange#liveGateways} changed. */
     void gatewaysChanged();
@@ -142,9 +164,25 @@
     void answerReceived(SendPermitAnswer answer);
   }
 
+  /**
+   * Who a gateway is and where its peers are.
+   *
+   * @param processId id of the gateway's process
+   * @param failureDomain failure domain of the gateway's VM
+   * @param listenAddress address on which the gateway accepts peers, and which it sends to them
+   * @param seeds addresses of gateways to connect to first; the others are learned from them
+   */
+  public record Settings(
+      String processId,
+      String failureDomain,
+      InetSocketAddress listenAddress,
+      List<InetSocketAddress> seeds) {}
+
   private final EventLoopGroup group;
   private final EventLoop eventLoop;
   private final String processId;
+  private final String failureDomain;
+  private final PeerTraffic traffic;
   private final String ownAddress;
   private final Set<String> seeds = new HashSet<>();
   private final StateHandler handler;
@@ -164,11 +202,10 @@
   private long updateSentMillis = Long.MIN_VALUE / 2;
   private long announcedRevision;
 
-  private static final class OutgoingPeer {
-    private @Nullable PeerClient client;
-    private @Nullable PeerConnection connection;
-    private long disconnectedMillis = MonotonicClock.millis();
-  }
+  private final SentState sentState = new SentState();
+  private final Map<PeerConnection, ReceivedState> receivedStates = new HashMap<>();
+  private final EvidenceLedger evidenceLedger = new EvidenceLedger();
+  private final EvidenceRelay evidenceRelay;
 
   private static final class PeerStatus {
     private long updateReceivedMillis;
@@ -177,41 +214,39 @@
 
   private PeerExchange(
       EventLoop eventLoop,
-      String processId,
-      InetSocketAddress listenAddress,
-      List<InetSocketAddress> seedAddresses,
+      Settings settings,
       StateHandler handler,
+      PeerTraffic traffic,
       StructuredLog log) {
     this.group = eventLoop.parent();
     this.eventLoop = eventLoop;
-    this.processId = processId;
-    this.ownAddress = hostAndPort(listenAddress);
+    this.processId = settings.processId();
+    this.failureDomain = settings.failureDomain();
+    this.ownAddress = hostAndPort(settings.listenAddress());
+    this.evidenceRelay =
+        new EvidenceRelay(new SecondSources.Gateway(ownAddress, settings.failureDomain()));
     this.handler = handler;
+    this.traffic = traffic;
     this.log = log;
-    seedAddresses.stream().map(PeerExchange::hostAndPort).forEach(seeds::add);
+    settings.seeds().stream().map(PeerExchange::hostAndPort).forEach(seeds::add);
     seeds.remove(ownAddress);
   }
 
   /**
    * Starts to listen for peers and to connect to them.
    *
-   * @param processId id of this gateway's process
-   * @param listenAddress address on which this gateway accepts peers, and which it sends to them
-   * @param seeds addresses of gateways to connect to first; the others are learned from them
    * @throws IllegalStateException if the address can't be bound
    */
   public static PeerExchange start(
       EventLoop eventLoop,
-      String processId,
-      InetSocketAddress listenAddress,
-      List<InetSocketAddress> seeds,
+      Settings settings,
       StateHandler handler,
+      PeerTraffic traffic,
       StructuredLog log) {
-    PeerExchange exchange =
-        new PeerExchange(eventLoop, processId, listenAddress, seeds, handler, log);
+    PeerExchange exchange = new PeerExchange(eventLoop, settings, handler, traffic, log);
     PeerServer.bind(
         exchange.group,
-        listenAddress,
+        settings.listenAddress(),
         CONNECTION_LIMITS,
         exchange::hello,
         exchange.listener(null),
@@ -267,21 +302,16 @@
    */
   public double reachableFraction() {
     long now = MonotonicClock.millis();
-    long connected = outgoingPeers.values().stream().filter(PeerExchange::isConnected).count();
+    long connected = outgoingPeers.values().stream().filter(OutgoingPeer::isConnected).count();
     long lost =
         outgoingPeers.entrySet().stream()
-            .filter(entry -> !isConnected(entry.getValue()))
+            .filter(entry -> !entry.getValue().isConnected())
             .filter(entry -> !leavingSeenMillis.containsKey(entry.getKey()))
-            .filter(entry -> now - entry.getValue().disconnectedMillis <= ADDRESS_TIMEOUT_MILLIS)
+            .filter(entry -> now - entry.getValue().disconnectedMillis() <= ADDRESS_TIMEOUT_MILLIS)
             .count();
     return (1.0 + connected) / (1.0 + connected + lost);
   }
 
-  private static boolean isConnected(OutgoingPeer peer) {
-    PeerConnection connection = peer.connection;
-    return connection != null && connection.isOpen();
-  }
-
   /**
    * Asks the gateway at an address for a permit. Without a connection one is opened for later
    * requests.
@@ -299,9 +329,12 @@
       // The coordinator needs the end of a server that led to the question to answer it.
       sendChanges();
     }
-    PeerConnection connection = peer.connection;
+    PeerConnection connection = peer.connection().orElse(null);
     return connection != null
-        && connection.send(Envelope.newBuilder().setSendPermitRequest(request).build());
+        && send(
+            connection,
+            Envelope.newBuilder().setSendPermitRequest(request).build(),
+            PeerTraffic.Cause.PERMIT);
   }
 
   /**
@@ -319,9 +352,68 @@
     changesScheduled = false;
     WorkChanges.Builder changes = WorkChanges.newBuilder();
     handler.describeChanges(changes);
-    if (changes.getOpenWorkCount() > 0 || changes.hasCrashEvidence()) {
-      sendToAll(Envelope.newBuilder().setWorkChanges(changes).build());
+    if (changes.hasCrashEvidence()) {
+      evidenceLedger.recordChange();
     }
+    if (changes.hasCrashEvidence() || changes.getOpenWorkCount() > 0) {
+      sentState.changesSent(changes.build(), MonotonicClock.millis());
+      sendChangesTo(outgoingPeers.values(), changes.build(), PeerTraffic.Cause.CHANGE);
+    }
+    outgoingPeers.values().forEach(this::sendEvidenceOfOthers);
+  }
+
+  private void sendEvidenceOfOthers(OutgoingPeer peer) {
+    peer.takeEvidence()
+        .forEach(
+            (hops, evidence) ->
+                sendChangesTo(
+                    List.of(peer),
+                    WorkChanges.newBuilder().setCrashEvidence(evidence).setHops(hops).build(),
+                    PeerTraffic.Cause.RELAY));
+  }
+
+  private void sendChangesTo(
+      Collection<OutgoingPeer> receivers, WorkChanges changes, PeerTraffic.Cause cause) {
+    if (!changes.hasCrashEvidence() || changes.getHops() >= EvidenceRelay.MAX_HOPS) {
+      sendMessageTo(receivers, changes, cause);
+      return;
+    }
+    // The receivers need not pass evidence on to each other.
+    List<Integer> informed = writableAddressHashes();
+    boolean areTold = sentState.isConnectedTo(informed);
+    Map<Boolean, List<OutgoingPeer>> receiversByKnowledge =
+        receivers.stream()
+            .collect(
+                Collectors.partitioningBy(peer -> areTold && peer.hasUpdate(sentState.number())));
+    receiversByKnowledge.forEach(
+        (knowsInformed, peers) ->
+            sendMessageTo(
+                peers,
+                knowsInformed
+                    ? changes.toBuilder().setSentToConnected(true).build()
+                    : changes.toBuilder().addAllSentTo(informed).build(),
+                cause));
+  }
+
+  private void sendMessageTo(
+      Collection<OutgoingPeer> receivers, WorkChanges changes, PeerTraffic.Cause cause) {
+    ChangesMessage message = ChangesMessage.of(changes);
+    for (OutgoingPeer peer : receivers) {
+      Optional<PeerConnection> connection = peer.writableConnection();
+      if (connection.isPresent()) {
+        send(connection.get(), message.forPeer(connection.get().remoteHello()), cause);
+      } else {
+        peer.recordMissed(changes);
+      }
+    }
+  }
+
+  /** Returns hashes of the addresses of the peers that can be sent something now, in order. */
+  private List<Integer> writableAddressHashes() {
+    return outgoingPeers.values().stream()
+        .filter(peer -> peer.writableConnection().isPresent())
+        .map(OutgoingPeer::addressHash)
+        .toList();
   }
 
   private void maintain() {
@@ -333,12 +425,13 @@
     updateConnections();
     updateLiveGateways(now);
     long changedAtRevision = publishedChangedAtRevision();
-    if (changedAtRevision != announcedRevision
-        || now - updateSentMillis >= UPDATE_INTERVAL_MILLIS) {
+    boolean announces = changedAtRevision != announcedRevision;
+    if (announces || now - updateSentMillis >= UPDATE_INTERVAL_MILLIS) {
       announcedRevision = changedAtRevision;
       updateSentMillis = now;
-      sendUpdate();
+      sendUpdate(announces ? PeerTraffic.Cause.ANNOUNCEMENT : PeerTraffic.Cause.PERIODIC);
     }
+    repeatEvidence();
   }
 
   private void updateLiveGateways(long now) {
@@ -366,37 +459,64 @@
         handler.changedAtRevision(PublishedTopic.SERVERS));
   }
 
-  private void sendUpdate() {
+  private void sendUpdate(PeerTraffic.Cause cause) {
     FleetNews.Builder update =
         FleetNews.newBuilder()
             .setProcessId(processId)
             .setAddress(ownAddress)
             .setConfigurationChangedAt(handler.changedAtRevision(PublishedTopic.CONFIGURATION))
             .setServersChangedAt(handler.changedAtRevision(PublishedTopic.SERVERS))
-            .setLeaving(handler.isLeaving());
-    long now = MonotonicClock.millis();
-    addressSeenMillis.entrySet().stream()
-        .filter(entry -> !leavingSeenMillis.containsKey(entry.getKey()))
-        .forEach(
-            entry ->
-                update
-                    .addKnownAddresses(entry.getKey())
-                    .addKnownAddressAgeMillis((int) (now - entry.getValue())));
+            .setLeaving(handler.isLeaving())
+            .addAllConnectedTo(writableAddressHashes());
     handler.describe(update);
-    sendToAll(Envelope.newBuilder().setFleetNews(update).build());
+    long now = MonotonicClock.millis();
+    SentState.Update next = sentState.next(update.build(), knownAddressAges(now), now);
+    SizedEnvelope whole =
+        SizedEnvelope.of(Envelope.newBuilder().setFleetNews(next.whole()).build());
+    SizedEnvelope difference =
+        next.difference() == null
+            ? whole
+            : SizedEnvelope.of(Envelope.newBuilder().setFleetNews(next.difference()).build());
+    for (OutgoingPeer peer : outgoingPeers.values()) {
+      PeerConnection connection = peer.writableConnection().orElse(null);
+      if (connection != null) {
+        boolean isUpToDate =
+            ChangesMessage.isUnderstoodBy(connection.remoteHello())
+                && peer.hasUpdate(next.number() - 1);
+        send(connection, isUpToDate ? difference : whole, cause);
+        peer.recordUpdate(next.number());
+      }
+    }
   }
 
-  private void sendToAll(Envelope envelope) {
-    outgoingPeers.values().stream()
-        .map(peer -> peer.connection)
-        .filter(connection -> connection != null && connection.isWritable())
-        .forEach(connection -> send(connection, envelope));
+  /** Returns the time since each known address was last heard of, in milliseconds. */
+  private Map<String, Long> knownAddressAges(long now) {
+    Map<String, Long> ages = new TreeMap<>();
+    addressSeenMillis.forEach(
+        (address, seenMillis) -> {
+          if (!leavingSeenMillis.containsKey(address)) {
+            ages.put(address, now - seenMillis);
+          }
+        });
+    return ages;
   }
 
-  private static void send(@Nullable PeerConnection connection, Envelope envelope) {
-    if (connection != null) {
-      connection.send(envelope);
+  private boolean send(PeerConnection connection, Envelope envelope, PeerTraffic.Cause cause) {
+    return send(connection, SizedEnvelope.of(envelope), cause);
+  }
+
+  private boolean send(PeerConnection connection, SizedEnvelope message, PeerTraffic.Cause cause) {
+    boolean sent = connection.send(message.envelope());
+    if (sent) {
+      message.size().count(traffic, cause, distance(connection));
     }
+    return sent;
+  }
+
+  private PeerTraffic.Distance distance(PeerConnection connection) {
+    Hello hello = connection.remoteHello();
+    return PeerTraffic.Distance.between(
+        failureDomain, hello == null ? "" : hello.getFailureDomain());
   }
 
   /** Reports a peer as lost if its last update is too old; returns whether it is. */
@@ -430,8 +550,8 @@
     for (String address : List.copyOf(outgoingPeers.keySet())) {
       if (!chosen.contains(address)) {
         OutgoingPeer gone = outgoingPeers.remove(address);
-        if (gone != null && gone.client != null) {
-          gone.client.close();
+        if (gone != null) {
+          gone.close();
         }
       }
     }
@@ -440,9 +560,9 @@
 
   private void connect(String address) {
     int colon = address.lastIndexOf(':');
-    OutgoingPeer peer = new OutgoingPeer();
+    OutgoingPeer peer = new OutgoingPeer(address);
     outgoingPeers.put(address, peer);
-    peer.client =
+    peer.setClient(
         PeerClient.start(
             group,
             new InetSocketAddress(
@@ -450,11 +570,15 @@
             CONNECTION_LIMITS,
             this::hello,
             listener(peer),
-            null);
+            null));
   }
 
   private Hello hello() {
-    return Hello.newBuilder().setProcessId(processId).setRole(Role.ROLE_GATEWAY).build();
+    return Hello.newBuilder()
+        .setProcessId(processId)
+        .setRole(Role.ROLE_GATEWAY)
+        .setFailureDomain(failureDomain)
+        .build();
   }
 
   private PeerListener listener(@Nullable OutgoingPeer peer) {
@@ -464,7 +588,7 @@
         eventLoop.execute(
             () -> {
               if (peer != null) {
-                peer.connection = connection;
+                peer.connected(connection);
               }
               sendEvidence(connection);
             });
@@ -477,20 +601,17 @@
 
       @Override
       public void disconnected(PeerConnection connection) {
-        if (peer != null) {
-          eventLoop.execute(() -> clearConnection(peer, connection));
-        }
+        eventLoop.execute(
+            () -> {
+              receivedStates.remove(connection);
+              if (peer != null) {
+                peer.disconnected(connection);
+              }
+            });
       }
     };
   }
 
-  private static void clearConnection(OutgoingPeer peer, PeerConnection connection) {
-    if (peer.connection == connection) {
-      peer.connection = null;
-      peer.disconnectedMillis = MonotonicClock.millis();
-    }
-  }
-
   private void handle(PeerConnection connection, Envelope envelope) {
     switch (envelope.getMessageCase()) {
       case FLEET_NEWS -> handleUpdate(connection, envelope.getFleetNews());
@@ -505,7 +626,21 @@
     }
   }
 
-  private void handleUpdate(PeerConnection connection, FleetNews update) {
+  private void handleUpdate(PeerConnection connection, FleetNews received) {
+    Optional<FleetNews> complete =
+        receivedStates
+            .computeIfAbsent(connection, key -> new ReceivedState())
+            .complete(received, MonotonicClock.millis());
+    if (complete.isPresent()) {
+      applyUpdate(connection, complete.get());
+    } else if (connection.isOpen()) {
+      // The peer sends its whole state on a new connection.
+      log.add(LogLine.of("peer_difference_unusable").with("number", received.getNumber()));
+      connection.close();
+    }
+  }
+
+  private void applyUpdate(PeerConnection connection, FleetNews update) {
     long now = MonotonicClock.millis();
     PeerStatus known = peers.get(update.getProcessId());
     if (known == null) {
@@ -526,6 +661,11 @@
     }
     learnAddresses(update, now);
     handler.updateReceived(update);
+    if (update.hasCrashEvidence()) {
+      // Older builds repeat it in their updates.
+      handleEvidence(
+          update.getProcessId(), update.getCrashEvidence(), Set.of(), EvidenceRelay.MAX_HOPS);
+    }
     requestIfBehind(
         connection, PublishedTopic.CONFIGURATION, update.getConfigurationChangedAt(), now);
     requestIfBehind(connection, PublishedTopic.SERVERS, update.getServersChangedAt(), now);
@@ -556,32 +696,88 @@
   private void handlePermitRequest(PeerConnection connection, SendPermitRequest request) {
     Hello hello = connection.remoteHello();
     if (hello != null) {
-      connection.send(
+      send(
+          connection,
           Envelope.newBuilder()
               .setSendPermitAnswer(handler.answer(hello.getProcessId(), request))
-              .build());
+              .build(),
+          PeerTraffic.Cause.PERMIT);
     }
   }
 
-  private void handleChanges(PeerConnection connection, WorkChanges changes) {
+  private void handleChanges(PeerConnection connection, WorkChanges received) {
     Hello hello = connection.remoteHello();
     if (hello == null) {
       return;
     }
+    WorkChanges changes = CompactForm.expand(received);
+    ReceivedState state = receivedStates.get(connection);
+    if (state != null) {
+      state.changesReceived(changes, MonotonicClock.millis());
+    }
     if (changes.hasCrashEvidence()) {
-      handler.evidenceReceived(hello.getProcessId(), changes.getCrashEvidence());
+      Set<Integer> informed =
+          changes.getSentToConnected() && state != null
+              ? Set.copyOf(state.connectedTo())
+              : Set.copyOf(changes.getSentToList());
+      handleEvidence(hello.getProcessId(), changes.getCrashEvidence(), informed, changes.getHops());
     }
     if (peers.containsKey(hello.getProcessId())) {
       handler.changesReceived(hello.getProcessId(), changes);
     }
   }
 
+  /** Applies evidence and passes on what is new. */
+  private void handleEvidence(
+      String source, CrashEvidence evidence, Set<Integer> informed, int hops) {
+    handler
+        .evidenceReceived(source, evidence)
+        .ifPresent(
+            learned -> {
+              evidenceLedger.recordChange();
+              evidenceRelay.passOn(learned, source, informed, hops, outgoingPeers.values());
+              announceChanges();
+            });
+  }
+
+  /**
+   * Sends evidence again: all of it to peers that missed some, and now and then recent evidence.
+   */
+  private void repeatEvidence() {
+    outgoingPeers.values().stream()
+        .filter(OutgoingPeer::hasMissedEvidence)
+        .forEach(
+            peer ->
+                peer.writableConnection()
+                    .ifPresent(
+                        connection -> {
+                          peer.recordAllEvidence();
+                          sendEvidence(connection);
+                        }));
+    WorkChanges.Builder changes = WorkChanges.newBuilder().setHops(EvidenceRelay.MAX_HOPS);
+    handler.describeRepeatedEvidence(changes);
+    if (changes.hasCrashEvidence()) {
+      sendChangesTo(
+          evidenceRelay.secondSourcePeers(outgoingPeers.values()),
+          changes.build(),
+          PeerTraffic.Cause.PERIODIC);
+    }
+  }
+
   /** Tells a peer that may have just started what is known, before its requests do harm. */
   private void sendEvidence(PeerConnection connection) {
-    WorkChanges.Builder evidence = WorkChanges.newBuilder();
+    Hello hello = connection.remoteHello();
+    if (hello == null || evidenceLedger.hasAll(hello.getProcessId(), MonotonicClock.millis())) {
+      return;
+    }
+    WorkChanges.Builder evidence = WorkChanges.newBuilder().setHops(EvidenceRelay.MAX_HOPS);
     handler.describeEvidence(evidence);
     if (evidence.hasCrashEvidence()) {
-      connection.send(Envelope.newBuilder().setWorkChanges(evidence).build());
+      send(
+          connection,
+          ChangesMessage.of(evidence.build()).forPeer(hello),
+          PeerTraffic.Cause.CONNECTION);
+      evidenceLedger.recordSent(hello.getProcessId(), connection, MonotonicClock.millis());
     }
   }
 
@@ -601,11 +797,16 @@
     if ((nothingKnown || now - sinceMillis >= PLATFORM_GRACE_MILLIS)
         && now - lastRequestMillis >= MIN_REQUEST_INTERVAL_MILLIS) {
       lastRequestMillis = now;
-      connection.send(
+      send(
+          connection,
           Envelope.newBuilder()
               .setPublishedRequest(
-                  PublishedRequest.newBuilder().setTopic(toProto(topic)).setAsOf(ownRevision))
-              .build());
+                  PublishedRequest.newBuilder()
+                      .setTopic(toProto(topic))
+                      .setAsOf(ownRevision)
+                      .setAcceptsChanges(true))
+              .build(),
+          PeerTraffic.Cause.PUBLISHED);
     }
   }
 
@@ -618,8 +819,23 @@
         PublishedItems.newBuilder()
             .setTopic(request.getTopic())
             .setAsOf(handler.asOfRevision(topic));
-    handler.items(topic).forEach(item -> items.addItems(toProto(item)));
-    connection.send(Envelope.newBuilder().setPublishedItems(items).build());
+    if (request.getAcceptsChanges() && request.getAsOf() > 0) {
+      PublishedChanges changes = handler.changes(topic, request.getAsOf());
+      items.setChangesSince(request.getAsOf());
+      changes.items().forEach(item -> items.addItems(toProto(item)));
+      changes
+          .removedRevisions()
+          .forEach(
+              (key, revision) ->
+                  items.addRemovals(
+                      PublishedRemoval.newBuilder().setKey(key).setRevision(revision)));
+    } else {
+      handler.items(topic).forEach(item -> items.addItems(toProto(item)));
+    }
+    send(
+        connection,
+        Envelope.newBuilder().setPublishedItems(items).build(),
+        PeerTraffic.Cause.PUBLISHED);
   }
 
   private void handleItems(PeerConnection connection, PublishedItems items) {
@@ -635,7 +851,19 @@
                     new PublishedItem(
                         item.getKey(), item.getValue().toByteArray(), item.getRevision()))
             .toList();
-    handler.itemsReceived(topic, decoded, items.getAsOf(), hello.getProcessId());
+    if (!items.hasChangesSince()) {
+      handler.itemsReceived(topic, decoded, items.getAsOf(), hello.getProcessId());
+    } else if (items.getChangesSince() <= handler.asOfRevision(topic)) {
+      Map<String, Long> removedRevisions = new TreeMap<>();
+      items
+          .getRemovalsList()
+          .forEach(removal -> removedRevisions.put(removal.getKey(), removal.getRevision()));
+      handler.changesReceived(
+          topic,
+          new PublishedChanges(decoded, removedRevisions),
+          items.getAsOf(),
+          hello.getProcessId());
+    }
   }
 
   private static org.shallothold.wire.proto.PublishedItem toProto(PublishedItem item) {
