Bound the memory that callers' requests occupy in the platform's gateway

Cause: heads, trailers and pipelined requests were bounded by their bytes, each, and nothing bounded the sum of what their lines occupy on the heap.

Change: `RequestMemoryBudget`, one per process, of the same size as the budget for responses. The decoder's header fields count each line while it is read; bodies, pipelined messages and the copy of the head for a server count too. On a shortage the large and unsent ones go first: 503 `memory_full`, 502, or a closed connection. Readiness and metrics take 64 lines. A request that goes on without its caller gives its head and body back, which nothing counted.

--- a/gateway/src/main/java/org/shallothold/gateway/forward/ForwardGauges.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/ForwardGauges.java
@@ -2,10 +2,13 @@
 
 import io.prometheus.metrics.core.metrics.Gauge;
 import java.util.Locale;
+import java.util.Map;
 import org.shallothold.core.memory.MemoryBudget;
+import org.shallothold.core.memory.RequestMemoryBudget;
 import org.shallothold.core.placement.TrackedServer;
 import org.shallothold.core.rate.RateObservation;
 import org.shallothold.core.route.RouteConfiguration;
+import org.shallothold.gateway.forward.caller.RequestMemoryState;
 import org.shallothold.gateway.forward.port.PublishedTopic;
 import org.shallothold.runtime.metrics.Metrics;
 
@@ -33,6 +36,7 @@
   private final Gauge partTrials;
   private final Gauge peerUpdateAge;
   private final Gauge bufferBytes;
+  private final Gauge requestMemory;
   private final Gauge openRequests;
   private final Gauge callerConnections;
   private final Gauge logLinesDropped;
@@ -104,6 +108,11 @@
             "shallothold_buffer_bytes",
             "Memory of buffered requests and responses: in use, highest use, and limit.",
             "kind");
+    requestMemory =
+        metrics.gauge(
+            "shallothold_request_memory_bytes",
+            "Memory that callers' requests occupy: by state, highest use, and limit.",
+            "kind");
     openRequests =
         metrics.gauge("shallothold_forwarded_open_requests", "Requests without an end yet.");
     callerConnections =
@@ -149,6 +158,9 @@
     bufferBytes.labelValues("used").set((double) memory.usedBytes());
     bufferBytes.labelValues("peak").set((double) memory.peakBytes());
     bufferBytes.labelValues("limit").set((double) memory.limitBytes());
+    RequestMemoryBudget requests = forwarder.requestMemory();
+    requestMemory.labelValues("peak").set((double) requests.peakBytes());
+    requestMemory.labelValues("limit").set((double) requests.limitBytes());
     sendPermits.set(forwarder.rateLimits().permits());
     restrictedParts.clear();
     forwarder
@@ -167,6 +179,15 @@
                 retries.labelValues(service).set(budget.retriesInWindow(nowMillis)));
   }
 
+  /** Updates the gauges of the memory that callers' requests occupy. */
+  void updateRequestMemory(Map<RequestMemoryState, Long> bytesByState) {
+    for (RequestMemoryState state : RequestMemoryState.values()) {
+      requestMemory
+          .labelValues(state.name().toLowerCase(Locale.ROOT))
+          .set((double) bytesByState.getOrDefault(state, 0L));
+    }
+  }
+
   /**
    * Updates the gauges of peers, callers and the log.
    *
--- a/gateway/src/main/java/org/shallothold/gateway/forward/ForwardMetrics.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/ForwardMetrics.java
@@ -20,6 +20,7 @@
   final Counter additionalBytes;
   final Counter foreignBytes;
   final Counter buffersShed;
+  final Counter requestMemoryShortages;
   final Counter serverEnds;
   final Counter partStandingChanges;
   final Counter requestsBlockedForPart;
@@ -78,6 +79,11 @@
             "shallothold_buffers_shed_total",
             "Responses given up because the memory for buffers was used up.",
             "service");
+    requestMemoryShortages =
+        metrics.counter(
+            "shallothold_request_memory_shortages_total",
+            "Requests refused, or ended for others, because the memory for requests was used up.",
+            "action");
     serverEnds =
         metrics.counter(
             "shallothold_server_ends_total",
--- a/gateway/src/main/java/org/shallothold/gateway/forward/ForwardedRequest.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/ForwardedRequest.java
@@ -49,6 +49,8 @@
   private static final long NO_SERVER_RETRY_AFTER_MILLIS = 400;
   // Another gateway can accept the request at once.
   private static final long LEAVING_RETRY_AFTER_MILLIS = 20;
+  // Another gateway probably has memory left.
+  private static final long MEMORY_RETRY_AFTER_MILLIS = 100;
   // With less time left, a retry can't be answered before the deadline.
   static final long MIN_TIME_FOR_RETRY_MILLIS = 20;
   // Servers reject requests at once, so a few more can be tried without much delay.
@@ -75,6 +77,7 @@
   private @Nullable Attempt currentAttempt;
   private @Nullable String queuedService;
   private boolean ended;
+  private boolean requestReleased;
   private boolean firstEventOverdue;
   private boolean heldForRate;
   private @Nullable ScheduledFuture<?> deadlineTimer;
@@ -183,7 +186,8 @@
         && matchedRoute.kind() == CallKind.ONCE
         && current.isSent()) {
       // The server runs the request in any case. Closing the connection would not stop it, and the
-      // gateway would not learn the outcome.
+      // gateway would not learn the outcome. It isn't sent again, so nothing else of it is needed.
+      releaseRequest();
       return;
     }
     if (current != null) {
@@ -192,6 +196,27 @@
     end("caller_left", "", false);
   }
 
+  @Override
+  public boolean mayHaveRun() {
+    return progress.possibleRuns > 0;
+  }
+
+  @Override
+  public void memoryNeeded() {
+    endWithoutResponse(
+        HttpResponseStatus.BAD_GATEWAY,
+        Verdict.notRun(ReasonCode.MEMORY_FULL, MEMORY_RETRY_AFTER_MILLIS));
+  }
+
+  /** Gives the memory of the head and the body back. */
+  private void releaseRequest() {
+    if (!requestReleased) {
+      requestReleased = true;
+      request.head().headers().clear();
+      request.body().release();
+    }
+  }
+
   @Override
   public void writabilityChanged() {
     Attempt current = currentAttempt;
@@ -557,7 +582,7 @@
     if (deadlineTimer != null) {
       deadlineTimer.cancel(false);
     }
-    request.body().release();
+    releaseRequest();
     Route matchedRoute = route;
     String name = matchedRoute == null ? "" : matchedRoute.name();
     forwarder.metrics().requests.labelValues(name, outcome, cause).inc();
--- a/gateway/src/main/java/org/shallothold/gateway/forward/Forwarder.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/Forwarder.java
@@ -9,6 +9,7 @@
 import java.util.function.IntSupplier;
 import org.shallothold.core.drain.ResponseTimes;
 import org.shallothold.core.memory.MemoryBudget;
+import org.shallothold.core.memory.RequestMemoryBudget;
 import org.shallothold.core.placement.EngineEstimator;
 import org.shallothold.core.placement.EnginePlacementPolicy;
 import org.shallothold.core.placement.PlacementPolicy;
@@ -48,6 +49,8 @@
   private final PromptPartQuarantine promptParts;
   private final ServerEndDetector serverEnds;
   private final MemoryBudget memory;
+  private final RequestMemoryBudget requestMemory;
+  private final RequestMemoryWatch requestMemoryWatch;
 
   private final Map<String, ServiceQueue> queuesByService = new HashMap<>();
   private final Map<String, FleetRetryBudget> retryBudgetsByService = new HashMap<>();
@@ -78,6 +81,8 @@
     this.gatewayCount = gatewayCount;
     this.prefixReads = prefixReads;
     this.memory = MemoryBudget.of(options.bufferBytes());
+    this.requestMemory = RequestMemoryBudget.of(options.bufferBytes());
+    this.requestMemoryWatch = new RequestMemoryWatch(requestMemory, log, metrics);
     this.rateLimits = new StatedRateLimits(state.statedRates(), log, metrics);
     rateLimits.setAnswerListener(this::permitAnswered);
     // Peers are told at once.
@@ -112,6 +117,7 @@
   void maintain() {
     serverEnds.maintain();
     promptParts.maintain();
+    requestMemoryWatch.maintain(MonotonicClock.millis());
   }
 
   private void permitAnswered(String serverId, long requestNumber) {
@@ -149,6 +155,11 @@
     return memory;
   }
 
+  @Override
+  public RequestMemoryBudget requestMemory() {
+    return requestMemory;
+  }
+
   /** Records that a response was given up because the memory for buffers is used up. */
   void bufferShed(String service, String serverId, RequestTrace trace, int bytes) {
     metrics.buffersShed.labelValues(service).inc();
--- a/gateway/src/main/java/org/shallothold/gateway/forward/ForwardingGateway.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/ForwardingGateway.java
@@ -221,6 +221,7 @@
     long nowMillis = MonotonicClock.millis();
     gauges.updateRoutingState(state, nowMillis);
     gauges.updateRequests(forwarder, nowMillis);
+    gauges.updateRequestMemory(callerListener.requestMemory());
     gauges.updateProcess(
         gatewayCount(),
         peerExchange == null ? 0 : peerExchange.oldestUpdateAgeMillis(),
--- a/gateway/src/main/java/org/shallothold/gateway/forward/StatusListener.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/StatusListener.java
@@ -11,6 +11,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
@@ -18,9 +19,12 @@
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.timeout.IdleStateEvent;
+import io.netty.handler.timeout.IdleStateHandler;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.function.Function;
+import org.shallothold.gateway.headers.HeaderCounter;
 import org.shallothold.wire.connection.Transport;
 
 /** A small HTTP server for one endpoint about this process, such as readiness or metrics. */
@@ -39,8 +43,17 @@
     }
   }
 
+  // Far above what a poller sends; anyone may connect, and each line occupies some hundred bytes.
+  private static final int MAX_HEADER_LINES = 64;
+  // Longer than usual scrape intervals.
+  private static final int IDLE_SECONDS = 120;
+
   private StatusListener() {}
 
+  private static HttpDecoderConfig requestLimits() {
+    return HeaderCounter.ofLines(MAX_HEADER_LINES).countWith(new HttpDecoderConfig());
+  }
+
   /**
    * Binds the address and serves requests until the event loop group shuts down.
    *
@@ -60,7 +73,8 @@
                   protected void initChannel(Channel channel) {
                     channel
                         .pipeline()
-                        .addLast(new HttpServerCodec())
+                        .addLast(new HttpServerCodec(requestLimits()))
+                        .addLast(new IdleStateHandler(0, 0, IDLE_SECONDS))
                         .addLast(new Handler(responder));
                   }
                 })
@@ -81,6 +95,10 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
+      if (message.decoderResult().isFailure()) {
+        context.close();
+        return;
+      }
       if (!(message instanceof HttpRequest request)) {
         return;
       }
@@ -99,6 +117,13 @@
       }
     }
 
+    @Override
+    public void userEventTriggered(ChannelHandlerContext context, Object event) {
+      if (event instanceof IdleStateEvent) {
+        context.close();
+      }
+    }
+
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
       context.close();
--- a/gateway/src/main/java/org/shallothold/gateway/forward/caller/CallerConnection.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/caller/CallerConnection.java
@@ -26,20 +26,25 @@
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.ScheduledFuture;
+import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.shallothold.core.memory.MemoryBudget;
+import org.shallothold.core.memory.RequestMemoryBudget;
 import org.shallothold.core.verdict.ReasonCode;
 import org.shallothold.core.verdict.Verdict;
+import org.shallothold.gateway.headers.HeaderCounter;
+import org.shallothold.gateway.headers.RequestMemoryException;
 
 /**
  * An HTTP/1.1 connection of a caller. Passes on one request at a time and writes its response;
  * pipelined requests wait until the response to the previous one is complete. Not thread-safe; used
  * on the event loop only.
  */
-final class CallerConnection extends ChannelInboundHandlerAdapter implements CallerExchange {
+final class CallerConnection extends ChannelInboundHandlerAdapter
+    implements CallerExchange, RequestMemoryBudget.Holder {
 
   // Bounds the memory for a caller that pipelines requests without reading the responses; its
   // connection is closed.
@@ -50,8 +55,7 @@
   private final CallerService service;
   private final Channel channel;
   private final Deque<Object> queuedMessages = new ArrayDeque<>();
-  private final MemoryBudget.Reservation bodyMemory;
-  private final MemoryBudget.Reservation queueMemory;
+  private final CallerMemory requestMemory;
   private final MemoryBudget.Reservation outputMemory;
 
   private @Nullable HttpRequest head;
@@ -61,6 +65,7 @@
   private boolean responsePending;
   private boolean keepAlive = true;
   private boolean closing;
+  private boolean droppingRequests;
   private boolean understandsChunks = true;
   private long unwrittenAtIdleCheck = Long.MAX_VALUE;
   private @Nullable ScheduledFuture<?> timer;
@@ -68,11 +73,24 @@
   CallerConnection(CallerService service, Channel channel) {
     this.service = service;
     this.channel = channel;
-    this.bodyMemory = service.memory().reserve();
-    this.queueMemory = service.memory().reserve();
+    this.requestMemory =
+        new CallerMemory(
+            service.requestMemory().reserve(addressOf(channel), this),
+            service.limits().maxHeaderLines());
     this.outputMemory = service.memory().reserve();
   }
 
+  private static Object addressOf(Channel channel) {
+    return channel.remoteAddress() instanceof InetSocketAddress address
+        ? address.getAddress()
+        : channel.id();
+  }
+
+  /** Returns the counter of header lines for the decoder in front of this handler. */
+  HeaderCounter headerCounter() {
+    return requestMemory;
+  }
+
   @Override
   public void channelActive(ChannelHandlerContext context) {
     startIdleTimer();
@@ -80,7 +98,7 @@
 
   @Override
   public void channelRead(ChannelHandlerContext context, Object message) {
-    if (closing) {
+    if (closing || droppingRequests) {
       ReferenceCountUtil.release(message);
     } else if (responsePending || !queuedMessages.isEmpty()) {
       queue(message);
@@ -91,7 +109,7 @@
 
   private void queue(Object message) {
     if (queuedMessages.size() >= MAX_QUEUED_MESSAGES
-        || !queueMemory.resize(queueMemory.bytes() + contentBytes(message))) {
+        || !requestMemory.addUnread(contentBytes(message))) {
       ReferenceCountUtil.release(message);
       channel.close();
       return;
@@ -115,9 +133,8 @@
     closing = true;
     stopTimer();
     releaseRequest();
-    queuedMessages.forEach(ReferenceCountUtil::release);
-    queuedMessages.clear();
-    queueMemory.close();
+    releaseQueuedMessages();
+    requestMemory.close();
     outputMemory.close();
     CallerRequestListener current = listener;
     listener = null;
@@ -126,6 +143,67 @@
     }
   }
 
+  private void releaseQueuedMessages() {
+    queuedMessages.forEach(ReferenceCountUtil::release);
+    queuedMessages.clear();
+  }
+
+  @Override
+  public boolean mayHaveRun() {
+    CallerRequestListener current = listener;
+    return current != null && !pipelinedIsLarger() && current.mayHaveRun();
+  }
+
+  /** Returns whether pipelined requests occupy more than the one that is being answered. */
+  private boolean pipelinedIsLarger() {
+    return requestMemory.unreadBytes() > requestMemory.requestBytes();
+  }
+
+  /** Returns whether a request is being answered, as opposed to one being received. */
+  boolean isAnswering() {
+    return responsePending;
+  }
+
+  /** Returns the memory that the connection's requests occupy, in bytes. */
+  long requestMemoryBytes() {
+    return requestMemory.unreadBytes() + requestMemory.requestBytes();
+  }
+
+  /**
+   * Gives up the pipelined requests or the one that is being answered, whatever is larger, or else
+   * refuses the one that is being received.
+   */
+  @Override
+  public void shed() {
+    CallerRequestListener current = listener;
+    if (!responsePending) {
+      refuseForMemory();
+    } else if (pipelinedIsLarger()) {
+      dropPipelinedRequests();
+    } else if (current != null) {
+      requestMemory.restore();
+      current.memoryNeeded();
+    } else {
+      channel.close();
+    }
+  }
+
+  /** Drops the requests behind the one that is being answered; the caller sees a close after it. */
+  private void dropPipelinedRequests() {
+    service.requestRejected(ReasonCode.MEMORY_FULL);
+    droppingRequests = true;
+    keepAlive = false;
+    releaseQueuedMessages();
+    requestMemory.dropUnread();
+  }
+
+  private void refuseForMemory() {
+    reject(
+        HttpResponseStatus.SERVICE_UNAVAILABLE,
+        ReasonCode.MEMORY_FULL,
+        Verdict.notRun(ReasonCode.MEMORY_FULL, MEMORY_RETRY_AFTER_MILLIS));
+  }
+
   @Override
   public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
     channel.close();
@@ -244,6 +322,9 @@
       if (message instanceof HttpContent content && !closing) {
         readContent(content);
       }
+      if (message instanceof LastHttpContent content) {
+        requestMemory.trailersRead(content);
+      }
     } finally {
       ReferenceCountUtil.release(message);
     }
@@ -255,6 +336,7 @@
       reject(request.decoderResult().cause());
       return;
     }
+    requestMemory.headRead(request);
     if (!RequestFraming.isUnambiguous(request)) {
       reject(HttpResponseStatus.BAD_REQUEST, ReasonCode.MALFORMED_REQUEST);
       return;
@@ -279,7 +361,7 @@
       return;
     }
     if (content.decoderResult().isFailure()) {
-      reject(HttpResponseStatus.BAD_REQUEST, ReasonCode.MALFORMED_REQUEST);
+      reject(content.decoderResult().cause());
       return;
     }
     ByteBuf bytes = content.content();
@@ -291,11 +373,8 @@
         reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, ReasonCode.BODY_TOO_LARGE);
         return;
       }
-      if (!bodyMemory.resize(length)) {
-        reject(
-            HttpResponseStatus.SERVICE_UNAVAILABLE,
-            ReasonCode.MEMORY_FULL,
-            Verdict.notRun(ReasonCode.MEMORY_FULL, MEMORY_RETRY_AFTER_MILLIS));
+      if (!requestMemory.resizeRequest(requestMemory.requestBytes() + bytes.readableBytes())) {
+        refuseForMemory();
         return;
       }
       all.writeBytes(bytes);
@@ -306,6 +385,10 @@
   }
 
   private void submit(HttpRequest request) {
+    if (!requestMemory.addCopy(request)) {
+      refuseForMemory();
+      return;
+    }
     stopTimer();
     ByteBuf content = body == null ? Unpooled.EMPTY_BUFFER : body;
     head = null;
@@ -322,7 +405,7 @@
 
   private void responseCompleted() {
     responsePending = false;
-    bodyMemory.close();
+    requestMemory.requestDone();
     if (!keepAlive) {
       closeAfterWrites();
       return;
@@ -334,7 +417,7 @@
   private void readQueuedMessages() {
     while (!responsePending && !closing && !queuedMessages.isEmpty()) {
       Object message = queuedMessages.removeFirst();
-      queueMemory.resize(queueMemory.bytes() - contentBytes(message));
+      requestMemory.removeUnread(contentBytes(message));
       read(message);
     }
   }
@@ -349,6 +432,8 @@
   private void reject(Throwable cause) {
     if (cause instanceof TooLongHttpHeaderException || cause instanceof TooLongHttpLineException) {
       reject(HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, ReasonCode.HEADERS_TOO_LARGE);
+    } else if (cause instanceof RequestMemoryException) {
+      refuseForMemory();
     } else {
       reject(HttpResponseStatus.BAD_REQUEST, ReasonCode.MALFORMED_REQUEST);
     }
@@ -361,6 +446,7 @@
   private void reject(HttpResponseStatus status, ReasonCode reason, Verdict verdict) {
     service.requestRejected(reason);
     releaseRequest();
+    requestMemory.dropUnread();
     keepAlive = false;
     Refusal refusal = Refusal.of(status, verdict);
     sendResponse(refusal.status(), refusal.headers(), refusal.body());
@@ -370,7 +456,6 @@
     if (body != null) {
       body.release();
     }
-    bodyMemory.close();
     body = null;
     head = null;
   }
--- a/gateway/src/main/java/org/shallothold/gateway/forward/caller/CallerListener.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/caller/CallerListener.java
@@ -1,16 +1,21 @@
 package org.shallothold.gateway.forward.caller;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpServerCodec;
 import java.net.InetSocketAddress;
+import java.util.EnumMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
+import java.util.stream.Collectors;
 import org.jspecify.annotations.Nullable;
 import org.shallothold.wire.connection.Transport;
 
@@ -20,6 +25,10 @@
   private static final int MAX_REQUEST_LINE_BYTES = 8 * 1024;
   private static final int MAX_CHUNK_BYTES = 64 * 1024;
   private static final int ACCEPT_BACKLOG = 1_024;
+  // A header line that is not complete keeps the whole buffer that it was read into.
+  private static final int MIN_READ_BYTES = 64;
+  private static final int INITIAL_READ_BYTES = 2 * 1024;
+  private static final int MAX_READ_BYTES = 16 * 1024;
 
   private final Set<CallerConnection> connections = new HashSet<>();
   private @Nullable CallerService service;
@@ -45,6 +54,10 @@
             .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
             .option(ChannelOption.AUTO_READ, false)
             .childOption(ChannelOption.TCP_NODELAY, true)
+            .childOption(
+                ChannelOption.RCVBUF_ALLOCATOR,
+                new AdaptiveRecvByteBufAllocator(
+                    MIN_READ_BYTES, INITIAL_READ_BYTES, MAX_READ_BYTES))
             .childHandler(
                 new ChannelInitializer<Channel>() {
                   @Override
@@ -104,17 +117,30 @@
     return connections.size();
   }
 
+  /** Returns the memory of requests, in bytes, by what happens to them. */
+  public Map<RequestMemoryState, Long> requestMemory() {
+    return connections.stream()
+        .collect(
+            Collectors.groupingBy(
+                RequestMemoryState::of,
+                () -> new EnumMap<>(RequestMemoryState.class),
+                Collectors.summingLong(CallerConnection::requestMemoryBytes)));
+  }
+
   private void initialize(Channel channel) {
     CallerService currentService = Objects.requireNonNull(service);
     CallerConnection connection = new CallerConnection(currentService, channel);
     connections.add(connection);
     channel.closeFuture().addListener(ignored -> connections.remove(connection));
     int maxHeadBytes = currentService.limits().maxHeaderBytes();
+    HttpDecoderConfig decoding =
+        new HttpDecoderConfig()
+            .setMaxInitialLineLength(Math.min(MAX_REQUEST_LINE_BYTES, maxHeadBytes))
+            .setMaxHeaderSize(maxHeadBytes)
+            .setMaxChunkSize(MAX_CHUNK_BYTES);
     channel
         .pipeline()
-        .addLast(
-            new HttpServerCodec(
-                Math.min(MAX_REQUEST_LINE_BYTES, maxHeadBytes), maxHeadBytes, MAX_CHUNK_BYTES))
+        .addLast(new HttpServerCodec(connection.headerCounter().countWith(decoding)))
         .addLast(connection);
   }
 }
--- a/gateway/src/main/java/org/shallothold/gateway/forward/caller/CallerRequestListener.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/caller/CallerRequestListener.java
@@ -8,4 +8,10 @@
 
   /** Called when {@link CallerExchange#isWritable} changed. */
   void writabilityChanged();
+
+  /** Returns whether a server may have run the request. */
+  boolean mayHaveRun();
+
+  /** Called to end the request because the memory that it occupies is needed for others. */
+  void memoryNeeded();
 }
--- a/gateway/src/main/java/org/shallothold/gateway/forward/caller/CallerService.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/caller/CallerService.java
@@ -1,6 +1,7 @@
 package org.shallothold.gateway.forward.caller;
 
 import org.shallothold.core.memory.MemoryBudget;
+import org.shallothold.core.memory.RequestMemoryBudget;
 import org.shallothold.core.route.CallerLimits;
 import org.shallothold.core.verdict.ReasonCode;
 
@@ -21,9 +22,12 @@
   /** Returns the limits in force for requests and connections of callers. */
   CallerLimits limits();
 
-  /** Returns the memory that buffers of requests and responses share. */
+  /** Returns the memory that buffers of responses share. */
   MemoryBudget memory();
 
+  /** Returns the memory that callers' requests share. */
+  RequestMemoryBudget requestMemory();
+
   /** Returns whether connections are to be closed after their next response. */
   boolean isLeaving();
 }
--- a/gateway/src/test/java/org/shallothold/gateway/forward/caller/CallerListenerTest.java
+++ b/gateway/src/test/java/org/shallothold/gateway/forward/caller/CallerListenerTest.java
@@ -16,6 +16,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.shallothold.core.memory.MemoryBudget;
+import org.shallothold.core.memory.RequestMemoryBudget;
 import org.shallothold.core.route.CallerLimits;
 import org.shallothold.core.verdict.ReasonCode;
 import org.shallothold.wire.connection.Transport;
@@ -34,6 +35,7 @@
   private static final class NoContentService implements CallerService {
 
     private final MemoryBudget memory = MemoryBudget.of(1_000_000);
+    private final RequestMemoryBudget requestMemory = RequestMemoryBudget.of(1_000_000);
 
     @Override
     public CallerRequestListener accept(CallerRequest request, CallerExchange exchange) {
@@ -46,6 +48,14 @@
 
         @Override
         public void writabilityChanged() {}
+
+        @Override
+        public boolean mayHaveRun() {
+          return false;
+        }
+
+        @Override
+        public void memoryNeeded() {}
       };
     }
 
@@ -62,6 +72,11 @@
       return memory;
     }
 
+    @Override
+    public RequestMemoryBudget requestMemory() {
+      return requestMemory;
+    }
+
     @Override
     public boolean isLeaving() {
       return false;
