--- a/core/src/test/java/org/shallothold/core/placement/SpeedPlacementTest.java
+++ b/core/src/test/java/org/shallothold/core/placement/SpeedPlacementTest.java
@@ -116,7 +116,11 @@
         AdmissionDecision decision =
             EngineAdmission.decide(
                 new EngineAdmission.AdmissionRequest(
-                    request.profile(), now - request.arrivedMillis(), 10_000, false),
+                    request.profile(),
+                    now - request.arrivedMillis(),
+                    10_000,
+                    false,
+                    EngineAdmission.AdmissionRequest.ANY_DECODE_TIME),
                 placement,
                 queuedMillis,
                 urgent);
--- a/gateway/src/test/java/org/shallothold/gateway/forward/PeerTrafficProgram.java
+++ b/gateway/src/test/java/org/shallothold/gateway/forward/PeerTrafficProgram.java
@@ -179,6 +179,7 @@
                 List.of(seed),
                 new ForwardOptions.RetryLimit(0.2, 100, 10_000),
                 8_000,
+                false,
                 32L * 1024 * 1024),
             new TestTranslation(),
             new Decoder(),
