Choose second sources outside the failure domain of the evidence's source

Cause: a domain that is newly cut off from the source's got evidence only with the next repetition where its second sources were in the source's domain too. Change: the second source in another domain is not in that of the source if there is a third. Whole states go to all peers every 100 updates instead of 50.

--- a/gateway/src/main/java/org/shallothold/gateway/forward/peer/EvidenceRelay.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/peer/EvidenceRelay.java
@@ -2,11 +2,12 @@
 
 import java.util.Collection;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.function.Predicate;
-import org.shallothold.wire.proto.CrashEvidence;
 
-/** Decides to which peers a gateway passes on the evidence that it got from another one. */
+/** Decides to which gateways evidence from another one is passed on. Immutable. */
 final class EvidenceRelay {
 
   /**
@@ -17,6 +18,8 @@
    */
   static final int MAX_HOPS = 4;
 
+  private static final String NO_DOMAIN = "";
+
   private final SecondSources.Gateway own;
 
   EvidenceRelay(SecondSources.Gateway own) {
@@ -24,39 +27,40 @@
   }
 
   /**
-   * Adds new evidence to what is sent next to the peers that don't get it from elsewhere, and to
-   * those of which this gateway is a second source.
+   * Returns the addresses of the gateways to which new evidence is passed on, each with the number
+   * of hops to tell it: those that don't get it from elsewhere, and those of which this gateway is
+   * a second source.
    *
-   * @param source process id of the sender
+   * @param connected gateways to which this one is connected, without the sender
    * @param informed hashes of the addresses of the gateways that get it from elsewhere
    * @param hops gateways that had passed it on
+   * @param sourceDomain failure domain of the sender
    */
-  void passOn(
-      CrashEvidence learned,
-      String source,
+  Map<String, Integer> receivers(
+      Collection<SecondSources.Gateway> connected,
       Set<Integer> informed,
       int hops,
-      Collection<OutgoingPeer> peers) {
+      String sourceDomain) {
+    Map<String, Integer> hopsByAddress = new TreeMap<>();
     if (hops >= MAX_HOPS) {
-      return;
+      return hopsByAddress;
     }
-    List<OutgoingPeer> others = peers.stream().filter(peer -> !peer.isProcess(source)).toList();
-    Predicate<OutgoingPeer> isInformed = peer -> informed.contains(peer.addressHash());
-    int hopsHere = others.stream().allMatch(isInformed) ? MAX_HOPS : hops + 1;
-    others.stream()
-        .filter(peer -> !isInformed.test(peer) || isSecondSource(peer, others))
-        .forEach(peer -> peer.addEvidence(learned, hopsHere));
-  }
-
-  /** Returns the peers of which this gateway is a second source. */
-  List<OutgoingPeer> secondSourcePeers(Collection<OutgoingPeer> peers) {
-    return peers.stream().filter(peer -> isSecondSource(peer, peers)).toList();
+    Predicate<SecondSources.Gateway> isInformed =
+        gateway -> informed.contains(gateway.addressHash());
+    int hopsHere = connected.stream().allMatch(isInformed) ? MAX_HOPS : hops + 1;
+    connected.stream()
+        .filter(
+            gateway ->
+                !isInformed.test(gateway)
+                    || SecondSources.includes(own, gateway, connected, sourceDomain))
+        .forEach(gateway -> hopsByAddress.put(gateway.address(), hopsHere));
+    return hopsByAddress;
   }
 
-  private boolean isSecondSource(OutgoingPeer receiver, Collection<OutgoingPeer> others) {
-    return SecondSources.includes(
-        own,
-        receiver.gateway(),
-        others.stream().filter(OutgoingPeer::isConnected).map(OutgoingPeer::gateway).toList());
+  /** Returns the gateways to which evidence is repeated: those of which this is a second source. */
+  List<SecondSources.Gateway> receiversOfRepeats(Collection<SecondSources.Gateway> connected) {
+    return connected.stream()
+        .filter(gateway -> SecondSources.includes(own, gateway, connected, NO_DOMAIN))
+        .toList();
   }
 }
--- a/gateway/src/main/java/org/shallothold/gateway/forward/peer/OutgoingPeer.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/peer/OutgoingPeer.java
@@ -56,11 +56,6 @@
     return address;
   }
 
-  /** Returns the hash of the address that is sent to peers, equal in all gateways. */
-  int addressHash() {
-    return address.hashCode();
-  }
-
   boolean isConnected() {
     return connection != null && connection.isOpen();
   }
--- a/gateway/src/main/java/org/shallothold/gateway/forward/peer/PeerExchange.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/peer/PeerExchange.java
@@ -407,7 +407,7 @@
   private List<Integer> writableAddressHashes() {
     return outgoingPeers.values().stream()
         .filter(peer -> peer.writableConnection().isPresent())
-        .map(OutgoingPeer::addressHash)
+        .map(peer -> peer.gateway().addressHash())
         .toList();
   }
 
@@ -657,9 +657,8 @@
     learnAddresses(update, now);
     handler.updateReceived(update);
     if (update.hasCrashEvidence()) {
-      // Older builds repeat it in their updates.
-      handleEvidence(
-          update.getProcessId(), update.getCrashEvidence(), Set.of(), EvidenceRelay.MAX_HOPS);
+      // Older builds repeat it in their updates. It is not passed on.
+      handler.evidenceReceived(update.getProcessId(), update.getCrashEvidence());
     }
     requestIfBehind(
         connection, PublishedTopic.CONFIGURATION, update.getConfigurationChangedAt(), now);
@@ -715,7 +714,7 @@
           changes.getSentToConnected() && state != null
               ? Set.copyOf(state.connectedTo())
               : Set.copyOf(changes.getSentToList());
-      handleEvidence(hello.getProcessId(), changes.getCrashEvidence(), informed, changes.getHops());
+      handleEvidence(hello, changes.getCrashEvidence(), informed, changes.getHops());
     }
     if (peers.containsKey(hello.getProcessId())) {
       handler.changesReceived(hello.getProcessId(), changes);
@@ -724,15 +723,28 @@
 
   /** Applies evidence and passes on what is new. */
   private void handleEvidence(
-      String source, CrashEvidence evidence, Set<Integer> informed, int hops) {
-    handler
-        .evidenceReceived(source, evidence)
-        .ifPresent(
-            learned -> {
-              evidenceLedger.recordChange();
-              evidenceRelay.passOn(learned, source, informed, hops, outgoingPeers.values());
-              announceChanges();
+      Hello source, CrashEvidence evidence, Set<Integer> informed, int hops) {
+    CrashEvidence learned = handler.evidenceReceived(source.getProcessId(), evidence).orElse(null);
+    if (learned == null) {
+      return;
+    }
+    evidenceLedger.recordChange();
+    Map<String, OutgoingPeer> others = new TreeMap<>(outgoingPeers);
+    others.values().removeIf(peer -> !peer.isConnected() || peer.isProcess(source.getProcessId()));
+    evidenceRelay
+        .receivers(
+            others.values().stream().map(OutgoingPeer::gateway).toList(),
+            informed,
+            hops,
+            source.getFailureDomain())
+        .forEach(
+            (address, hopsHere) -> {
+              OutgoingPeer receiver = others.get(address);
+              if (receiver != null) {
+                receiver.addEvidence(learned, hopsHere);
+              }
             });
+    announceChanges();
   }
 
   /**
@@ -752,8 +764,14 @@
     WorkChanges.Builder changes = WorkChanges.newBuilder().setHops(EvidenceRelay.MAX_HOPS);
     handler.describeRepeatedEvidence(changes);
     if (changes.hasCrashEvidence()) {
+      List<OutgoingPeer> connected =
+          outgoingPeers.values().stream().filter(OutgoingPeer::isConnected).toList();
+      Set<SecondSources.Gateway> receivers =
+          Set.copyOf(
+              evidenceRelay.receiversOfRepeats(
+                  connected.stream().map(OutgoingPeer::gateway).toList()));
       sendChangesTo(
-          evidenceRelay.secondSourcePeers(outgoingPeers.values()),
+          connected.stream().filter(peer -> receivers.contains(peer.gateway())).toList(),
           changes.build(),
           PeerTraffic.Cause.PERIODIC);
     }
--- a/gateway/src/main/java/org/shallothold/gateway/forward/peer/SentState.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/peer/SentState.java
@@ -19,7 +19,7 @@
 final class SentState {
 
   // All peers get a whole state this often, so that no fault of the differences lasts.
-  private static final int WHOLE_STATE_INTERVAL = 50;
+  private static final int WHOLE_STATE_INTERVAL = 100;
   // Times that travel as ages differ by the time between reading the clock twice.
   private static final long SAME_TIME_MILLIS = 20;
   // Announcements between two periodic updates say nothing of addresses' ages and engines' speeds.
