--- a/gateway/src/main/java/org/shallothold/gateway/forward/peer/PeerExchange.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/peer/PeerExchange.java
@@ -466,19 +466,14 @@
     handler.describe(update);
     long now = MonotonicClock.millis();
     SentState.Update next = sentState.next(update.build(), knownAddressAges(now), now);
-    SizedEnvelope whole =
-        SizedEnvelope.of(Envelope.newBuilder().setFleetNews(next.whole()).build());
-    SizedEnvelope difference =
-        next.difference() == null
-            ? whole
-            : SizedEnvelope.of(Envelope.newBuilder().setFleetNews(next.difference()).build());
+    UpdateMessage message = UpdateMessage.of(next);
     for (OutgoingPeer peer : outgoingPeers.values()) {
       PeerConnection connection = peer.writableConnection().orElse(null);
       if (connection != null) {
-        boolean isUpToDate =
+        boolean canComplete =
             ChangesMessage.isUnderstoodBy(connection.remoteHello())
                 && peer.hasUpdate(next.number() - 1);
-        send(connection, isUpToDate ? difference : whole, cause);
+        send(connection, message.forPeer(canComplete), cause);
         peer.recordUpdate(next.number());
       }
     }
