Prefer fast engines for long answers

An answer of hundreds of tokens takes seconds longer at an engine at 1.7 of the usual time. Its decode time now counts with a tenth in the part of a placement's cost that depends on speed. Requests that wait in the gateway are divided by the engines' speeds instead of their number.

--- a/core/src/main/java/org/shallothold/core/placement/EnginePlacementPolicy.java
+++ b/core/src/main/java/org/shallothold/core/placement/EnginePlacementPolicy.java
@@ -440,7 +440,13 @@
     costMillis +=
         request
                 .speedCosts()
-                .additionalMillis(server, backlogMillis, decodeMillis, prefillMillis, nowMillis)
+                .additionalMillis(
+                    server,
+                    backlogMillis,
+                    decodeMillis,
+                    prefillMillis,
+                    profile.outputTokens() * timings.decodeStepMillis(),
+                    nowMillis)
             * slowness;
     costMillis += request.speedCosts().spreadMillis(speedFactor);
     int releasePosition = releasePositions.getOrDefault(server, 0);
--- a/core/src/main/java/org/shallothold/core/placement/SpeedCosts.java
+++ b/core/src/main/java/org/shallothold/core/placement/SpeedCosts.java
@@ -16,6 +16,10 @@
   // the same time don't know of each other's choices yet.
   private static final double SPREAD_MILLIS = 40;
 
+  // A delay of an answer's end costs less than one of its first event, but answers that take long
+  // miss their deadlines at slow engines.
+  private static final double OUTPUT_WEIGHT = 0.1;
+
   private final double slowestRatio;
   private final boolean spreads;
   private final RandomGenerator random;
@@ -50,6 +54,7 @@
    * @param decodeMillis time that the decode steps of its streams take meanwhile, at the usual
    *     speed
    * @param prefillMillis prefill time of the prompt, at the usual speed
+   * @param outputMillis time of the decode steps of its answer, at the usual speed
    * @param nowMillis current time
    */
   double additionalMillis(
@@ -57,6 +62,7 @@
       double backlogMillis,
       double decodeMillis,
       double prefillMillis,
+      double outputMillis,
       long nowMillis) {
     double ratio = engine.speed().ratio();
     double factor = engine.speed().factor(nowMillis);
@@ -66,7 +72,7 @@
             : Math.max(ratio, slowestRatio);
     // The momentary part counts also for busy engines: it ends soon, so waiting is worth it.
     return (backlogMillis + decodeMillis) * (factor - 1)
-        + prefillMillis * (promptRatio - 1)
+        + (prefillMillis + outputMillis * OUTPUT_WEIGHT) * (promptRatio - 1)
         + prefillMillis * (factor - ratio);
   }
 
--- a/core/src/test/java/org/shallothold/core/placement/SpeedPlacementTest.java
+++ b/core/src/test/java/org/shallothold/core/placement/SpeedPlacementTest.java
@@ -208,6 +208,22 @@
     }
   }
 
+  @Nested
+  class ALongAnswer {
+
+    /** Guards against long answers that miss their deadlines at slow engines. */
+    @Test
+    void goesToAFastEngine() {
+      RequestProfile longAnswer = new RequestProfile(List.of(), 300, 800, Rank.of(1), 1_000, 0);
+      for (int gateway = 0; gateway < 50; gateway++) {
+        List<TrackedServer> engines = engines();
+        reportSpeeds(engines);
+        Placement placement = choose(policy(gateway), longAnswer, engines, 0);
+        assertEquals(0.7, placement.server().speed().ratio(), 0.01);
+      }
+    }
+  }
+
   @Nested
   class ManyGateways {
 
--- a/gateway/src/main/java/org/shallothold/gateway/forward/ServiceQueue.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/ServiceQueue.java
@@ -199,7 +199,12 @@
     double queuedPrefillMillis = 0;
     int heldRequests = 0;
     int decidedRequests = 0;
-    long engineCount = Math.max(1, state.servers(service).size());
+    double medianEngines =
+        Math.max(
+            1,
+            state.servers(service).stream()
+                .mapToDouble(server -> 1 / server.speed().ratio())
+                .sum());
     for (ForwardedRequest request : candidates) {
       if (decidedRequests == MAX_REQUESTS_PER_DISPATCH) {
         break;
@@ -239,7 +244,7 @@
         case AdmissionDecision.Wait wait ->
             // Peers are assumed to queue about as much as this gateway.
             queuedPrefillMillis +=
-                placement.prefillMillis() * gatewayCount.getAsInt() / engineCount;
+                placement.prefillMillis() * gatewayCount.getAsInt() / medianEngines;
         case AdmissionDecision.Refuse refuse -> {
           waitingRequests.remove(request);
           request.refuseOverloaded(refuse.retryAfterMillis());
--- a/gateway/src/test/java/org/shallothold/gateway/forward/TestTranslation.java
+++ b/gateway/src/test/java/org/shallothold/gateway/forward/TestTranslation.java
@@ -70,7 +70,7 @@
         headers.contains("X-Not-Run"),
         -1,
         -1,
-        0,
+        headers.getInt("X-Momentary", 0),
         headers.contains("X-Leaving"),
         headers.getInt("X-Closed-Millis", 0),
         headers.contains("X-Limit")
