--- a/gateway/src/main/java/org/shallothold/gateway/forward/ServiceQueue.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/ServiceQueue.java
@@ -220,7 +220,12 @@
     int heldRequests = 0;
     int requestsAhead = 0;
     int decidedRequests = 0;
-    long engineCount = Math.max(1, state.servers(service).size());
+    double medianEngines =
+        Math.max(
+            1,
+            state.servers(service).stream()
+                .mapToDouble(server -> 1 / server.speed().ratio())
+                .sum());
     for (ForwardedRequest request : candidates) {
       if (decidedRequests == MAX_REQUESTS_PER_DISPATCH) {
         requestsAhead++;
@@ -262,7 +267,7 @@
         case AdmissionDecision.Wait wait -> {
           requestsAhead++;
           // Peers are assumed to queue about as much as this gateway.
-          queuedPrefillMillis += placement.prefillMillis() * gatewayCount.getAsInt() / engineCount;
+          queuedPrefillMillis += placement.prefillMillis() * gatewayCount.getAsInt() / medianEngines;
         }
         case AdmissionDecision.Refuse refuse -> {
           waitingRequests.remove(request);
