--- a/gateway/src/main/java/org/shallothold/gateway/forward/ForwardGauges.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/ForwardGauges.java
@@ -26,6 +26,8 @@
   private final Gauge backlog;
   private final Gauge slowedEngines;
   private final Gauge lowestPrefillShare;
+  private final Gauge demandedEngines;
+  private final Gauge usableEngines;
   private final Gauge backendConnections;
   private final Gauge waitingRequests;
   private final Gauge retries;
@@ -70,6 +72,16 @@
             "shallothold_slowed_engines",
             "Engines that get fewer prompts so that their running streams finish in time.",
             "service");
+    demandedEngines =
+        metrics.gauge(
+            "shallothold_demanded_engines",
+            "Engines that the prompts which arrived at all gateways in the last second keep busy.",
+            "service");
+    usableEngines =
+        metrics.gauge(
+            "shallothold_usable_engines",
+            "Engines that take new work, each counted by its share of time for prefills.",
+            "service");
     lowestPrefillShare =
         metrics.gauge(
             "shallothold_lowest_prefill_share",
@@ -180,7 +192,11 @@
     forwarder
         .queues()
         .forEach(
-            (service, queue) -> waitingRequests.labelValues(service).set(queue.waitingCount()));
+            (service, queue) -> {
+              waitingRequests.labelValues(service).set(queue.waitingCount());
+              demandedEngines.labelValues(service).set(queue.demandedEngines());
+              usableEngines.labelValues(service).set(queue.usableEngines());
+            });
     forwarder
         .retryBudgets()
         .forEach(
--- a/gateway/src/main/java/org/shallothold/gateway/forward/Forwarder.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/Forwarder.java
@@ -59,6 +59,7 @@
   private final ResponseTimes responseTimes = ResponseTimes.create();
   private final OutputLengths outputLengths = OutputLengths.create();
   private final PrefillPaceLog prefillPaceLog;
+  private final AdmissionLevelLog admissionLevelLog;
   private boolean leaving;
   private long endOfDrainMillis;
   private boolean refusingRequests;
@@ -82,6 +83,7 @@
     this.prefixReads = prefixReads;
     this.memory = MemoryBudget.of(options.bufferBytes());
     this.prefillPaceLog = new PrefillPaceLog(state, log);
+    this.admissionLevelLog = new AdmissionLevelLog(log);
     this.rateLimits = new StatedRateLimits(state.statedRates(), log, metrics);
     rateLimits.setAnswerListener(this::permitAnswered);
     // Peers are told at once.
@@ -118,6 +120,7 @@
     promptParts.maintain();
     queuesByService.values().forEach(ServiceQueue::updatePaces);
     prefillPaceLog.maintain(queuesByService.keySet());
+    admissionLevelLog.maintain(queuesByService);
   }
 
   private void permitAnswered(String serverId, long requestNumber) {
--- a/gateway/src/main/java/org/shallothold/gateway/forward/ForwardingGateway.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/ForwardingGateway.java
@@ -264,6 +264,11 @@
     return forwarder.memory();
   }
 
+  /** Returns a listed server, or null if there is none; to be used on the event loop only. */
+  @Nullable TrackedServer server(String id) {
+    return state.server(id);
+  }
+
   private int callOnEventLoop(java.util.function.IntSupplier supplier) {
     CountDownLatch completed = new CountDownLatch(1);
     int[] result = new int[1];
@@ -357,7 +362,11 @@
       forwarder
           .queues()
           .values()
-          .forEach(queue -> queue.estimator().ifPresent(estimator -> estimator.removePeer(peer)));
+          .forEach(
+              queue -> {
+                queue.estimator().ifPresent(estimator -> estimator.removePeer(peer));
+                queue.fleetDemand().removePeer(peer);
+              });
     }
 
     @Override
@@ -373,6 +382,7 @@
               (service, queue) -> {
                 update.putTightLoad(
                     service, (int) Math.round(queue.pauseSensitiveLoad() * THOUSANDTHS_PER_ENGINE));
+                DemandExchange.describe(service, queue, update);
                 update.putHeavyLoad(
                     service, (int) Math.round(queue.heavyLoad() * THOUSANDTHS_PER_ENGINE));
                 queue
@@ -462,6 +472,7 @@
                       .estimator()
                       .ifPresent(estimator -> estimator.updatePeer(peer, fromProto(speed))));
       forwarder.queues().forEach(this::applyPeerLoads);
+      DemandExchange.apply(update, forwarder.queues());
       update.getPrefixReadsList().forEach(this::applyPrefixRead);
       if (update.hasCrashEvidence()) {
         forwarder.promptParts().received(update.getCrashEvidence(), peer);
--- a/gateway/src/main/java/org/shallothold/gateway/forward/ServiceQueue.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/ServiceQueue.java
@@ -3,11 +3,13 @@
 import io.netty.channel.EventLoop;
 import java.util.Collection;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.IntSupplier;
 import java.util.function.Predicate;
+import java.util.stream.Collectors;
 import org.shallothold.core.crash.TrialAdmission;
 import org.shallothold.core.placement.AdmissionDecision;
 import org.shallothold.core.placement.DispatchQueue;
@@ -16,12 +18,14 @@
 import org.shallothold.core.placement.EngineEstimator;
 import org.shallothold.core.placement.EnginePlacementPolicy;
 import org.shallothold.core.placement.EngineTimings;
+import org.shallothold.core.placement.FleetDemand;
 import org.shallothold.core.placement.Placement;
 import org.shallothold.core.placement.PlacementPolicy;
 import org.shallothold.core.placement.PlainAdmission;
 import org.shallothold.core.placement.PlainPlacementPolicy;
 import org.shallothold.core.placement.TrackedServer;
 import org.shallothold.core.rate.HeldRequestAdmission;
+import org.shallothold.core.route.Rank;
 import org.shallothold.core.verdict.ReasonCode;
 import org.shallothold.runtime.logging.LogLine;
 
@@ -40,6 +44,10 @@
   // Those that wait for the trial of a prompt part don't count.
   private static final int MAX_REQUESTS_PER_DISPATCH = 48;
 
+  // Refused callers come back within the last quarter of their retry time.
+  private static final double MIN_RETRY_FRACTION = 0.75;
+  private static final double MILLIS_PER_SECOND = 1_000;
+
   private final String service;
   private final PlacementPolicy policy;
   private final RoutingState state;
@@ -49,6 +57,7 @@
   private final PromptPartQuarantine promptParts;
   private final DispatchQueue<ForwardedRequest> waitingRequests = DispatchQueue.empty();
   private final PlainAdmission plainAdmission = PlainAdmission.create();
+  private final FleetDemand fleetDemand = FleetDemand.none();
   private boolean dispatchScheduled;
 
   ServiceQueue(
@@ -79,6 +88,8 @@
           .configuration()
           .ifPresent(known -> engines.setProtectsStreams(known.hasStreamsThatRunOnce(service)));
       engines.requestArrived(request.profile(), MonotonicClock.millis());
+      fleetDemand.recordArrival(
+          request.profile().rank(), prefillMillis(request), MonotonicClock.millis());
     }
   }
 
@@ -197,15 +208,14 @@
    */
   private void dispatch(List<ForwardedRequest> candidates, boolean wholeQueue) {
     long nowMillis = MonotonicClock.millis();
-    double queuedPrefillMillis = 0;
+    double ownAheadMillis = 0;
     int heldRequests = 0;
     int requestsAhead = 0;
     int decidedRequests = 0;
-    long engineCount = Math.max(1, state.servers(service).size());
     for (ForwardedRequest request : candidates) {
       if (decidedRequests == MAX_REQUESTS_PER_DISPATCH) {
         requestsAhead++;
-        refuseAfterLongestWait(request, queuedPrefillMillis, requestsAhead, nowMillis);
+        refuseAfterLongestWait(request, ownAheadMillis, requestsAhead, nowMillis);
         continue;
       }
       if (!waitingRequests.contains(request)) {
@@ -234,7 +244,7 @@
       AdmissionDecision decision =
           onTrial
               ? new AdmissionDecision.Send()
-              : decide(request, placement, queuedPrefillMillis, requestsAhead, nowMillis);
+              : decide(request, placement, ownAheadMillis, requestsAhead, nowMillis);
       switch (decision) {
         case AdmissionDecision.Send send -> {
           waitingRequests.remove(request);
@@ -242,12 +252,11 @@
         }
         case AdmissionDecision.Wait wait -> {
           requestsAhead++;
-          // Peers are assumed to queue about as much as this gateway.
-          queuedPrefillMillis += placement.prefillMillis() * gatewayCount.getAsInt() / engineCount;
+          ownAheadMillis += placement.prefillMillis();
         }
         case AdmissionDecision.Refuse refuse -> {
           waitingRequests.remove(request);
-          request.refuseOverloaded(refuse.retryAfterMillis(), refuse.cause());
+          request.refuseOverloaded(spreadRetryMillis(refuse), refuse.cause());
         }
       }
     }
@@ -256,7 +265,7 @@
 
   /** Refuses a request at the back of the queue if it has waited for as long as it may. */
   private void refuseAfterLongestWait(
-      ForwardedRequest request, double queuedPrefillMillis, int requestsAhead, long nowMillis) {
+      ForwardedRequest request, double ownAheadMillis, int requestsAhead, long nowMillis) {
     if (!waitingRequests.contains(request)) {
       return;
     }
@@ -267,14 +276,94 @@
                   ? Optional.empty()
                   : Optional.of(waitForSlot(request, requestsAhead));
           case EnginePlacementPolicy engines ->
-              EngineAdmission.afterLongestWait(request.applicant(nowMillis), queuedPrefillMillis);
+              EngineAdmission.afterLongestWait(
+                  request.applicant(nowMillis),
+                  queuedAheadMillis(request, ownAheadMillis, nowMillis));
         };
     if (decision.isPresent() && decision.get() instanceof AdmissionDecision.Refuse refuse) {
       waitingRequests.remove(request);
-      request.refuseOverloaded(refuse.retryAfterMillis(), refuse.cause());
+      request.refuseOverloaded(spreadRetryMillis(refuse), refuse.cause());
     }
   }
 
+  /**
+   * Returns the prefill time of the requests ahead of one in all gateways, divided by the number of
+   * engines, in milliseconds.
+   *
+   * @param ownAheadMillis prefill time of the requests ahead of it in this gateway
+   */
+  private double queuedAheadMillis(
+      ForwardedRequest request, double ownAheadMillis, long nowMillis) {
+    int engines = Math.max(1, state.servers(service).size());
+    int gateways = gatewayCount.getAsInt();
+    return protectedStepMillis() > 0
+        ? fleetDemand.queuedAheadMillis(
+            request.profile().rank(), ownAheadMillis, engines, gateways, nowMillis)
+        // Peers are assumed to queue about as much as this gateway.
+        : ownAheadMillis * gateways / engines;
+  }
+
+  /**
+   * Returns the retry time of a refusal. Callers that were refused together don't come back
+   * together if streams are protected.
+   */
+  private long spreadRetryMillis(AdmissionDecision.Refuse refuse) {
+    double fraction =
+        protectedStepMillis() > 0
+            ? ThreadLocalRandom.current().nextDouble(MIN_RETRY_FRACTION, 1)
+            : 1;
+    return Math.max(1, (long) (refuse.retryAfterMillis() * fraction));
+  }
+
+  private double prefillMillis(ForwardedRequest request) {
+    return policy instanceof EnginePlacementPolicy engines
+        ? engines
+            .estimator()
+            .timings()
+            .prefillMillis(request.profile().promptTokens(), request.profile().sharedTokens())
+        : 0;
+  }
+
+  /** Returns the demand of the fleet for the engines; nothing is recorded for plain services. */
+  FleetDemand fleetDemand() {
+    return fleetDemand;
+  }
+
+  /** Returns the demand at this gateway, as sent to peers; empty unless streams are protected. */
+  List<FleetDemand.RankDemand> ownDemand() {
+    if (protectedStepMillis() == 0) {
+      return List.of();
+    }
+    Map<Rank, Double> waitingMillis =
+        waitingRequests.stream()
+            .collect(
+                Collectors.toMap(
+                    request -> request.profile().rank(), this::prefillMillis, Double::sum));
+    return fleetDemand.ownDemand(waitingMillis, MonotonicClock.millis());
+  }
+
+  /** Returns the most urgent rank whose demand the engines can't meet; empty if there is none. */
+  Optional<Rank> firstRankAboveCapacity() {
+    return protectedStepMillis() == 0
+        ? Optional.empty()
+        : fleetDemand.firstRankAboveCapacity(
+            usableEngines(), gatewayCount.getAsInt(), MonotonicClock.millis());
+  }
+
+  /** Returns the number of engines that would be busy with all prompts of the last second. */
+  double demandedEngines() {
+    return fleetDemand.totalArrivedMillis(gatewayCount.getAsInt(), MonotonicClock.millis())
+        / MILLIS_PER_SECOND;
+  }
+
+  /** Returns the number of engines that take new work, each by its share of time for prefills. */
+  double usableEngines() {
+    return state.servers(service).stream()
+        .filter(TrackedServer::acceptsNewWork)
+        .mapToDouble(TrackedServer::prefillShare)
+        .sum();
+  }
+
   private AdmissionDecision decidePlain(
       ForwardedRequest request, TrackedServer server, int requestsAhead, long nowMillis) {
     if (plainAdmission.hasRoom(server, gatewayCount.getAsInt(), nowMillis)) {
@@ -331,7 +420,7 @@
   private AdmissionDecision decide(
       ForwardedRequest request,
       Placement placement,
-      double queuedPrefillMillis,
+      double ownAheadMillis,
       int requestsAhead,
       long nowMillis) {
     return switch (policy) {
@@ -341,7 +430,7 @@
           EngineAdmission.decide(
               request.applicant(nowMillis),
               placement,
-              queuedPrefillMillis,
+              queuedAheadMillis(request, ownAheadMillis, nowMillis),
               hasLessUrgentTraffic(request));
     };
   }
--- a/gateway/src/test/java/org/shallothold/gateway/forward/ForwardFixture.java
+++ b/gateway/src/test/java/org/shallothold/gateway/forward/ForwardFixture.java
@@ -23,6 +23,7 @@
 import org.jspecify.annotations.Nullable;
 import org.shallothold.core.membership.ServerEntry;
 import org.shallothold.core.memory.MemoryBudget;
+import org.shallothold.core.placement.TrackedServer;
 import org.shallothold.core.publish.PublishedItem;
 import org.shallothold.core.route.CallKind;
 import org.shallothold.core.route.CallerLimits;
@@ -243,6 +244,21 @@
         .join();
   }
 
+  /** Returns the smallest share of prefills that a gateway grants an engine. */
+  double lowestPrefillShare(int gateway) {
+    Instance instance = gateways.get(gateway);
+    return CompletableFuture.supplyAsync(
+            () ->
+                servers.stream()
+                    .map(server -> instance.gateway().server(server.id()))
+                    .filter(Objects::nonNull)
+                    .mapToDouble(TrackedServer::prefillShare)
+                    .min()
+                    .orElseThrow(),
+            instance.eventLoop().join())
+        .join();
+  }
+
   /** Makes the gateway's event loop handle nothing for a time. */
   void keepEventLoopBusy(Duration time) {
     gateways.getFirst().eventLoop().join().execute(() -> LockSupport.parkNanos(time.toNanos()));
--- a/wire/src/main/java/org/shallothold/wire/proto/FleetNews.java
+++ b/wire/src/main/java/org/shallothold/wire/proto/FleetNews.java
@@ -40,6 +40,7 @@
     openWork_ = java.util.Collections.emptyList();
     prefixReads_ = java.util.Collections.emptyList();
     knownAddressAgeMillis_ = emptyIntList();
+    demand_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -719,6 +720,67 @@
     return crashEvidence_ == null ? org.shallothold.wire.proto.CrashEvidence.getDefaultInstance() : crashEvidence_;
   }
 
+  public static final int DEMAND_FIELD_NUMBER = 14;
+  @SuppressWarnings("serial")
+  private java.util.List<org.shallothold.wire.proto.RankDemand> demand_;
+  /**
+   * <pre>
+   * Prefill work that the sender's callers demand; a rank without any is absent.
+   * </pre>
+   *
+   * <code>repeated .shallothold.RankDemand demand = 14;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.shallothold.wire.proto.RankDemand> getDemandList() {
+    return demand_;
+  }
+  /**
+   * <pre>
+   * Prefill work that the sender's callers demand; a rank without any is absent.
+   * </pre>
+   *
+   * <code>repeated .shallothold.RankDemand demand = 14;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.shallothold.wire.proto.RankDemandOrBuilder> 
+      getDemandOrBuilderList() {
+    return demand_;
+  }
+  /**
+   * <pre>
+   * Prefill work that the sender's callers demand; a rank without any is absent.
+   * </pre>
+   *
+   * <code>repeated .shallothold.RankDemand demand = 14;</code>
+   */
+  @java.lang.Override
+  public int getDemandCount() {
+    return demand_.size();
+  }
+  /**
+   * <pre>
+   * Prefill work that the sender's callers demand; a rank without any is absent.
+   * </pre>
+   *
+   * <code>repeated .shallothold.RankDemand demand = 14;</code>
+   */
+  @java.lang.Override
+  public org.shallothold.wire.proto.RankDemand getDemand(int index) {
+    return demand_.get(index);
+  }
+  /**
+   * <pre>
+   * Prefill work that the sender's callers demand; a rank without any is absent.
+   * </pre>
+   *
+   * <code>repeated .shallothold.RankDemand demand = 14;</code>
+   */
+  @java.lang.Override
+  public org.shallothold.wire.proto.RankDemandOrBuilder getDemandOrBuilder(
+      int index) {
+    return demand_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -786,6 +848,9 @@
     if (((bitField0_ & 0x00000001) != 0)) {
       output.writeMessage(13, getCrashEvidence());
     }
+    for (int i = 0; i < demand_.size(); i++) {
+      output.writeMessage(14, demand_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -887,6 +952,15 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(13, getCrashEvidence());
     }
+
+        {
+          final int count = demand_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(demand_.get(i));
+          }
+          size += 1 * count;
+        }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -931,6 +1005,8 @@
       if (!getCrashEvidence()
           .equals(other.getCrashEvidence())) return false;
     }
+    if (!getDemandList()
+        .equals(other.getDemandList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -987,6 +1063,10 @@
       hash = (37 * hash) + CRASH_EVIDENCE_FIELD_NUMBER;
       hash = (53 * hash) + getCrashEvidence().hashCode();
     }
+    if (getDemandCount() > 0) {
+      hash = (37 * hash) + DEMAND_FIELD_NUMBER;
+      hash = (53 * hash) + getDemandList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -1155,6 +1235,7 @@
         internalGetOpenWorkFieldBuilder();
         internalGetPrefixReadsFieldBuilder();
         internalGetCrashEvidenceFieldBuilder();
+        internalGetDemandFieldBuilder();
       }
     }
     @java.lang.Override
@@ -1191,6 +1272,13 @@
         crashEvidenceBuilder_.dispose();
         crashEvidenceBuilder_ = null;
       }
+      if (demandBuilder_ == null) {
+        demand_ = java.util.Collections.emptyList();
+      } else {
+        demand_ = null;
+        demandBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00002000);
       return this;
     }
 
@@ -1242,6 +1330,15 @@
       } else {
         result.prefixReads_ = prefixReadsBuilder_.build();
       }
+      if (demandBuilder_ == null) {
+        if (((bitField0_ & 0x00002000) != 0)) {
+          demand_ = java.util.Collections.unmodifiableList(demand_);
+          bitField0_ = (bitField0_ & ~0x00002000);
+        }
+        result.demand_ = demand_;
+      } else {
+        result.demand_ = demandBuilder_.build();
+      }
     }
 
     private void buildPartial0(org.shallothold.wire.proto.FleetNews result) {
@@ -1406,6 +1503,32 @@
       if (other.hasCrashEvidence()) {
         mergeCrashEvidence(other.getCrashEvidence());
       }
+      if (demandBuilder_ == null) {
+        if (!other.demand_.isEmpty()) {
+          if (demand_.isEmpty()) {
+            demand_ = other.demand_;
+            bitField0_ = (bitField0_ & ~0x00002000);
+          } else {
+            ensureDemandIsMutable();
+            demand_.addAll(other.demand_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.demand_.isEmpty()) {
+          if (demandBuilder_.isEmpty()) {
+            demandBuilder_.dispose();
+            demandBuilder_ = null;
+            demand_ = other.demand_;
+            bitField0_ = (bitField0_ & ~0x00002000);
+            demandBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetDemandFieldBuilder() : null;
+          } else {
+            demandBuilder_.addAllMessages(other.demand_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1538,6 +1661,19 @@
               bitField0_ |= 0x00001000;
               break;
             } // case 106
+            case 114: {
+              org.shallothold.wire.proto.RankDemand m =
+                  input.readMessage(
+                      org.shallothold.wire.proto.RankDemand.parser(),
+                      extensionRegistry);
+              if (demandBuilder_ == null) {
+                ensureDemandIsMutable();
+                demand_.add(m);
+              } else {
+                demandBuilder_.addMessage(m);
+              }
+              break;
+            } // case 114
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -3295,6 +3431,318 @@
       return crashEvidenceBuilder_;
     }
 
+    private java.util.List<org.shallothold.wire.proto.RankDemand> demand_ =
+      java.util.Collections.emptyList();
+    private void ensureDemandIsMutable() {
+      if (!((bitField0_ & 0x00002000) != 0)) {
+        demand_ = new java.util.ArrayList<org.shallothold.wire.proto.RankDemand>(demand_);
+        bitField0_ |= 0x00002000;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.shallothold.wire.proto.RankDemand, org.shallothold.wire.proto.RankDemand.Builder, org.shallothold.wire.proto.RankDemandOrBuilder> demandBuilder_;
+
+    /**
+     * <pre>
+     * Prefill work that the sender's callers demand; a rank without any is absent.
+     * </pre>
+     *
+     * <code>repeated .shallothold.RankDemand demand = 14;</code>
+     */
+    public java.util.List<org.shallothold.wire.proto.RankDemand> getDemandList() {
+      if (demandBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(demand_);
+      } else {
+        return demandBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * Prefill work that the sender's callers demand; a rank without any is absent.
+     * </pre>
+     *
+     * <code>repeated .shallothold.RankDemand demand = 14;</code>
+     */
+    public int getDemandCount() {
+      if (demandBuilder_ == null) {
+        return demand_.size();
+      } else {
+        return demandBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * Prefill work that the sender's callers demand; a rank without any is absent.
+     * </pre>
+     *
+     * <code>repeated .shallothold.RankDemand demand = 14;</code>
+     */
+    public org.shallothold.wire.proto.RankDemand getDemand(int index) {
+      if (demandBuilder_ == null) {
+        return demand_.get(index);
+      } else {
+        return demandBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * Prefill work that the sender's callers demand; a rank without any is absent.
+     * </pre>
+     *
+     * <code>repeated .shallothold.RankDemand demand = 14;</code>
+     */
+    public Builder setDemand(
+        int index, org.shallothold.wire.proto.RankDemand value) {
+      if (demandBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureDemandIsMutable();
+        demand_.set(index, value);
+        onChanged();
+      } else {
+        demandBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Prefill work that the sender's callers demand; a rank without any is absent.
+     * </pre>
+     *
+     * <code>repeated .shallothold.RankDemand demand = 14;</code>
+     */
+    public Builder setDemand(
+        int index, org.shallothold.wire.proto.RankDemand.Builder builderForValue) {
+      if (demandBuilder_ == null) {
+        ensureDemandIsMutable();
+        demand_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        demandBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Prefill work that the sender's callers demand; a rank without any is absent.
+     * </pre>
+     *
+     * <code>repeated .shallothold.RankDemand demand = 14;</code>
+     */
+    public Builder addDemand(org.shallothold.wire.proto.RankDemand value) {
+      if (demandBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureDemandIsMutable();
+        demand_.add(value);
+        onChanged();
+      } else {
+        demandBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Prefill work that the sender's callers demand; a rank without any is absent.
+     * </pre>
+     *
+     * <code>repeated .shallothold.RankDemand demand = 14;</code>
+     */
+    public Builder addDemand(
+        int index, org.shallothold.wire.proto.RankDemand value) {
+      if (demandBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureDemandIsMutable();
+        demand_.add(index, value);
+        onChanged();
+      } else {
+        demandBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Prefill work that the sender's callers demand; a rank without any is absent.
+     * </pre>
+     *
+     * <code>repeated .shallothold.RankDemand demand = 14;</code>
+     */
+    public Builder addDemand(
+        org.shallothold.wire.proto.RankDemand.Builder builderForValue) {
+      if (demandBuilder_ == null) {
+        ensureDemandIsMutable();
+        demand_.add(builderForValue.build());
+        onChanged();
+      } else {
+        demandBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Prefill work that the sender's callers demand; a rank without any is absent.
+     * </pre>
+     *
+     * <code>repeated .shallothold.RankDemand demand = 14;</code>
+     */
+    public Builder addDemand(
+        int index, org.shallothold.wire.proto.RankDemand.Builder builderForValue) {
+      if (demandBuilder_ == null) {
+        ensureDemandIsMutable();
+        demand_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        demandBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Prefill work that the sender's callers demand; a rank without any is absent.
+     * </pre>
+     *
+     * <code>repeated .shallothold.RankDemand demand = 14;</code>
+     */
+    public Builder addAllDemand(
+        java.lang.Iterable<? extends org.shallothold.wire.proto.RankDemand> values) {
+      if (demandBuilder_ == null) {
+        ensureDemandIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, demand_);
+        onChanged();
+      } else {
+        demandBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Prefill work that the sender's callers demand; a rank without any is absent.
+     * </pre>
+     *
+     * <code>repeated .shallothold.RankDemand demand = 14;</code>
+     */
+    public Builder clearDemand() {
+      if (demandBuilder_ == null) {
+        demand_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00002000);
+        onChanged();
+      } else {
+        demandBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Prefill work that the sender's callers demand; a rank without any is absent.
+     * </pre>
+     *
+     * <code>repeated .shallothold.RankDemand demand = 14;</code>
+     */
+    public Builder removeDemand(int index) {
+      if (demandBuilder_ == null) {
+        ensureDemandIsMutable();
+        demand_.remove(index);
+        onChanged();
+      } else {
+        demandBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Prefill work that the sender's callers demand; a rank without any is absent.
+     * </pre>
+     *
+     * <code>repeated .shallothold.RankDemand demand = 14;</code>
+     */
+    public org.shallothold.wire.proto.RankDemand.Builder getDemandBuilder(
+        int index) {
+      return internalGetDemandFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * Prefill work that the sender's callers demand; a rank without any is absent.
+     * </pre>
+     *
+     * <code>repeated .shallothold.RankDemand demand = 14;</code>
+     */
+    public org.shallothold.wire.proto.RankDemandOrBuilder getDemandOrBuilder(
+        int index) {
+      if (demandBuilder_ == null) {
+        return demand_.get(index);  } else {
+        return demandBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * Prefill work that the sender's callers demand; a rank without any is absent.
+     * </pre>
+     *
+     * <code>repeated .shallothold.RankDemand demand = 14;</code>
+     */
+    public java.util.List<? extends org.shallothold.wire.proto.RankDemandOrBuilder> 
+         getDemandOrBuilderList() {
+      if (demandBuilder_ != null) {
+        return demandBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(demand_);
+      }
+    }
+    /**
+     * <pre>
+     * Prefill work that the sender's callers demand; a rank without any is absent.
+     * </pre>
+     *
+     * <code>repeated .shallothold.RankDemand demand = 14;</code>
+     */
+    public org.shallothold.wire.proto.RankDemand.Builder addDemandBuilder() {
+      return internalGetDemandFieldBuilder().addBuilder(
+          org.shallothold.wire.proto.RankDemand.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Prefill work that the sender's callers demand; a rank without any is absent.
+     * </pre>
+     *
+     * <code>repeated .shallothold.RankDemand demand = 14;</code>
+     */
+    public org.shallothold.wire.proto.RankDemand.Builder addDemandBuilder(
+        int index) {
+      return internalGetDemandFieldBuilder().addBuilder(
+          index, org.shallothold.wire.proto.RankDemand.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Prefill work that the sender's callers demand; a rank without any is absent.
+     * </pre>
+     *
+     * <code>repeated .shallothold.RankDemand demand = 14;</code>
+     */
+    public java.util.List<org.shallothold.wire.proto.RankDemand.Builder> 
+         getDemandBuilderList() {
+      return internalGetDemandFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.shallothold.wire.proto.RankDemand, org.shallothold.wire.proto.RankDemand.Builder, org.shallothold.wire.proto.RankDemandOrBuilder> 
+        internalGetDemandFieldBuilder() {
+      if (demandBuilder_ == null) {
+        demandBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.shallothold.wire.proto.RankDemand, org.shallothold.wire.proto.RankDemand.Builder, org.shallothold.wire.proto.RankDemandOrBuilder>(
+                demand_,
+                ((bitField0_ & 0x00002000) != 0),
+                getParentForChildren(),
+                isClean());
+        demand_ = null;
+      }
+      return demandBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:shallothold.FleetNews)
   }
 
--- a/wire/src/main/java/org/shallothold/wire/proto/FleetNewsOrBuilder.java
+++ b/wire/src/main/java/org/shallothold/wire/proto/FleetNewsOrBuilder.java
@@ -389,4 +389,48 @@
    * <code>.shallothold.CrashEvidence crash_evidence = 13;</code>
    */
   org.shallothold.wire.proto.CrashEvidenceOrBuilder getCrashEvidenceOrBuilder();
+
+  /**
+   * <pre>
+   * Prefill work that the sender's callers demand; a rank without any is absent.
+   * </pre>
+   *
+   * <code>repeated .shallothold.RankDemand demand = 14;</code>
+   */
+  java.util.List<org.shallothold.wire.proto.RankDemand> 
+      getDemandList();
+  /**
+   * <pre>
+   * Prefill work that the sender's callers demand; a rank without any is absent.
+   * </pre>
+   *
+   * <code>repeated .shallothold.RankDemand demand = 14;</code>
+   */
+  org.shallothold.wire.proto.RankDemand getDemand(int index);
+  /**
+   * <pre>
+   * Prefill work that the sender's callers demand; a rank without any is absent.
+   * </pre>
+   *
+   * <code>repeated .shallothold.RankDemand demand = 14;</code>
+   */
+  int getDemandCount();
+  /**
+   * <pre>
+   * Prefill work that the sender's callers demand; a rank without any is absent.
+   * </pre>
+   *
+   * <code>repeated .shallothold.RankDemand demand = 14;</code>
+   */
+  java.util.List<? extends org.shallothold.wire.proto.RankDemandOrBuilder> 
+      getDemandOrBuilderList();
+  /**
+   * <pre>
+   * Prefill work that the sender's callers demand; a rank without any is absent.
+   * </pre>
+   *
+   * <code>repeated .shallothold.RankDemand demand = 14;</code>
+   */
+  org.shallothold.wire.proto.RankDemandOrBuilder getDemandOrBuilder(
+      int index);
 }
--- a/wire/src/main/java/org/shallothold/wire/proto/Shallothold.java
+++ b/wire/src/main/java/org/shallothold/wire/proto/Shallothold.java
@@ -216,6 +216,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_shallothold_FleetNews_HeavyLoadEntry_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_shallothold_RankDemand_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_shallothold_RankDemand_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_shallothold_WorkChanges_descriptor;
   static final 
@@ -399,7 +404,7 @@
       "lainReport\022\023\n\013call_number\030\001 \001(\003\022\014\n\004json\030" +
       "\002 \001(\014\"#\n\014AuditRequest\022\023\n\013call_number\030\001 \001" +
       "(\003\"0\n\013AuditReport\022\023\n\013call_number\030\001 \001(\003\022\014" +
-      "\n\004json\030\002 \001(\014\"\261\005\n\tFleetNews\022\022\n\nprocess_id" +
+      "\n\004json\030\002 \001(\014\"\332\005\n\tFleetNews\022\022\n\nprocess_id" +
       "\030\001 \001(\t\022\017\n\007address\030\002 \001(\t\022\027\n\017known_address" +
       "es\030\003 \003(\t\022 \n\030configuration_changed_at\030\004 \001" +
       "(\003\022\032\n\022servers_changed_at\030\005 \001(\003\022(\n\topen_w" +
@@ -412,63 +417,67 @@
       "2%.shallothold.FleetNews.HeavyLoadEntry\022" +
       " \n\030known_address_age_millis\030\014 \003(\005\0222\n\016cra" +
       "sh_evidence\030\r \001(\0132\032.shallothold.CrashEvi" +
-      "dence\0320\n\016TightLoadEntry\022\013\n\003key\030\001 \001(\t\022\r\n\005" +
-      "value\030\002 \001(\005:\0028\001\032M\n\021EngineSpeedsEntry\022\013\n\003" +
-      "key\030\001 \001(\t\022\'\n\005value\030\002 \001(\0132\030.shallothold.E" +
-      "ngineSpeed:\0028\001\0320\n\016HeavyLoadEntry\022\013\n\003key\030" +
-      "\001 \001(\t\022\r\n\005value\030\002 \001(\005:\0028\001\"\232\001\n\013WorkChanges" +
-      "\022(\n\topen_work\030\001 \003(\0132\025.shallothold.OpenWo" +
-      "rk\022-\n\014prefix_reads\030\002 \003(\0132\027.shallothold.P" +
-      "refixRead\0222\n\016crash_evidence\030\003 \001(\0132\032.shal" +
-      "lothold.CrashEvidence\"l\n\rCrashEvidence\022." +
-      "\n\nsuspicions\030\001 \003(\0132\032.shallothold.PartSus" +
-      "picion\022+\n\tsuccesses\030\002 \003(\0132\030.shallothold." +
-      "PartSuccess\"f\n\rPartSuspicion\022\017\n\007part_id\030" +
-      "\001 \001(\006\022\021\n\tserver_id\030\002 \001(\t\022\030\n\020crash_age_mi" +
-      "llis\030\003 \001(\003\022\027\n\017sent_age_millis\030\004 \001(\003\"2\n\013P" +
-      "artSuccess\022\017\n\007part_id\030\001 \001(\006\022\022\n\nage_milli" +
-      "s\030\002 \001(\003\"\355\001\n\010OpenWork\022\021\n\tserver_id\030\001 \001(\t\022" +
-      "\020\n\010requests\030\002 \001(\005\022\023\n\013read_millis\030\003 \001(\005\022\025" +
-      "\n\rtight_streams\030\004 \001(\005\022\030\n\020sent_read_milli" +
-      "s\030\006 \001(\003\022\031\n\014leaving_life\030\007 \001(\003H\000\210\001\001\022,\n\013st" +
-      "ated_rate\030\010 \001(\0132\027.shallothold.StatedRate" +
-      "\022\026\n\016decode_percent\030\013 \001(\005B\017\n\r_leaving_lif" +
-      "eJ\004\010\005\020\006\"r\n\nStatedRate\022\026\n\016instance_start\030" +
-      "\001 \001(\003\022 \n\023requests_per_second\030\002 \001(\001H\000\210\001\001\022" +
-      "\022\n\nage_millis\030\003 \001(\003B\026\n\024_requests_per_sec" +
-      "ond\"\257\001\n\021SendPermitRequest\022\021\n\tserver_id\030\001" +
-      " \001(\t\022,\n\013stated_rate\030\002 \001(\0132\027.shallothold." +
-      "StatedRate\022\026\n\016request_number\030\003 \001(\003\022\024\n\014as" +
-      "ked_millis\030\004 \001(\003\022\026\n\016trial_part_ids\030\005 \003(\006" +
-      "\022\023\n\013trial_ended\030\006 \001(\010\"\213\001\n\020SendPermitAnsw" +
-      "er\022\021\n\tserver_id\030\001 \001(\t\022\026\n\016instance_start\030" +
-      "\002 \001(\003\022\026\n\016request_number\030\003 \001(\003\022\024\n\014asked_m" +
-      "illis\030\004 \001(\003\022\017\n\007granted\030\005 \001(\010\022\r\n\005trial\030\006 " +
-      "\001(\010\"\256\001\n\013EngineSpeed\022\024\n\014token_millis\030\001 \001(" +
-      "\001\022\023\n\013pair_millis\030\002 \001(\001\022\024\n\014read_samples\030\003" +
-      " \001(\005\022\023\n\013step_millis\030\004 \001(\001\022\024\n\014step_sample" +
-      "s\030\005 \001(\005\022\034\n\024reading_pause_millis\030\006 \001(\001\022\025\n" +
-      "\rpause_samples\030\007 \001(\005\"C\n\nPrefixRead\022\021\n\tse" +
-      "rver_id\030\001 \001(\t\022\022\n\nchain_hash\030\002 \001(\006\022\016\n\006tok" +
-      "ens\030\003 \001(\005\"M\n\020PublishedRequest\022*\n\005topic\030\001" +
-      " \001(\0162\033.shallothold.PublishedTopic\022\r\n\005as_" +
-      "of\030\002 \001(\003\"=\n\rPublishedItem\022\013\n\003key\030\001 \001(\t\022\r" +
-      "\n\005value\030\002 \001(\014\022\020\n\010revision\030\003 \001(\003\"v\n\016Publi" +
-      "shedItems\022*\n\005topic\030\001 \001(\0162\033.shallothold.P" +
-      "ublishedTopic\022\r\n\005as_of\030\002 \001(\003\022)\n\005items\030\003 " +
-      "\003(\0132\032.shallothold.PublishedItem*S\n\004Role\022" +
-      "\024\n\020ROLE_UNSPECIFIED\020\000\022\020\n\014ROLE_GATEWAY\020\001\022" +
-      "\020\n\014ROLE_SIDECAR\020\002\022\021\n\rROLE_OPERATOR\020\003*v\n\n" +
-      "FinishKind\022\033\n\027FINISH_KIND_UNSPECIFIED\020\000\022" +
-      "\030\n\024FINISH_KIND_COMPLETE\020\001\022\026\n\022FINISH_KIND" +
-      "_BROKEN\020\002\022\031\n\025FINISH_KIND_CANCELLED\020\003*d\n\013" +
-      "VerdictKind\022\034\n\030VERDICT_KIND_UNSPECIFIED\020" +
-      "\000\022\030\n\024VERDICT_KIND_NOT_RUN\020\001\022\035\n\031VERDICT_K" +
-      "IND_MAY_HAVE_RUN\020\002*q\n\016PublishedTopic\022\037\n\033" +
-      "PUBLISHED_TOPIC_UNSPECIFIED\020\000\022!\n\035PUBLISH" +
-      "ED_TOPIC_CONFIGURATION\020\001\022\033\n\027PUBLISHED_TO" +
-      "PIC_SERVERS\020\002B\036\n\032org.shallothold.wire.pr" +
-      "otoP\001b\006proto3"
+      "dence\022\'\n\006demand\030\016 \003(\0132\027.shallothold.Rank" +
+      "Demand\0320\n\016TightLoadEntry\022\013\n\003key\030\001 \001(\t\022\r\n" +
+      "\005value\030\002 \001(\005:\0028\001\032M\n\021EngineSpeedsEntry\022\013\n" +
+      "\003key\030\001 \001(\t\022\'\n\005value\030\002 \001(\0132\030.shallothold." +
+      "EngineSpeed:\0028\001\0320\n\016HeavyLoadEntry\022\013\n\003key" +
+      "\030\001 \001(\t\022\r\n\005value\030\002 \001(\005:\0028\001\"w\n\nRankDemand\022" +
+      "\017\n\007service\030\001 \001(\t\022\020\n\010priority\030\002 \001(\005\022\026\n\016ro" +
+      "ute_priority\030\003 \001(\005\022\026\n\016arrived_millis\030\004 \001" +
+      "(\005\022\026\n\016waiting_millis\030\005 \001(\005\"\232\001\n\013WorkChang" +
+      "es\022(\n\topen_work\030\001 \003(\0132\025.shallothold.Open" +
+      "Work\022-\n\014prefix_reads\030\002 \003(\0132\027.shallothold" +
+      ".PrefixRead\0222\n\016crash_evidence\030\003 \001(\0132\032.sh" +
+      "allothold.CrashEvidence\"l\n\rCrashEvidence" +
+      "\022.\n\nsuspicions\030\001 \003(\0132\032.shallothold.PartS" +
+      "uspicion\022+\n\tsuccesses\030\002 \003(\0132\030.shallothol" +
+      "d.PartSuccess\"f\n\rPartSuspicion\022\017\n\007part_i" +
+      "d\030\001 \001(\006\022\021\n\tserver_id\030\002 \001(\t\022\030\n\020crash_age_" +
+      "millis\030\003 \001(\003\022\027\n\017sent_age_millis\030\004 \001(\003\"2\n" +
+      "\013PartSuccess\022\017\n\007part_id\030\001 \001(\006\022\022\n\nage_mil" +
+      "lis\030\002 \001(\003\"\355\001\n\010OpenWork\022\021\n\tserver_id\030\001 \001(" +
+      "\t\022\020\n\010requests\030\002 \001(\005\022\023\n\013read_millis\030\003 \001(\005" +
+      "\022\025\n\rtight_streams\030\004 \001(\005\022\030\n\020sent_read_mil" +
+      "lis\030\006 \001(\003\022\031\n\014leaving_life\030\007 \001(\003H\000\210\001\001\022,\n\013" +
+      "stated_rate\030\010 \001(\0132\027.shallothold.StatedRa" +
+      "te\022\026\n\016decode_percent\030\013 \001(\005B\017\n\r_leaving_l" +
+      "ifeJ\004\010\005\020\006\"r\n\nStatedRate\022\026\n\016instance_star" +
+      "t\030\001 \001(\003\022 \n\023requests_per_second\030\002 \001(\001H\000\210\001" +
+      "\001\022\022\n\nage_millis\030\003 \001(\003B\026\n\024_requests_per_s" +
+      "econd\"\257\001\n\021SendPermitRequest\022\021\n\tserver_id" +
+      "\030\001 \001(\t\022,\n\013stated_rate\030\002 \001(\0132\027.shallothol" +
+      "d.StatedRate\022\026\n\016request_number\030\003 \001(\003\022\024\n\014" +
+      "asked_millis\030\004 \001(\003\022\026\n\016trial_part_ids\030\005 \003" +
+      "(\006\022\023\n\013trial_ended\030\006 \001(\010\"\213\001\n\020SendPermitAn" +
+      "swer\022\021\n\tserver_id\030\001 \001(\t\022\026\n\016instance_star" +
+      "t\030\002 \001(\003\022\026\n\016request_number\030\003 \001(\003\022\024\n\014asked" +
+      "_millis\030\004 \001(\003\022\017\n\007granted\030\005 \001(\010\022\r\n\005trial\030" +
+      "\006 \001(\010\"\256\001\n\013EngineSpeed\022\024\n\014token_millis\030\001 " +
+      "\001(\001\022\023\n\013pair_millis\030\002 \001(\001\022\024\n\014read_samples" +
+      "\030\003 \001(\005\022\023\n\013step_millis\030\004 \001(\001\022\024\n\014step_samp" +
+      "les\030\005 \001(\005\022\034\n\024reading_pause_millis\030\006 \001(\001\022" +
+      "\025\n\rpause_samples\030\007 \001(\005\"C\n\nPrefixRead\022\021\n\t" +
+      "server_id\030\001 \001(\t\022\022\n\nchain_hash\030\002 \001(\006\022\016\n\006t" +
+      "okens\030\003 \001(\005\"M\n\020PublishedRequest\022*\n\005topic" +
+      "\030\001 \001(\0162\033.shallothold.PublishedTopic\022\r\n\005a" +
+      "s_of\030\002 \001(\003\"=\n\rPublishedItem\022\013\n\003key\030\001 \001(\t" +
+      "\022\r\n\005value\030\002 \001(\014\022\020\n\010revision\030\003 \001(\003\"v\n\016Pub" +
+      "lishedItems\022*\n\005topic\030\001 \001(\0162\033.shallothold" +
+      ".PublishedTopic\022\r\n\005as_of\030\002 \001(\003\022)\n\005items\030" +
+      "\003 \003(\0132\032.shallothold.PublishedItem*S\n\004Rol" +
+      "e\022\024\n\020ROLE_UNSPECIFIED\020\000\022\020\n\014ROLE_GATEWAY\020" +
+      "\001\022\020\n\014ROLE_SIDECAR\020\002\022\021\n\rROLE_OPERATOR\020\003*v" +
+      "\n\nFinishKind\022\033\n\027FINISH_KIND_UNSPECIFIED\020" +
+      "\000\022\030\n\024FINISH_KIND_COMPLETE\020\001\022\026\n\022FINISH_KI" +
+      "ND_BROKEN\020\002\022\031\n\025FINISH_KIND_CANCELLED\020\003*d" +
+      "\n\013VerdictKind\022\034\n\030VERDICT_KIND_UNSPECIFIE" +
+      "D\020\000\022\030\n\024VERDICT_KIND_NOT_RUN\020\001\022\035\n\031VERDICT" +
+      "_KIND_MAY_HAVE_RUN\020\002*q\n\016PublishedTopic\022\037" +
+      "\n\033PUBLISHED_TOPIC_UNSPECIFIED\020\000\022!\n\035PUBLI" +
+      "SHED_TOPIC_CONFIGURATION\020\001\022\033\n\027PUBLISHED_" +
+      "TOPIC_SERVERS\020\002B\036\n\032org.shallothold.wire." +
+      "protoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -683,7 +692,7 @@
     internal_static_shallothold_FleetNews_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_shallothold_FleetNews_descriptor,
-        new java.lang.String[] { "ProcessId", "Address", "KnownAddresses", "ConfigurationChangedAt", "ServersChangedAt", "OpenWork", "PrefixReads", "Leaving", "TightLoad", "EngineSpeeds", "HeavyLoad", "KnownAddressAgeMillis", "CrashEvidence", });
+        new java.lang.String[] { "ProcessId", "Address", "KnownAddresses", "ConfigurationChangedAt", "ServersChangedAt", "OpenWork", "PrefixReads", "Leaving", "TightLoad", "EngineSpeeds", "HeavyLoad", "KnownAddressAgeMillis", "CrashEvidence", "Demand", });
     internal_static_shallothold_FleetNews_TightLoadEntry_descriptor =
       internal_static_shallothold_FleetNews_descriptor.getNestedType(0);
     internal_static_shallothold_FleetNews_TightLoadEntry_fieldAccessorTable = new
@@ -702,80 +711,86 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_shallothold_FleetNews_HeavyLoadEntry_descriptor,
         new java.lang.String[] { "Key", "Value", });
-    internal_static_shallothold_WorkChanges_descriptor =
+    internal_static_shallothold_RankDemand_descriptor =
       getDescriptor().getMessageType(35);
+    internal_static_shallothold_RankDemand_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_shallothold_RankDemand_descriptor,
+        new java.lang.String[] { "Service", "Priority", "RoutePriority", "ArrivedMillis", "WaitingMillis", });
+    internal_static_shallothold_WorkChanges_descriptor =
+      getDescriptor().getMessageType(36);
     internal_static_shallothold_WorkChanges_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_shallothold_WorkChanges_descriptor,
         new java.lang.String[] { "OpenWork", "PrefixReads", "CrashEvidence", });
     internal_static_shallothold_CrashEvidence_descriptor =
-      getDescriptor().getMessageType(36);
+      getDescriptor().getMessageType(37);
     internal_static_shallothold_CrashEvidence_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_shallothold_CrashEvidence_descriptor,
         new java.lang.String[] { "Suspicions", "Successes", });
     internal_static_shallothold_PartSuspicion_descriptor =
-      getDescriptor().getMessageType(37);
+      getDescriptor().getMessageType(38);
     internal_static_shallothold_PartSuspicion_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_shallothold_PartSuspicion_descriptor,
         new java.lang.String[] { "PartId", "ServerId", "CrashAgeMillis", "SentAgeMillis", });
     internal_static_shallothold_PartSuccess_descriptor =
-      getDescriptor().getMessageType(38);
+      getDescriptor().getMessageType(39);
     internal_static_shallothold_PartSuccess_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_shallothold_PartSuccess_descriptor,
         new java.lang.String[] { "PartId", "AgeMillis", });
     internal_static_shallothold_OpenWork_descriptor =
-      getDescriptor().getMessageType(39);
+      getDescriptor().getMessageType(40);
     internal_static_shallothold_OpenWork_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_shallothold_OpenWork_descriptor,
         new java.lang.String[] { "ServerId", "Requests", "ReadMillis", "TightStreams", "SentReadMillis", "LeavingLife", "StatedRate", "DecodePercent", });
     internal_static_shallothold_StatedRate_descriptor =
-      getDescriptor().getMessageType(40);
+      getDescriptor().getMessageType(41);
     internal_static_shallothold_StatedRate_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_shallothold_StatedRate_descriptor,
         new java.lang.String[] { "InstanceStart", "RequestsPerSecond", "AgeMillis", });
     internal_static_shallothold_SendPermitRequest_descriptor =
-      getDescriptor().getMessageType(41);
+      getDescriptor().getMessageType(42);
     internal_static_shallothold_SendPermitRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_shallothold_SendPermitRequest_descriptor,
         new java.lang.String[] { "ServerId", "StatedRate", "RequestNumber", "AskedMillis", "TrialPartIds", "TrialEnded", });
     internal_static_shallothold_SendPermitAnswer_descriptor =
-      getDescriptor().getMessageType(42);
+      getDescriptor().getMessageType(43);
     internal_static_shallothold_SendPermitAnswer_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_shallothold_SendPermitAnswer_descriptor,
         new java.lang.String[] { "ServerId", "InstanceStart", "RequestNumber", "AskedMillis", "Granted", "Trial", });
     internal_static_shallothold_EngineSpeed_descriptor =
-      getDescriptor().getMessageType(43);
+      getDescriptor().getMessageType(44);
     internal_static_shallothold_EngineSpeed_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_shallothold_EngineSpeed_descriptor,
         new java.lang.String[] { "TokenMillis", "PairMillis", "ReadSamples", "StepMillis", "StepSamples", "ReadingPauseMillis", "PauseSamples", });
     internal_static_shallothold_PrefixRead_descriptor =
-      getDescriptor().getMessageType(44);
+      getDescriptor().getMessageType(45);
     internal_static_shallothold_PrefixRead_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_shallothold_PrefixRead_descriptor,
         new java.lang.String[] { "ServerId", "ChainHash", "Tokens", });
     internal_static_shallothold_PublishedRequest_descriptor =
-      getDescriptor().getMessageType(45);
+      getDescriptor().getMessageType(46);
     internal_static_shallothold_PublishedRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_shallothold_PublishedRequest_descriptor,
         new java.lang.String[] { "Topic", "AsOf", });
     internal_static_shallothold_PublishedItem_descriptor =
-      getDescriptor().getMessageType(46);
+      getDescriptor().getMessageType(47);
     internal_static_shallothold_PublishedItem_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_shallothold_PublishedItem_descriptor,
         new java.lang.String[] { "Key", "Value", "Revision", });
     internal_static_shallothold_PublishedItems_descriptor =
-      getDescriptor().getMessageType(47);
+      getDescriptor().getMessageType(48);
     internal_static_shallothold_PublishedItems_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_shallothold_PublishedItems_descriptor,
