Bound the paced backlog of a slowed engine as of now

Cause: at an unchanged share of prefills, the bound was stored as a backlog of the time of the last prompt and went down for that time once more. Change: the backlog is brought up to date before it is bounded.

--- a/core/src/main/java/org/shallothold/core/placement/TrackedServer.java
+++ b/core/src/main/java/org/shallothold/core/placement/TrackedServer.java
@@ -458,7 +458,7 @@
     paceUpdatedMillis = nowMillis;
     decodeStepMillis = stepMillis;
     double changedShare = PrefillPace.share(decodeDemand.share(stepMillis, nowMillis));
-    if (changedShare != prefillShare) {
+    if (changedShare != prefillShare || isPrefillSlowed()) {
       // Until now the backlog went down at the former share.
       addPacedBacklog(0, nowMillis);
       prefillShare = changedShare;
--- a/core/src/test/java/org/shallothold/core/placement/PrefillPaceTest.java
+++ b/core/src/test/java/org/shallothold/core/placement/PrefillPaceTest.java
@@ -159,6 +159,22 @@
       assertFalse(engine.isPrefillSlowed());
     }
 
+    /** Guards against a bound that is taken for a backlog of the past, and goes down twice. */
+    @Test
+    void boundedBacklogGoesDownAtTheShareOfPrefills() {
+      engine.recordSent(1, LONG_PROMPT, 0, false, 0);
+      engine.decodeDemand().add(1, new OutputEstimate(480, 480), 4_000);
+      engine.decodeDemand().recordProduced(1, 4);
+      engine.updatePace(STEP_MILLIS, 0);
+      assertEquals(PrefillPace.MIN_SHARE, engine.prefillShare());
+      engine.recordSent(2, LONG_PROMPT, 60_000, false, 10);
+      engine.recordEnd(2);
+      engine.updatePace(STEP_MILLIS, 100);
+      double backlogMillis = engine.backlogMillis(100);
+      assertEquals(PrefillPace.maxExcessMillis(PrefillPace.MIN_SHARE), backlogMillis, 1e-6);
+      assertEquals(backlogMillis - PrefillPace.MIN_SHARE * 50, engine.backlogMillis(150), 1e-6);
+    }
+
     /**
      * Guards against an engine that gets nothing for seconds after prompts for a former instance.
      */
