--- a/gateway/src/main/java/org/shallothold/gateway/forward/Forwarder.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/Forwarder.java
@@ -62,6 +62,7 @@
   private final ResponseTimes responseTimes = ResponseTimes.create();
   private final OutputLengths outputLengths = OutputLengths.create();
   private final PrefillPaceLog prefillPaceLog;
+  private final AdmissionLevelLog admissionLevelLog;
   private boolean leaving;
   private long endOfDrainMillis;
   private boolean refusingRequests;
@@ -88,6 +89,7 @@
     this.rateLimits = new StatedRateLimits(state, log, metrics);
     this.requestMemory = RequestMemoryBudget.of(options.bufferBytes());
     this.requestMemoryWatch = new RequestMemoryWatch(requestMemory, log, metrics);
+    this.admissionLevelLog = new AdmissionLevelLog(log);
     rateLimits.setAnswerListener(this::permitAnswered);
     // Peers are told at once.
     state.setRateChangeListener(this::workAdded);
@@ -131,6 +133,7 @@
     queuesByService.values().forEach(ServiceQueue::updatePaces);
     prefillPaceLog.maintain(queuesByService.keySet());
     requestMemoryWatch.maintain(MonotonicClock.millis());
+    admissionLevelLog.maintain(queuesByService);
   }
 
   private void permitAnswered(String serverId, long requestNumber) {
--- a/gateway/src/main/java/org/shallothold/gateway/forward/ForwardingGateway.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/ForwardingGateway.java
@@ -272,6 +272,11 @@
     return forwarder.memory();
   }
 
+  /** Returns a listed server, or null if there is none; to be used on the event loop only. */
+  @Nullable TrackedServer server(String id) {
+    return state.server(id);
+  }
+
   private int callOnEventLoop(java.util.function.IntSupplier supplier) {
     CountDownLatch completed = new CountDownLatch(1);
     int[] result = new int[1];
@@ -370,7 +375,11 @@
       forwarder
           .queues()
           .values()
-          .forEach(queue -> queue.estimator().ifPresent(estimator -> estimator.removePeer(peer)));
+          .forEach(
+              queue -> {
+                queue.estimator().ifPresent(estimator -> estimator.removePeer(peer));
+                queue.fleetDemand().removePeer(peer);
+              });
       state.allServers().forEach(server -> server.speed().removePeer(peer));
     }
 
@@ -388,6 +397,7 @@
               (service, queue) -> {
                 update.putTightLoad(
                     service, (int) Math.round(queue.pauseSensitiveLoad() * THOUSANDTHS_PER_ENGINE));
+                DemandExchange.describe(service, queue, update);
                 update.putHeavyLoad(
                     service, (int) Math.round(queue.heavyLoad() * THOUSANDTHS_PER_ENGINE));
                 queue
@@ -493,6 +503,7 @@
                       .estimator()
                       .ifPresent(estimator -> estimator.updatePeer(peer, fromProto(speed))));
       forwarder.queues().forEach(this::applyPeerLoads);
+      DemandExchange.apply(update, forwarder.queues());
       update.getPrefixReadsList().forEach(this::applyPrefixRead);
     }
 
--- a/wire/src/main/java/org/shallothold/wire/proto/FleetNews.java
+++ b/wire/src/main/java/org/shallothold/wire/proto/FleetNews.java
@@ -40,6 +40,7 @@
     openWork_ = java.util.Collections.emptyList();
     prefixReads_ = java.util.Collections.emptyList();
     knownAddressAgeMillis_ = emptyIntList();
+    demand_ = java.util.Collections.emptyList();
     connectedTo_ = emptyIntList();
   }
 
@@ -720,6 +721,67 @@
     return crashEvidence_ == null ? org.shallothold.wire.proto.CrashEvidence.getDefaultInstance() : crashEvidence_;
   }
 
+  public static final int DEMAND_FIELD_NUMBER = 14;
+  @SuppressWarnings("serial")
+  private java.util.List<org.shallothold.wire.proto.RankDemand> demand_;
+  /**
+   * <pre>
+   * Prefill work that the sender's callers demand; a rank without any is absent.
+   * </pre>
+   *
+   * <code>repeated .shallothold.RankDemand demand = 14;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.shallothold.wire.proto.RankDemand> getDemandList() {
+    return demand_;
+  }
+  /**
+   * <pre>
+   * Prefill work that the sender's callers demand; a rank without any is absent.
+   * </pre>
+   *
+   * <code>repeated .shallothold.RankDemand demand = 14;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.shallothold.wire.proto.RankDemandOrBuilder> 
+      getDemandOrBuilderList() {
+    return demand_;
+  }
+  /**
+   * <pre>
+   * Prefill work that the sender's callers demand; a rank without any is absent.
+   * </pre>
+   *
+   * <code>repeated .shallothold.RankDemand demand = 14;</code>
+   */
+  @java.lang.Override
+  public int getDemandCount() {
+    return demand_.size();
+  }
+  /**
+   * <pre>
+   * Prefill work that the sender's callers demand; a rank without any is absent.
+   * </pre>
+   *
+   * <code>repeated .shallothold.RankDemand demand = 14;</code>
+   */
+  @java.lang.Override
+  public org.shallothold.wire.proto.RankDemand getDemand(int index) {
+    return demand_.get(index);
+  }
+  /**
+   * <pre>
+   * Prefill work that the sender's callers demand; a rank without any is absent.
+   * </pre>
+   *
+   * <code>repeated .shallothold.RankDemand demand = 14;</code>
+   */
+  @java.lang.Override
+  public org.shallothold.wire.proto.RankDemandOrBuilder getDemandOrBuilder(
+      int index) {
+    return demand_.get(index);
+  }
+
   public static final int NUMBER_FIELD_NUMBER = 16;
   private long number_ = 0L;
   /**
@@ -894,6 +956,9 @@
     if (((bitField0_ & 0x00000001) != 0)) {
       output.writeMessage(13, getCrashEvidence());
     }
+    for (int i = 0; i < demand_.size(); i++) {
+      output.writeMessage(14, demand_.get(i));
+    }
     if (number_ != 0L) {
       output.writeInt64(16, number_);
     }
@@ -1008,6 +1073,15 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(13, getCrashEvidence());
     }
+
+        {
+          final int count = demand_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(demand_.get(i));
+          }
+          size += 1 * count;
+        }
     if (number_ != 0L) {
       size += com.google.protobuf.CodedOutputStream
         .computeInt64Size(16, number_);
@@ -1071,6 +1145,8 @@
       if (!getCrashEvidence()
           .equals(other.getCrashEvidence())) return false;
     }
+    if (!getDemandList()
+        .equals(other.getDemandList())) return false;
     if (getNumber()
         != other.getNumber()) return false;
     if (hasDifference() != other.hasDifference()) return false;
@@ -1136,6 +1212,10 @@
       hash = (37 * hash) + CRASH_EVIDENCE_FIELD_NUMBER;
       hash = (53 * hash) + getCrashEvidence().hashCode();
     }
+    if (getDemandCount() > 0) {
+      hash = (37 * hash) + DEMAND_FIELD_NUMBER;
+      hash = (53 * hash) + getDemandList().hashCode();
+    }
     hash = (37 * hash) + NUMBER_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getNumber());
@@ -1315,6 +1395,7 @@
         internalGetOpenWorkFieldBuilder();
         internalGetPrefixReadsFieldBuilder();
         internalGetCrashEvidenceFieldBuilder();
+        internalGetDemandFieldBuilder();
         internalGetDifferenceFieldBuilder();
       }
     }
@@ -1352,6 +1433,13 @@
         crashEvidenceBuilder_.dispose();
         crashEvidenceBuilder_ = null;
       }
+      if (demandBuilder_ == null) {
+        demand_ = java.util.Collections.emptyList();
+      } else {
+        demand_ = null;
+        demandBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00002000);
       number_ = 0L;
       difference_ = null;
       if (differenceBuilder_ != null) {
@@ -1410,6 +1498,15 @@
       } else {
         result.prefixReads_ = prefixReadsBuilder_.build();
       }
+      if (demandBuilder_ == null) {
+        if (((bitField0_ & 0x00002000) != 0)) {
+          demand_ = java.util.Collections.unmodifiableList(demand_);
+          bitField0_ = (bitField0_ & ~0x00002000);
+        }
+        result.demand_ = demand_;
+      } else {
+        result.demand_ = demandBuilder_.build();
+      }
     }
 
     private void buildPartial0(org.shallothold.wire.proto.FleetNews result) {
@@ -1455,16 +1552,16 @@
             : crashEvidenceBuilder_.build();
         to_bitField0_ |= 0x00000001;
       }
-      if (((from_bitField0_ & 0x00002000) != 0)) {
+      if (((from_bitField0_ & 0x00004000) != 0)) {
         result.number_ = number_;
       }
-      if (((from_bitField0_ & 0x00004000) != 0)) {
+      if (((from_bitField0_ & 0x00008000) != 0)) {
         result.difference_ = differenceBuilder_ == null
             ? difference_
             : differenceBuilder_.build();
         to_bitField0_ |= 0x00000002;
       }
-      if (((from_bitField0_ & 0x00008000) != 0)) {
+      if (((from_bitField0_ & 0x00010000) != 0)) {
         connectedTo_.makeImmutable();
         result.connectedTo_ = connectedTo_;
       }
@@ -1587,6 +1684,32 @@
       if (other.hasCrashEvidence()) {
         mergeCrashEvidence(other.getCrashEvidence());
       }
+      if (demandBuilder_ == null) {
+        if (!other.demand_.isEmpty()) {
+          if (demand_.isEmpty()) {
+            demand_ = other.demand_;
+            bitField0_ = (bitField0_ & ~0x00002000);
+          } else {
+            ensureDemandIsMutable();
+            demand_.addAll(other.demand_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.demand_.isEmpty()) {
+          if (demandBuilder_.isEmpty()) {
+            demandBuilder_.dispose();
+            demandBuilder_ = null;
+            demand_ = other.demand_;
+            bitField0_ = (bitField0_ & ~0x00002000);
+            demandBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetDemandFieldBuilder() : null;
+          } else {
+            demandBuilder_.addAllMessages(other.demand_);
+          }
+        }
+      }
       if (other.getNumber() != 0L) {
         setNumber(other.getNumber());
       }
@@ -1597,7 +1720,7 @@
         if (connectedTo_.isEmpty()) {
           connectedTo_ = other.connectedTo_;
           connectedTo_.makeImmutable();
-          bitField0_ |= 0x00008000;
+          bitField0_ |= 0x00010000;
         } else {
           ensureConnectedToIsMutable();
           connectedTo_.addAll(other.connectedTo_);
@@ -1736,16 +1859,29 @@
               bitField0_ |= 0x00001000;
               break;
             } // case 106
+            case 114: {
+              org.shallothold.wire.proto.RankDemand m =
+                  input.readMessage(
+                      org.shallothold.wire.proto.RankDemand.parser(),
+                      extensionRegistry);
+              if (demandBuilder_ == null) {
+                ensureDemandIsMutable();
+                demand_.add(m);
+              } else {
+                demandBuilder_.addMessage(m);
+              }
+              break;
+            } // case 114
             case 128: {
               number_ = input.readInt64();
-              bitField0_ |= 0x00002000;
+              bitField0_ |= 0x00004000;
               break;
             } // case 128
             case 138: {
               input.readMessage(
                   internalGetDifferenceFieldBuilder().getBuilder(),
                   extensionRegistry);
-              bitField0_ |= 0x00004000;
+              bitField0_ |= 0x00008000;
               break;
             } // case 138
             case 149: {
@@ -3522,6 +3658,318 @@
       return crashEvidenceBuilder_;
     }
 
+    private java.util.List<org.shallothold.wire.proto.RankDemand> demand_ =
+      java.util.Collections.emptyList();
+    private void ensureDemandIsMutable() {
+      if (!((bitField0_ & 0x00002000) != 0)) {
+        demand_ = new java.util.ArrayList<org.shallothold.wire.proto.RankDemand>(demand_);
+        bitField0_ |= 0x00002000;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.shallothold.wire.proto.RankDemand, org.shallothold.wire.proto.RankDemand.Builder, org.shallothold.wire.proto.RankDemandOrBuilder> demandBuilder_;
+
+    /**
+     * <pre>
+     * Prefill work that the sender's callers demand; a rank without any is absent.
+     * </pre>
+     *
+     * <code>repeated .shallothold.RankDemand demand = 14;</code>
+     */
+    public java.util.List<org.shallothold.wire.proto.RankDemand> getDemandList() {
+      if (demandBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(demand_);
+      } else {
+        return demandBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * Prefill work that the sender's callers demand; a rank without any is absent.
+     * </pre>
+     *
+     * <code>repeated .shallothold.RankDemand demand = 14;</code>
+     */
+    public int getDemandCount() {
+      if (demandBuilder_ == null) {
+        return demand_.size();
+      } else {
+        return demandBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * Prefill work that the sender's callers demand; a rank without any is absent.
+     * </pre>
+     *
+     * <code>repeated .shallothold.RankDemand demand = 14;</code>
+     */
+    public org.shallothold.wire.proto.RankDemand getDemand(int index) {
+      if (demandBuilder_ == null) {
+        return demand_.get(index);
+      } else {
+        return demandBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * Prefill work that the sender's callers demand; a rank without any is absent.
+     * </pre>
+     *
+     * <code>repeated .shallothold.RankDemand demand = 14;</code>
+     */
+    public Builder setDemand(
+        int index, org.shallothold.wire.proto.RankDemand value) {
+      if (demandBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureDemandIsMutable();
+        demand_.set(index, value);
+        onChanged();
+      } else {
+        demandBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Prefill work that the sender's callers demand; a rank without any is absent.
+     * </pre>
+     *
+     * <code>repeated .shallothold.RankDemand demand = 14;</code>
+     */
+    public Builder setDemand(
+        int index, org.shallothold.wire.proto.RankDemand.Builder builderForValue) {
+      if (demandBuilder_ == null) {
+        ensureDemandIsMutable();
+        demand_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        demandBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Prefill work that the sender's callers demand; a rank without any is absent.
+     * </pre>
+     *
+     * <code>repeated .shallothold.RankDemand demand = 14;</code>
+     */
+    public Builder addDemand(org.shallothold.wire.proto.RankDemand value) {
+      if (demandBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureDemandIsMutable();
+        demand_.add(value);
+        onChanged();
+      } else {
+        demandBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Prefill work that the sender's callers demand; a rank without any is absent.
+     * </pre>
+     *
+     * <code>repeated .shallothold.RankDemand demand = 14;</code>
+     */
+    public Builder addDemand(
+        int index, org.shallothold.wire.proto.RankDemand value) {
+      if (demandBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureDemandIsMutable();
+        demand_.add(index, value);
+        onChanged();
+      } else {
+        demandBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Prefill work that the sender's callers demand; a rank without any is absent.
+     * </pre>
+     *
+     * <code>repeated .shallothold.RankDemand demand = 14;</code>
+     */
+    public Builder addDemand(
+        org.shallothold.wire.proto.RankDemand.Builder builderForValue) {
+      if (demandBuilder_ == null) {
+        ensureDemandIsMutable();
+        demand_.add(builderForValue.build());
+        onChanged();
+      } else {
+        demandBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Prefill work that the sender's callers demand; a rank without any is absent.
+     * </pre>
+     *
+     * <code>repeated .shallothold.RankDemand demand = 14;</code>
+     */
+    public Builder addDemand(
+        int index, org.shallothold.wire.proto.RankDemand.Builder builderForValue) {
+      if (demandBuilder_ == null) {
+        ensureDemandIsMutable();
+        demand_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        demandBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Prefill work that the sender's callers demand; a rank without any is absent.
+     * </pre>
+     *
+     * <code>repeated .shallothold.RankDemand demand = 14;</code>
+     */
+    public Builder addAllDemand(
+        java.lang.Iterable<? extends org.shallothold.wire.proto.RankDemand> values) {
+      if (demandBuilder_ == null) {
+        ensureDemandIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, demand_);
+        onChanged();
+      } else {
+        demandBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Prefill work that the sender's callers demand; a rank without any is absent.
+     * </pre>
+     *
+     * <code>repeated .shallothold.RankDemand demand = 14;</code>
+     */
+    public Builder clearDemand() {
+      if (demandBuilder_ == null) {
+        demand_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00002000);
+        onChanged();
+      } else {
+        demandBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Prefill work that the sender's callers demand; a rank without any is absent.
+     * </pre>
+     *
+     * <code>repeated .shallothold.RankDemand demand = 14;</code>
+     */
+    public Builder removeDemand(int index) {
+      if (demandBuilder_ == null) {
+        ensureDemandIsMutable();
+        demand_.remove(index);
+        onChanged();
+      } else {
+        demandBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Prefill work that the sender's callers demand; a rank without any is absent.
+     * </pre>
+     *
+     * <code>repeated .shallothold.RankDemand demand = 14;</code>
+     */
+    public org.shallothold.wire.proto.RankDemand.Builder getDemandBuilder(
+        int index) {
+      return internalGetDemandFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * Prefill work that the sender's callers demand; a rank without any is absent.
+     * </pre>
+     *
+     * <code>repeated .shallothold.RankDemand demand = 14;</code>
+     */
+    public org.shallothold.wire.proto.RankDemandOrBuilder getDemandOrBuilder(
+        int index) {
+      if (demandBuilder_ == null) {
+        return demand_.get(index);  } else {
+        return demandBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * Prefill work that the sender's callers demand; a rank without any is absent.
+     * </pre>
+     *
+     * <code>repeated .shallothold.RankDemand demand = 14;</code>
+     */
+    public java.util.List<? extends org.shallothold.wire.proto.RankDemandOrBuilder> 
+         getDemandOrBuilderList() {
+      if (demandBuilder_ != null) {
+        return demandBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(demand_);
+      }
+    }
+    /**
+     * <pre>
+     * Prefill work that the sender's callers demand; a rank without any is absent.
+     * </pre>
+     *
+     * <code>repeated .shallothold.RankDemand demand = 14;</code>
+     */
+    public org.shallothold.wire.proto.RankDemand.Builder addDemandBuilder() {
+      return internalGetDemandFieldBuilder().addBuilder(
+          org.shallothold.wire.proto.RankDemand.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Prefill work that the sender's callers demand; a rank without any is absent.
+     * </pre>
+     *
+     * <code>repeated .shallothold.RankDemand demand = 14;</code>
+     */
+    public org.shallothold.wire.proto.RankDemand.Builder addDemandBuilder(
+        int index) {
+      return internalGetDemandFieldBuilder().addBuilder(
+          index, org.shallothold.wire.proto.RankDemand.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Prefill work that the sender's callers demand; a rank without any is absent.
+     * </pre>
+     *
+     * <code>repeated .shallothold.RankDemand demand = 14;</code>
+     */
+    public java.util.List<org.shallothold.wire.proto.RankDemand.Builder> 
+         getDemandBuilderList() {
+      return internalGetDemandFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.shallothold.wire.proto.RankDemand, org.shallothold.wire.proto.RankDemand.Builder, org.shallothold.wire.proto.RankDemandOrBuilder> 
+        internalGetDemandFieldBuilder() {
+      if (demandBuilder_ == null) {
+        demandBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.shallothold.wire.proto.RankDemand, org.shallothold.wire.proto.RankDemand.Builder, org.shallothold.wire.proto.RankDemandOrBuilder>(
+                demand_,
+                ((bitField0_ & 0x00002000) != 0),
+                getParentForChildren(),
+                isClean());
+        demand_ = null;
+      }
+      return demandBuilder_;
+    }
+
     private long number_ ;
     /**
      * <pre>
@@ -3547,7 +3995,7 @@
     public Builder setNumber(long value) {
 
       number_ = value;
-      bitField0_ |= 0x00002000;
+      bitField0_ |= 0x00004000;
       onChanged();
       return this;
     }
@@ -3560,7 +4008,7 @@
      * @return This builder for chaining.
      */
     public Builder clearNumber() {
-      bitField0_ = (bitField0_ & ~0x00002000);
+      bitField0_ = (bitField0_ & ~0x00004000);
       number_ = 0L;
       onChanged();
       return this;
@@ -3581,7 +4029,7 @@
      * @return Whether the difference field is set.
      */
     public boolean hasDifference() {
-      return ((bitField0_ & 0x00004000) != 0);
+      return ((bitField0_ & 0x00008000) != 0);
     }
     /**
      * <pre>
@@ -3620,7 +4068,7 @@
       } else {
         differenceBuilder_.setMessage(value);
       }
-      bitField0_ |= 0x00004000;
+      bitField0_ |= 0x00008000;
       onChanged();
       return this;
     }
@@ -3641,7 +4089,7 @@
       } else {
         differenceBuilder_.setMessage(builderForValue.build());
       }
-      bitField0_ |= 0x00004000;
+      bitField0_ |= 0x00008000;
       onChanged();
       return this;
     }
@@ -3657,7 +4105,7 @@
      */
     public Builder mergeDifference(org.shallothold.wire.proto.StateDifference value) {
       if (differenceBuilder_ == null) {
-        if (((bitField0_ & 0x00004000) != 0) &&
+        if (((bitField0_ & 0x00008000) != 0) &&
           difference_ != null &&
           difference_ != org.shallothold.wire.proto.StateDifference.getDefaultInstance()) {
           getDifferenceBuilder().mergeFrom(value);
@@ -3668,7 +4116,7 @@
         differenceBuilder_.mergeFrom(value);
       }
       if (difference_ != null) {
-        bitField0_ |= 0x00004000;
+        bitField0_ |= 0x00008000;
         onChanged();
       }
       return this;
@@ -3684,7 +4132,7 @@
      * <code>.shallothold.StateDifference difference = 17;</code>
      */
     public Builder clearDifference() {
-      bitField0_ = (bitField0_ & ~0x00004000);
+      bitField0_ = (bitField0_ & ~0x00008000);
       difference_ = null;
       if (differenceBuilder_ != null) {
         differenceBuilder_.dispose();
@@ -3704,7 +4152,7 @@
      * <code>.shallothold.StateDifference difference = 17;</code>
      */
     public org.shallothold.wire.proto.StateDifference.Builder getDifferenceBuilder() {
-      bitField0_ |= 0x00004000;
+      bitField0_ |= 0x00008000;
       onChanged();
       return internalGetDifferenceFieldBuilder().getBuilder();
     }
@@ -3755,13 +4203,13 @@
       if (!connectedTo_.isModifiable()) {
         connectedTo_ = makeMutableCopy(connectedTo_);
       }
-      bitField0_ |= 0x00008000;
+      bitField0_ |= 0x00010000;
     }
     private void ensureConnectedToIsMutable(int capacity) {
       if (!connectedTo_.isModifiable()) {
         connectedTo_ = makeMutableCopy(connectedTo_, capacity);
       }
-      bitField0_ |= 0x00008000;
+      bitField0_ |= 0x00010000;
     }
     /**
      * <pre>
@@ -3818,7 +4266,7 @@
 
       ensureConnectedToIsMutable();
       connectedTo_.setInt(index, value);
-      bitField0_ |= 0x00008000;
+      bitField0_ |= 0x00010000;
       onChanged();
       return this;
     }
@@ -3836,7 +4284,7 @@
 
       ensureConnectedToIsMutable();
       connectedTo_.addInt(value);
-      bitField0_ |= 0x00008000;
+      bitField0_ |= 0x00010000;
       onChanged();
       return this;
     }
@@ -3855,7 +4303,7 @@
       ensureConnectedToIsMutable();
       com.google.protobuf.AbstractMessageLite.Builder.addAll(
           values, connectedTo_);
-      bitField0_ |= 0x00008000;
+      bitField0_ |= 0x00010000;
       onChanged();
       return this;
     }
@@ -3870,7 +4318,7 @@
      */
     public Builder clearConnectedTo() {
       connectedTo_ = emptyIntList();
-      bitField0_ = (bitField0_ & ~0x00008000);
+      bitField0_ = (bitField0_ & ~0x00010000);
       onChanged();
       return this;
     }
