Bound the memory that callers' heads occupy in the product's front end

Cause: Ratpack's decoder takes heads of 256 KiB of any number of lines, on any number of connections, and the bound of 16 KiB is checked afterwards. It also keeps a head, and trailers, until a body was read to its end, even if the request was answered before.

Change: a handler in front of Ratpack's counts lines while they are read, against a `RequestMemoryBudget` of an eighth of the heap that both event loops share, and releases a head with its answer and trailers at once. Setting `http.max_header_lines` (4,096). Gauges, and one log line in 10 s at most.

--- a/gateway/src/main/java/org/shallothold/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/shallothold/gateway/GatewaySettings.java
@@ -45,6 +45,7 @@
     String processId = document.requiredText("process.id");
     String failureDomain = document.requiredText("process.failure_domain");
     InetSocketAddress httpListen = document.requiredAddress("http.listen");
+    int maxHeaderLines = (int) document.number("http.max_header_lines", 4_096, 16, 65_536);
     int maxBodyBytes = (int) document.number("http.max_body_bytes", 1_048_576, 1_024, 4_194_304);
     int maxInFlight = (int) document.number("http.max_in_flight", 4_096, 1, 65_536);
     InetSocketAddress operatorListen = document.requiredAddress("operator.listen");
@@ -65,7 +66,7 @@
     return new GatewaySettings(
         Objects.requireNonNull(processId),
         Objects.requireNonNull(failureDomain),
-        new HttpOptions(Objects.requireNonNull(httpListen), maxBodyBytes),
+        new HttpOptions(Objects.requireNonNull(httpListen), maxHeaderLines, maxBodyBytes),
         Objects.requireNonNull(operatorListen),
         Objects.requireNonNull(platformUrl),
         new RouterOptions(
--- a/gateway/src/main/java/org/shallothold/gateway/headers/HeaderCounter.java
+++ b/gateway/src/main/java/org/shallothold/gateway/headers/HeaderCounter.java
@@ -36,11 +36,16 @@
   /** Makes a decoder count with this counter, and returns its configuration. */
   default HttpDecoderConfig countWith(HttpDecoderConfig config) {
     return config
-        .setHeadersFactory(factory(DefaultHttpHeadersFactory.headersFactory()))
-        .setTrailersFactory(factory(DefaultHttpHeadersFactory.trailersFactory()));
+        .setHeadersFactory(counting(config.getHeadersFactory()))
+        .setTrailersFactory(counting(config.getTrailersFactory()));
   }
 
-  private HttpHeadersFactory factory(DefaultHttpHeadersFactory validation) {
+  /** Returns a factory of counted fields with the validation of another factory. */
+  private HttpHeadersFactory counting(HttpHeadersFactory uncounted) {
+    DefaultHttpHeadersFactory validation =
+        uncounted instanceof DefaultHttpHeadersFactory standard
+            ? standard
+            : DefaultHttpHeadersFactory.headersFactory();
     return new HttpHeadersFactory() {
       @Override
       public HttpHeaders newHeaders() {
--- a/gateway/src/main/java/org/shallothold/gateway/http/HttpFrontEnd.java
+++ b/gateway/src/main/java/org/shallothold/gateway/http/HttpFrontEnd.java
@@ -4,6 +4,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.shallothold.core.config.Configuration;
+import org.shallothold.core.memory.RequestMemoryBudget;
 import org.shallothold.gateway.request.RequestMetrics;
 import org.shallothold.runtime.ProcessIdentity;
 import org.shallothold.runtime.metrics.Metrics;
@@ -18,12 +19,14 @@
   private static final int EVENT_LOOP_THREADS = 2;
 
   /**
-   * Netty's own bound, above which Ratpack answers 400 in plain text and closes the connection. It
-   * is far above {@link RequestHandler}'s bound, so that a usual mistake gets an answer with a
-   * code.
+   * The decoder's own bound, above which the connection is closed. It is far above {@link
+   * RequestHandler}'s bound, so that a usual mistake does not end the connection.
    */
   private static final int MAX_HEADER_BYTES = 256 * 1024;
 
+  // The rest of the heap holds answers, bodies and the routing state. A connection that is shed by
+  // another event loop keeps its memory until its own one closes it.
+  private static final long HEAP_PER_REQUEST_BYTE = 8;
   private static final int MAX_INITIAL_LINE_BYTES = 64 * 1024;
   private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(60);
 
@@ -50,12 +53,27 @@
       RequestSink sink,
       RequestMetrics requestMetrics,
       Metrics metrics) {
+    RequestMemoryBudget memory =
+        RequestMemoryBudget.of(Runtime.getRuntime().maxMemory() / HEAP_PER_REQUEST_BYTE);
+    RequestMemoryGauges gauges = RequestMemoryGauges.register(metrics, memory);
     RequestHandler handler =
         new RequestHandler(
-            options.maxBodyBytes(), identity, configuration, ready, sink, requestMetrics, metrics);
+            options.maxBodyBytes(),
+            identity,
+            configuration,
+            ready,
+            sink,
+            requestMetrics,
+            () -> {
+              gauges.update();
+              return metrics.toPrometheusText();
+            });
+    HeadLimits limits =
+        new HeadLimits(options.maxHeaderLines(), memory, new ShortageLog(memory), requestMetrics);
     try {
       return new HttpFrontEnd(
-          RatpackServer.start(
+          LimitedRatpackServer.start(
+              limits,
               spec ->
                   spec.serverConfig(
                           config ->
--- a/gateway/src/main/java/org/shallothold/gateway/http/RequestHandler.java
+++ b/gateway/src/main/java/org/shallothold/gateway/http/RequestHandler.java
@@ -24,7 +24,6 @@
 import org.shallothold.gateway.request.GatewayEvent;
 import org.shallothold.gateway.request.RequestMetrics;
 import org.shallothold.runtime.ProcessIdentity;
-import org.shallothold.runtime.metrics.Metrics;
 import ratpack.exec.Downstream;
 import ratpack.exec.Promise;
 import ratpack.handling.Context;
@@ -50,7 +49,7 @@
   private final BooleanSupplier ready;
   private final RequestSink sink;
   private final RequestMetrics requestMetrics;
-  private final Metrics metrics;
+  private final Supplier<String> metricsText;
   private final Authenticator authenticator = new Authenticator();
   private final AtomicLong requests = new AtomicLong();
   private final AtomicInteger open = new AtomicInteger();
@@ -63,14 +62,14 @@
       BooleanSupplier ready,
       RequestSink sink,
       RequestMetrics requestMetrics,
-      Metrics metrics) {
+      Supplier<String> metricsText) {
     this.maxBodyBytes = maxBodyBytes;
     this.requestIdPrefix = identity.incarnationText().substring(0, REQUEST_ID_DIGITS) + "-";
     this.configuration = configuration;
     this.ready = ready;
     this.sink = sink;
     this.requestMetrics = requestMetrics;
-    this.metrics = metrics;
+    this.metricsText = metricsText;
   }
 
   @Override
@@ -88,7 +87,7 @@
         boolean isReady = ready.getAsBoolean();
         ReplyWriter.text(context, isReady ? 200 : 503, isReady ? "ready" : "not ready");
       }
-      case "GET /metrics" -> ReplyWriter.text(context, 200, metrics.toPrometheusText());
+      case "GET /metrics" -> ReplyWriter.text(context, 200, metricsText.get());
       default -> callerRequest(context, number, method, path, uri);
     }
   }
