--- a/gateway/src/main/java/org/shallothold/gateway/forward/ForwardedRequest.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/ForwardedRequest.java
@@ -51,6 +51,8 @@
   private static final long LEAVING_RETRY_AFTER_MILLIS = 20;
   // Another gateway probably has memory left.
   private static final long MEMORY_RETRY_AFTER_MILLIS = 100;
+  // The part, its id as an object, its hash, and the lists that hold them.
+  private static final long BYTES_PER_PROMPT_PART = 96;
   // With less time left, a retry can't be answered before the deadline.
   static final long MIN_TIME_FOR_RETRY_MILLIS = 20;
   // Servers reject requests at once, so a few more can be tried without much delay.
@@ -196,6 +198,11 @@
     end("caller_left", "", false);
   }
 
+  @Override
+  public long decodedBytes() {
+    return requestFacts.promptParts().size() * BYTES_PER_PROMPT_PART;
+  }
+
   @Override
   public boolean mayHaveRun() {
     return progress.possibleRuns > 0;
--- a/gateway/src/main/java/org/shallothold/gateway/forward/ForwardingGateway.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/ForwardingGateway.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.shallothold.core.memory.MemoryBudget;
+import org.shallothold.core.memory.RequestMemoryBudget;
 import org.shallothold.core.placement.EngineEstimate;
 import org.shallothold.core.placement.TrackedServer;
 import org.shallothold.core.publish.PublishedItem;
@@ -264,6 +265,11 @@
     return forwarder.memory();
   }
 
+  /** Returns the memory that callers' requests share. */
+  RequestMemoryBudget requestMemory() {
+    return forwarder.requestMemory();
+  }
+
   private int callOnEventLoop(java.util.function.IntSupplier supplier) {
     CountDownLatch completed = new CountDownLatch(1);
     int[] result = new int[1];
--- a/gateway/src/main/java/org/shallothold/gateway/forward/caller/CallerConnection.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/caller/CallerConnection.java
@@ -398,8 +398,12 @@
     understandsChunks = !request.protocolVersion().equals(HttpVersion.HTTP_1_0);
     CallerRequestListener current =
         service.accept(new CallerRequest(request, content, arrivedNanos), this);
-    if (responsePending) {
-      listener = current;
+    if (!responsePending) {
+      return;
+    }
+    listener = current;
+    if (!requestMemory.resizeRequest(requestMemory.requestBytes() + current.decodedBytes())) {
+      current.memoryNeeded();
     }
   }
 
--- a/gateway/src/main/java/org/shallothold/gateway/forward/caller/CallerRequestListener.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/caller/CallerRequestListener.java
@@ -9,6 +9,9 @@
   /** Called when {@link CallerExchange#isWritable} changed. */
   void writabilityChanged();
 
+  /** Returns the memory that was decoded from the head and is kept beside it, in bytes. */
+  long decodedBytes();
+
   /** Returns whether a server may have run the request. */
   boolean mayHaveRun();
 
--- a/gateway/src/main/java/org/shallothold/gateway/http/LimitedConnection.java
+++ b/gateway/src/main/java/org/shallothold/gateway/http/LimitedConnection.java
@@ -96,12 +96,12 @@
     }
     if (message instanceof HttpObject object
         && object.decoderResult().isFailure()
-        && refuse(context, object.decoderResult().cause())) {
+        && refuse(context, object, object.decoderResult().cause())) {
       ReferenceCountUtil.release(message);
       return;
     }
     if (message instanceof HttpRequest request && !headRead(request)) {
-      refuse(context, RequestMemoryException.create());
+      refuse(context, request, RequestMemoryException.create());
       ReferenceCountUtil.release(message);
       return;
     }
@@ -130,7 +130,7 @@
   }
 
   /** Refuses a request for a limit of this class; returns false if it failed for another cause. */
-  private boolean refuse(ChannelHandlerContext context, Throwable cause) {
+  private boolean refuse(ChannelHandlerContext context, HttpObject message, Throwable cause) {
     ReasonCode reason;
     if (cause instanceof TooLongHttpHeaderException) {
       reason = ReasonCode.HEADERS_TOO_LARGE;
@@ -144,7 +144,7 @@
     Failure failure =
         Failure.of(
             reason,
-            Verdict.notRun(reason, isTemporary ? RETRY_AFTER_MILLIS : 0),
+            verdict(message, reason, isTemporary ? RETRY_AFTER_MILLIS : 0),
             isTemporary ? "the memory for requests is used up" : "too many header lines");
     if (isTemporary) {
       limits.shortageLog().requestRefused();
@@ -161,6 +161,16 @@
     return true;
   }
 
+  /**
+   * Returns the verdict of a request that is refused. The lines that were not read may hold the
+   * ticket of an order, which may have come through another gateway before.
+   */
+  private static Verdict verdict(HttpObject message, ReasonCode reason, long retryAfterMillis) {
+    boolean mayBeOrder =
+        message instanceof HttpRequest request && request.uri().startsWith(ServicePath.PREFIX);
+    return mayBeOrder ? Verdict.mayHaveRun(reason) : Verdict.notRun(reason, retryAfterMillis);
+  }
+
   private static DefaultFullHttpResponse response(Reply.Whole reply) {
     DefaultFullHttpResponse response =
         new DefaultFullHttpResponse(
--- a/gateway/src/test/java/org/shallothold/gateway/forward/ForwardFixture.java
+++ b/gateway/src/test/java/org/shallothold/gateway/forward/ForwardFixture.java
@@ -221,6 +221,11 @@
     return servers.stream().mapToInt(server -> server.requests().size()).sum();
   }
 
+  /** Returns the number of bytes that callers' requests occupy in the gateway. */
+  long requestMemoryBytes() {
+    return gateways.getFirst().gateway().requestMemory().usedBytes();
+  }
+
   /** Returns a figure of the gateway's memory for buffers. */
   long bufferBytes(ToLongFunction<MemoryBudget> figure) {
     Instance first = gateways.getFirst();
--- a/gateway/src/test/java/org/shallothold/gateway/forward/caller/CallerListenerTest.java
+++ b/gateway/src/test/java/org/shallothold/gateway/forward/caller/CallerListenerTest.java
@@ -49,6 +49,11 @@
         @Override
         public void writabilityChanged() {}
 
+        @Override
+        public long decodedBytes() {
+          return 0;
+        }
+
         @Override
         public boolean mayHaveRun() {
           return false;
