Test which servers ramp up; start a new instance with an empty window

Cause: a coordinator that learned of a restart from a peer counted what was open at the former instance as safe for the new one. Change: only requests open at the same instance widen the first window.

--- a/gateway/src/main/java/org/shallothold/gateway/forward/RampUps.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/RampUps.java
@@ -110,7 +110,7 @@
         RampUp.of(
             instanceStartMillis,
             startedMillis,
-            server == null ? 0 : safeRequests(server, nowMillis));
+            server == null ? 0 : safeRequests(server, instanceStartMillis, reason, nowMillis));
     rampUpsByServer.put(serverId, rampUp);
     activeByServer.put(serverId, rampUp);
     log.add(
@@ -125,10 +125,15 @@
   }
 
   /** Returns the number of requests that are no flood for a server that started or recovered. */
-  private int safeRequests(TrackedServer server, long nowMillis) {
+  private int safeRequests(
+      TrackedServer server, long instanceStartMillis, Reason reason, long nowMillis) {
     double toleratedInOneSecond =
         coldStartByService.apply(server.entry().service()).requestsPerSecond();
-    return Math.max(server.openRequests(nowMillis), (int) Math.ceil(toleratedInOneSecond));
+    // What is open may be open at the former instance.
+    boolean justStarted =
+        reason == Reason.START || server.entry().startedMillis() != instanceStartMillis;
+    return Math.max(
+        justStarted ? 0 : server.openRequests(nowMillis), (int) Math.ceil(toleratedInOneSecond));
   }
 
   /** Records what a peer reported. */
--- a/gateway/src/test/java/org/shallothold/gateway/forward/RoutingStateTest.java
+++ b/gateway/src/test/java/org/shallothold/gateway/forward/RoutingStateTest.java
@@ -6,6 +6,7 @@
 import io.netty.channel.DefaultEventLoop;
 import io.netty.channel.EventLoop;
 import java.util.List;
+import java.util.Objects;
 import java.util.Optional;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
@@ -80,6 +81,66 @@
     }
   }
 
+  @Nested
+  class RampingUp {
+
+    private boolean rampsUp(String server) {
+      return state.rampUps().active(server, MonotonicClock.millis()) != null;
+    }
+
+    private void list(long revision, String... servers) {
+      state.itemsRead(
+          PublishedTopic.SERVERS,
+          List.of(servers).stream()
+              .map(server -> new PublishedItem(server, new byte[0], revision))
+              .toList(),
+          revision);
+    }
+
+    /** Guards against a gateway that slows all servers down when it starts. */
+    @Test
+    void serversOfTheFirstListDoNotRampUp() {
+      onEventLoop(
+          () -> {
+            state.rampUps().enable();
+            list(1, SERVER);
+            assertFalse(rampsUp(SERVER));
+            list(2, SERVER, "two");
+            assertFalse(rampsUp(SERVER));
+            assertTrue(rampsUp("two"));
+            list(3, "two");
+            list(4, SERVER, "two");
+            assertFalse(rampsUp(SERVER), "a server that is listed again did not start");
+          });
+    }
+
+    /** Guards against windows for all servers after a fault of the gateway's own network. */
+    @Test
+    void serverThatIsUnreachableAloneForATimeRampsUp() throws InterruptedException {
+      onEventLoop(
+          () -> {
+            state.rampUps().enable();
+            list(1, SERVER, "two", "three");
+            state.recordUnreachable(Objects.requireNonNull(state.server(SERVER)));
+            assertFalse(rampsUp(SERVER), "one failure");
+          });
+      // The first suspension is over.
+      Thread.sleep(450);
+      onEventLoop(
+          () -> {
+            state.recordUnreachable(Objects.requireNonNull(state.server(SERVER)));
+            assertTrue(rampsUp(SERVER));
+            state.recordUnreachable(Objects.requireNonNull(state.server("two")));
+          });
+      Thread.sleep(450);
+      onEventLoop(
+          () -> {
+            state.recordUnreachable(Objects.requireNonNull(state.server("two")));
+            assertFalse(rampsUp("two"), "two of three servers are unreachable");
+          });
+    }
+  }
+
   private static final class SingleServerDecoder implements PublishedDecoder {
 
     @Override
