Take no unreadable cold figure for the statement that a server is warm

Cause: an entry with a missing or unreadable figure ended the cold time that is assumed after an evacuation, like one that says 0. Change: such an entry is remembered as read and says nothing.

--- a/core/src/main/java/org/shallothold/core/rate/ColdServers.java
+++ b/core/src/main/java/org/shallothold/core/rate/ColdServers.java
@@ -222,6 +222,13 @@
     return Change.NONE;
   }
 
+  /** Records that a server's entry says nothing of whether the server is cold. */
+  public void recordEntryWithoutFigure(String serverId, long revision) {
+    if (isNewEntry(serverId, revision)) {
+      figuresByServer.put(serverId, new EntryFigure(revision, false));
+    }
+  }
+
   /**
    * Records that the evacuation of a server's failure domain ended.
    *
--- a/core/src/test/java/org/shallothold/core/rate/ColdServersTest.java
+++ b/core/src/test/java/org/shallothold/core/rate/ColdServersTest.java
@@ -141,6 +141,15 @@
       assertTrue(servers.isCold(SERVER, 7_999));
     }
 
+    /** Guards against taking an unreadable figure for the statement that the server is warm. */
+    @Test
+    void entryWithoutFigureDoesNotEndIt() {
+      servers.recordEvacuationEnd(SERVER, 1, 20, 8_000, 0);
+      servers.recordEntryWithoutFigure(SERVER, 21);
+      assertTrue(servers.isCold(SERVER, 7_999));
+      assertFalse(servers.isNewEntry(SERVER, 21));
+    }
+
     /** Guards against losing what the server itself states. */
     @Test
     void entryThatSaysWarmEndsNoOtherSource() {
--- a/gateway/src/main/java/org/shallothold/gateway/forward/ColdStarts.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/ColdStarts.java
@@ -136,14 +136,16 @@
     if (!servers.isNewEntry(server.id(), revision)) {
       return;
     }
+    ColdFigure decoded = figure.get();
+    long remainingMillis = remainingMillis(server.id(), decoded);
+    if (decoded instanceof ColdFigure.Absent || decoded instanceof ColdFigure.Unusable) {
+      servers.recordEntryWithoutFigure(server.id(), revision);
+      return;
+    }
     long nowMillis = MonotonicClock.millis();
     ColdServers.Change change =
         servers.recordEntry(
-            server.id(),
-            server.startedMillis(),
-            revision,
-            remainingMillis(server.id(), figure.get()),
-            nowMillis);
+            server.id(), server.startedMillis(), revision, remainingMillis, nowMillis);
     applied(server.id(), change, ColdSource.ENTRY.logName(), nowMillis);
     if (change == ColdServers.Change.BEGUN && !firstList) {
       rampUps.began(server.id(), server.startedMillis(), RampUps.Reason.COLD);
