Let copies of cached parts cost what they evict

Copies evict each other, and the parts are prefilled again. Change: a placement with a transfer costs half of the prefill time of the copied tokens in addition. A request waits for a short backlog of the engine that caches its parts. EnginePlacementPolicyTest.areNotUsedToAvoidAShortBacklog fails without the change.

--- a/core/src/main/java/org/shallothold/core/placement/EnginePlacementPolicy.java
+++ b/core/src/main/java/org/shallothold/core/placement/EnginePlacementPolicy.java
@@ -77,6 +77,10 @@
 
   private static final long NO_SHARED_PART = 0;
 
+  // A copy evicts as many tokens of other parts. This fraction of them is prefilled again, which
+  // delays later requests.
+  private static final double EVICTED_PREFILL_FRACTION = 0.5;
+
   private final EngineEstimator estimator;
   private final String failureDomain;
   private final RandomGenerator random;
@@ -445,6 +449,13 @@
         + request.timings().prefillMillis(request.profile().promptTokens(), source.tokens());
   }
 
+  /** Returns the cost of the prefills that a copy of cached parts causes by what it evicts. */
+  private static double copyCostMillis(PlacementRequest request, int cached) {
+    return (request.source().tokens() - cached)
+        * request.timings().millisPerPrefillToken()
+        * EVICTED_PREFILL_FRACTION;
+  }
+
   private Candidate evaluate(
       TrackedServer server,
       int cached,
@@ -514,6 +525,7 @@
     costMillis += openRequests >= server.entry().slots() ? NO_FREE_SLOT_COST_MILLIS : 0;
     costMillis +=
         server.entry().failureDomain().equals(failureDomain) ? 0 : OTHER_DOMAIN_COST_MILLIS;
+    costMillis += transfers ? copyCostMillis(request, cached) : 0;
     return new Candidate(
         new Placement(
             server,
--- a/core/src/test/java/org/shallothold/core/placement/EnginePlacementPolicyTest.java
+++ b/core/src/test/java/org/shallothold/core/placement/EnginePlacementPolicyTest.java
@@ -400,6 +400,36 @@
       assertEquals(cachingEngine, second.cacheSource());
     }
 
+    /**
+     * Guards against a burst in which copies of shared parts evict each other: the second request
+     * waits for a short backlog of the engine that caches its part, and goes elsewhere with a copy
+     * if the backlog is long.
+     */
+    @Test
+    void areNotUsedToAvoidAShortBacklog() {
+      EnginePlacementPolicy policyUnderTest = policyWithTransfers(MILLIS_PER_TOKEN / 10);
+      RequestProfile first = longPrompt(5, 1);
+      TrackedServer cachingEngine =
+          policyUnderTest
+              .choose(first, engines, EnginePlacementPolicyTest::isExcluded, 0)
+              .orElseThrow()
+              .server();
+      cachingEngine.recordSent(1, first, 200, false, 0);
+      assertEquals(
+          cachingEngine,
+          policyUnderTest
+              .choose(longPrompt(5, 2), engines, EnginePlacementPolicyTest::isExcluded, 1)
+              .orElseThrow()
+              .server());
+      cachingEngine.recordSent(2, longPrompt(9, 3), 600, false, 1);
+      assertNotEquals(
+          cachingEngine,
+          policyUnderTest
+              .choose(longPrompt(5, 4), engines, EnginePlacementPolicyTest::isExcluded, 2)
+              .orElseThrow()
+              .server());
+    }
+
     /** Guards against transfers that take as long as a prefill. */
     @Test
     void areNotUsedWhenTheyAreSlow() {
