--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -4,8 +4,8 @@
 here=$(cd "$(dirname "$0")" && pwd)
 root=$(cd "$here/../.." && pwd)
 . "$root/bin/lib/java.sh"
-[ -f "$root/target/review-2/Queue.class" ] && [ -d "$root/target/platform" ] || exit 2
-timeout -k 3 117 "$JAVA_HOME/bin/java" -Xmx512m -XX:-UsePerfData -cp "$root/target/review-2" Queue "$here" "$root"
+[ -f "$root/target/review-2/Endless.class" ] && [ -d "$root/target/platform" ] || exit 2
+timeout -k 3 117 "$JAVA_HOME/bin/java" -Xmx512m -XX:-UsePerfData -cp "$root/target/review-2" Endless "$here" "$root"
 code=$?
 [ "$code" -le 2 ] && exit "$code"
 exit 2
