--- a/review/lib-2/Parts.java
+++ b/review/lib-2/Parts.java
@@ -14,8 +14,8 @@
 final class Parts {
 
   private static final long INTERVAL_MILLIS = 25;
-  private static final long HOSTILE_MILLIS = 45_000;
-  private static final long AFTER_MILLIS = 20_000;
+  private static final long HOSTILE_MILLIS = 75_000;
+  private static final long AFTER_MILLIS = 10_000;
   private static final long MAX_GAP_MILLIS = 15_000;
   private static final long MEMORY_MB = 430;
   // Request line and header lines stay below the limit of 16,384 bytes.
