--- a/review/lib-2/LateChunk.java
+++ b/review/lib-2/LateChunk.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
 
 /**
  * An engine that stutters answers some requests twice. The second answer comes late, while the next
@@ -23,8 +24,9 @@
     Lab lab = new Lab(Path.of(arguments[0]), Path.of(arguments[1]));
     lab.configure(7, Lab.DRAFT, Lab.SHEET, Lab.ORDER, Lab.STOCK);
     Map<String, String> spoiled = new ConcurrentHashMap<>();
-    lab.engine("models", 64, stutters(lab, spoiled));
-    lab.engine("models", 64, Lab.stream(EVENTS, 5, 2));
+    Lab.Behavior stutters = stutters(lab, spoiled);
+    lab.engine("models", 64, stutters);
+    lab.engine("models", 64, stutters);
     lab.engine("desk", 6, Lab.plain(20, 800));
     lab.startGateways(2);
     lab.awaitReady(20_000);
@@ -92,7 +94,14 @@
     AtomicInteger answers = new AtomicInteger();
     Map<Lab.EngineConnection, Lab.Message> formerRequests = new ConcurrentHashMap<>();
     Lab.Behavior sound = Lab.stream(EVENTS, 5, 2);
+    AtomicReference<Lab.Engine> troubled = new AtomicReference<>();
     return (engine, connection, request) -> {
+      // The first engine that gets a request is the one that stutters.
+      troubled.compareAndSet(null, engine);
+      if (troubled.get() != engine) {
+        sound.handle(engine, connection, request);
+        return;
+      }
       Lab.Message former = formerRequests.put(connection, request);
       boolean spoils =
           lab.trouble && former != null && answers.incrementAndGet() % SPOILED_EVERY == 0
