Replace a memory test that could wait for ever

A connection takes 2,990,080 unread bytes there, more than a response of the test (1 MB), so the gateway's buffers were in use for an instant only, which polling can miss.

The responses are now 12 MB beside a limit of 24 MB, above the largest send buffer (4 MB), so memory stays in use until the callers leave. The assertions are the same: memory in use, at most twice the limit, and none after the callers left. Each wait of the class now fails after 60 s.

--- a/gateway/src/test/java/org/shallothold/gateway/forward/BufferMemoryContractTest.java
+++ b/gateway/src/test/java/org/shallothold/gateway/forward/BufferMemoryContractTest.java
@@ -13,7 +13,9 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.BooleanSupplier;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
@@ -31,11 +33,18 @@
   private static final int SOUND_REQUESTS = 30;
   private static final int SLOW_CALLERS = 48;
   private static final long POLL_MILLIS = 5;
+  private static final long WAIT_LIMIT_MILLIS = 60_000;
+  // Half of it is more than the sockets to a caller that doesn't read can hold.
+  private static final long UNREAD_LIMIT_BYTES = 24L * 1024 * 1024;
   private static final String PART = "x".repeat(64 * 1024);
 
   private static ForwardFixture fixture(Script script) throws IOException {
+    return fixture(script, LIMIT_BYTES);
+  }
+
+  private static ForwardFixture fixture(Script script, long limitBytes) throws IOException {
     return ForwardFixture.withLimits(
-        ForwardFixture.Limits.defaults().withBufferBytes(LIMIT_BYTES), script, script);
+        ForwardFixture.Limits.defaults().withBufferBytes(limitBytes), script, script);
   }
 
   /** Answers soundly on paths that contain "sound", and otherwise sends bytes without end. */
@@ -120,7 +129,13 @@
   }
 
   private static void awaitShed(ForwardFixture fixture) throws InterruptedException {
-    while (fixture.bufferBytes(MemoryBudget::shedCount) == 0) {
+    await("a response was shed", () -> fixture.bufferBytes(MemoryBudget::shedCount) > 0);
+  }
+
+  private static void await(String what, BooleanSupplier condition) throws InterruptedException {
+    long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(WAIT_LIMIT_MILLIS);
+    while (!condition.getAsBoolean()) {
+      assertTrue(System.nanoTime() < end, () -> "not within " + WAIT_LIMIT_MILLIS + " ms: " + what);
       Thread.sleep(POLL_MILLIS);
     }
   }
@@ -128,19 +143,17 @@
   /** Guards against counting out responses that were written but not read by their callers. */
   @Test
   void unreadResponsesUseMemoryUntilTheirCallersLeave() throws Exception {
-    Script large = exchange -> exchange.respond(200, "x".repeat((int) LIMIT_BYTES / 2));
-    try (ForwardFixture fixture = fixture(large);
+    Script large = exchange -> exchange.respond(200, "x".repeat((int) UNREAD_LIMIT_BYTES / 2));
+    try (ForwardFixture fixture = fixture(large, UNREAD_LIMIT_BYTES);
         ExecutorService callers = Executors.newVirtualThreadPerTaskExecutor()) {
       List<Socket> sockets = IntStream.range(0, 6).mapToObj(i -> open(fixture)).toList();
       for (Socket socket : sockets) {
         ForwardFixture.send(socket, "/once/x", "", "");
       }
-      while (fixture.receivedRequests() < sockets.size()) {
-        Thread.sleep(POLL_MILLIS);
-      }
+      await("all requests are received", () -> fixture.receivedRequests() >= sockets.size());
       awaitUsed(fixture, true);
       long peak = fixture.bufferBytes(MemoryBudget::peakBytes);
-      assertTrue(peak <= 2 * LIMIT_BYTES, "buffers used " + peak + " bytes");
+      assertTrue(peak <= 2 * UNREAD_LIMIT_BYTES, "buffers used " + peak + " bytes");
       for (Socket socket : sockets) {
         callers.submit(() -> close(socket));
       }
@@ -181,9 +194,9 @@
   }
 
   private static void awaitUsed(ForwardFixture fixture, boolean used) throws InterruptedException {
-    while (fixture.bufferBytes(MemoryBudget::usedBytes) > 0 != used) {
-      Thread.sleep(POLL_MILLIS);
-    }
+    await(
+        used ? "memory is used" : "no memory is used",
+        () -> fixture.bufferBytes(MemoryBudget::usedBytes) > 0 == used);
   }
 
   private static Socket open(ForwardFixture fixture) {
