--- a/gateway/src/main/java/org/shallothold/gateway/forward/ForwardMetrics.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/ForwardMetrics.java
@@ -33,6 +33,7 @@
   final Counter partStandingChanges;
   final Counter requestsBlockedForPart;
   final Counter peerBytes;
+  final Counter olderPlatformAnswers;
   final Histogram firstEventSeconds;
   final Histogram answerSeconds;
 
@@ -149,6 +150,11 @@
             "cause",
             "content",
             "distance");
+    olderPlatformAnswers =
+        metrics.counter(
+            "shallothold_older_platform_answers_total",
+            "Answers of the platform that end at an older revision than what is known.",
+            "topic");
     firstEventSeconds =
         metrics.secondsHistogram(
             "shallothold_forwarded_first_event_seconds",
--- a/gateway/src/main/java/org/shallothold/gateway/forward/RoutingState.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/RoutingState.java
@@ -236,6 +236,7 @@
   @Override
   public void itemsRead(PublishedTopic topic, List<PublishedItem> items, long asOf) {
     boolean afterOutage = recordContact(topic);
+    recordOlderAnswer(topic, items, asOf);
     publishedState(topic).replaceAll(items, asOf, afterOutage, contact(topic).regainedMillis());
     apply(topic, "platform");
   }
@@ -247,6 +248,7 @@
       List<PublishedSource.Removal> removed,
       long asOf) {
     boolean afterOutage = recordContact(topic);
+    recordOlderAnswer(topic, changed, asOf);
     PublishedState state = publishedState(topic);
     changed.forEach(state::put);
     removed.forEach(
@@ -259,6 +261,22 @@
     }
   }
 
+  /** Counts an answer of the platform that ends before what is known, and logs its items. */
+  private void recordOlderAnswer(PublishedTopic topic, List<PublishedItem> items, long asOf) {
+    if (asOf >= asOf(topic)) {
+      return;
+    }
+    metrics.olderPlatformAnswers.labelValues(topic.name()).inc();
+    if (!items.isEmpty()) {
+      log.add(
+          LogLine.of("platform_answer_older")
+              .with("topic", topic.name())
+              .with("as_of", asOf)
+              .with("known_as_of", asOf(topic))
+              .with("items", items.size()));
+    }
+  }
+
   @Override
   public void readFailed(PublishedTopic topic, String reason) {
     if (contact(topic).recordFailure()) {
