--- a/core/src/main/java/org/shallothold/core/publish/PublishedChanges.java
+++ b/core/src/main/java/org/shallothold/core/publish/PublishedChanges.java
@@ -4,16 +4,16 @@
 import java.util.Map;
 
 /**
- * Changes of published items after a revision. Immutable.
+ * Changes of published items after a position. Immutable.
  *
  * @param items items that were added or changed
- * @param removedRevisions keys that were removed, each with the revision of the removal
+ * @param removals keys that were removed, each with the position of the removal
  */
-public record PublishedChanges(List<PublishedItem> items, Map<String, Long> removedRevisions) {
+public record PublishedChanges(List<PublishedItem> items, Map<String, PublishedPosition> removals) {
 
   /** Copies the collections. */
   public PublishedChanges {
     items = List.copyOf(items);
-    removedRevisions = Map.copyOf(removedRevisions);
+    removals = Map.copyOf(removals);
   }
 }
--- a/core/src/main/java/org/shallothold/core/rate/ColdReport.java
+++ b/core/src/main/java/org/shallothold/core/rate/ColdReport.java
@@ -1,6 +1,7 @@
 package org.shallothold.core.rate;
 
 import java.util.List;
+import org.shallothold.core.publish.PublishedPosition;
 
 /**
  * What a gateway tells others about a cold server. Immutable.
@@ -23,8 +24,9 @@
    * @param source source by which the first gateway learned it
    * @param remainingMillis time for which the server stays cold, in milliseconds
    * @param distance number of gateways that passed it on; 0 if the sender learned it by itself
-   * @param revision revision of the entry, or up to which the end of the evacuation was known; 0
-   *     for other sources
+   * @param position position of the entry, or up to which the end of the evacuation was known;
+   *     {@link PublishedPosition#NONE} for other sources
    */
-  public record Time(ColdSource source, long remainingMillis, int distance, long revision) {}
+  public record Time(
+      ColdSource source, long remainingMillis, int distance, PublishedPosition position) {}
 }
--- a/core/src/main/java/org/shallothold/core/rate/ColdServers.java
+++ b/core/src/main/java/org/shallothold/core/rate/ColdServers.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import org.jspecify.annotations.Nullable;
+import org.shallothold.core.publish.PublishedPosition;
 
 /**
  * The backend servers that are cold, by id, and until when. Each source has its own end, and a
@@ -78,15 +79,15 @@
   /**
    * The figure of a server's latest entry.
    *
-   * @param revision revision of the entry
+   * @param position position at which the entry was published
    * @param warm whether the entry said that the server isn't cold
    */
-  private record EntryFigure(long revision, boolean warm) {}
+  private record EntryFigure(PublishedPosition position, boolean warm) {}
 
   /** Ends of a cold time by one source, by the number of gateways that passed them on. */
   private static final class Ends {
     private final long[] byDistance = new long[MAX_DISTANCE + 1];
-    private long revision;
+    private PublishedPosition position = PublishedPosition.NONE;
 
     private Ends() {
       clear();
@@ -168,7 +169,7 @@
     return record(
         serverId,
         instanceStartMillis,
-        new ColdReport.Time(ColdSource.RESPONSE, remainingMillis, 0, 0),
+        new ColdReport.Time(ColdSource.RESPONSE, remainingMillis, 0, PublishedPosition.NONE),
         0,
         nowMillis);
   }
@@ -179,19 +180,19 @@
     return record(
         serverId,
         instanceStartMillis,
-        new ColdReport.Time(ColdSource.START, remainingMillis, 0, 0),
+        new ColdReport.Time(ColdSource.START, remainingMillis, 0, PublishedPosition.NONE),
         0,
         nowMillis);
   }
 
   /** Returns whether this or a later entry of the server is not known yet. */
-  public boolean isNewEntry(String serverId, long revision) {
+  public boolean isNewEntry(String serverId, PublishedPosition position) {
     EntryFigure known = figuresByServer.get(serverId);
-    return known == null || known.revision() < revision;
+    return known == null || position.isAfter(known.position());
   }
 
   /**
-   * Records the figure of a server's entry, once for each revision: an entry that is read again
+   * Records the figure of a server's entry, once for each position: an entry that is read again
    * says nothing new.
    *
    * @param remainingMillis time for which the server stays cold; 0 if it isn't, which ends the time
@@ -200,22 +201,22 @@
   public Change recordEntry(
       String serverId,
       long instanceStartMillis,
-      long revision,
+      PublishedPosition position,
       long remainingMillis,
       long nowMillis) {
     if (remainingMillis > 0) {
       return record(
           serverId,
           instanceStartMillis,
-          new ColdReport.Time(ColdSource.ENTRY, remainingMillis, 0, revision),
+          new ColdReport.Time(ColdSource.ENTRY, remainingMillis, 0, position),
           0,
           nowMillis);
     }
-    if (isNewEntry(serverId, revision)) {
-      figuresByServer.put(serverId, new EntryFigure(revision, true));
+    if (isNewEntry(serverId, position)) {
+      figuresByServer.put(serverId, new EntryFigure(position, true));
       ColdServer known = coldServers.get(serverId);
       Ends evacuation = known == null ? null : known.endsBySource.get(ColdSource.EVACUATION_END);
-      if (evacuation != null && evacuation.revision < revision) {
+      if (evacuation != null && position.isAfter(evacuation.position)) {
         evacuation.clear();
       }
     }
@@ -223,27 +224,27 @@
   }
 
   /** Records that a server's entry says nothing of whether the server is cold. */
-  public void recordEntryWithoutFigure(String serverId, long revision) {
-    if (isNewEntry(serverId, revision)) {
-      figuresByServer.put(serverId, new EntryFigure(revision, false));
+  public void recordEntryWithoutFigure(String serverId, PublishedPosition position) {
+    if (isNewEntry(serverId, position)) {
+      figuresByServer.put(serverId, new EntryFigure(position, false));
     }
   }
 
   /**
    * Records that the evacuation of a server's failure domain ended.
    *
-   * @param revision revision up to which the end is known; a later entry may end the cold time
+   * @param position position up to which the end is known; a later entry may end the cold time
    */
   public Change recordEvacuationEnd(
       String serverId,
       long instanceStartMillis,
-      long revision,
+      PublishedPosition position,
       long remainingMillis,
       long nowMillis) {
     return record(
         serverId,
         instanceStartMillis,
-        new ColdReport.Time(ColdSource.EVACUATION_END, remainingMillis, 0, revision),
+        new ColdReport.Time(ColdSource.EVACUATION_END, remainingMillis, 0, position),
         0,
         nowMillis);
   }
@@ -282,7 +283,7 @@
     boolean wasCold = server.until() > nowMillis;
     Ends ends = server.ends(time.source());
     ends.record(distance, nowMillis + remainingMillis);
-    ends.revision = Math.max(ends.revision, time.revision());
+    ends.position = ends.position.latest(time.position());
     server.instanceStartMillis = instanceStartMillis;
     if (!wasCold) {
       server.sinceMillis = nowMillis;
@@ -296,9 +297,9 @@
   private boolean learn(String serverId, long instanceStartMillis, ColdReport.Time time) {
     return switch (time.source()) {
       case ENTRY -> {
-        boolean isNew = isNewEntry(serverId, time.revision());
+        boolean isNew = isNewEntry(serverId, time.position());
         if (isNew) {
-          figuresByServer.put(serverId, new EntryFigure(time.revision(), false));
+          figuresByServer.put(serverId, new EntryFigure(time.position(), false));
         }
         yield isNew;
       }
@@ -308,7 +309,7 @@
       }
       case EVACUATION_END -> {
         EntryFigure figure = figuresByServer.get(serverId);
-        yield figure == null || !figure.warm() || figure.revision() <= time.revision();
+        yield figure == null || !figure.warm() || !figure.position().isAfter(time.position());
       }
       case RESPONSE -> true;
     };
@@ -374,7 +375,7 @@
           int distance = ends.distanceOfLatest(maxDistance);
           long remainingMillis = ends.byDistance[distance] - nowMillis;
           if (remainingMillis > 0) {
-            times.add(new ColdReport.Time(source, remainingMillis, distance, ends.revision));
+            times.add(new ColdReport.Time(source, remainingMillis, distance, ends.position));
           }
         });
     return times.isEmpty()
--- a/core/src/test/java/org/shallothold/core/rate/ColdServersTest.java
+++ b/core/src/test/java/org/shallothold/core/rate/ColdServersTest.java
@@ -14,6 +14,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.shallothold.core.publish.PublishedPosition;
 import org.shallothold.core.rate.ColdServers.Change;
 
 /** Until when a server counts as cold, by the statements of several sources. */
@@ -23,12 +24,25 @@
 
   private final ColdServers servers = ColdServers.create();
 
+  private static PublishedPosition at(long revision) {
+    return PublishedPosition.withoutEra(revision);
+  }
+
   private static ColdReport report(ColdSource source, long remainingMillis, long revision) {
-    return new ColdReport(1, 5, List.of(new ColdReport.Time(source, remainingMillis, 0, revision)));
+    return new ColdReport(
+        1, 5, List.of(new ColdReport.Time(source, remainingMillis, 0, at(revision))));
+  }
+
+  /** Guards against a restored platform whose entries are taken for old by their revisions. */
+  @Test
+  void entryOfALaterEraIsNew() {
+    servers.recordEntry(SERVER, 1, PublishedPosition.of(1, 50), 0, 0);
+    servers.recordEntry(SERVER, 1, PublishedPosition.of(2, 40), 3_000, 1_000);
+    assertTrue(servers.isCold(SERVER, 3_999));
   }
 
   private Change entry(long revision, long remainingMillis, long nowMillis) {
-    return servers.recordEntry(SERVER, 1, revision, remainingMillis, nowMillis);
+    return servers.recordEntry(SERVER, 1, at(revision), remainingMillis, nowMillis);
   }
 
   @Nested
@@ -127,7 +141,7 @@
 
     @Test
     void laterEntryThatSaysWarmEndsTheAssumedTime() {
-      servers.recordEvacuationEnd(SERVER, 1, 20, 8_000, 0);
+      servers.recordEvacuationEnd(SERVER, 1, at(20), 8_000, 0);
       assertTrue(servers.isCold(SERVER, 100));
       entry(21, 0, 100);
       assertFalse(servers.isCold(SERVER, 101));
@@ -137,23 +151,23 @@
     @Test
     void earlierEntryDoesNotEndIt() {
       entry(19, 0, 0);
-      servers.recordEvacuationEnd(SERVER, 1, 20, 8_000, 0);
+      servers.recordEvacuationEnd(SERVER, 1, at(20), 8_000, 0);
       assertTrue(servers.isCold(SERVER, 7_999));
     }
 
     /** Guards against taking an unreadable figure for the statement that the server is warm. */
     @Test
     void entryWithoutFigureDoesNotEndIt() {
-      servers.recordEvacuationEnd(SERVER, 1, 20, 8_000, 0);
-      servers.recordEntryWithoutFigure(SERVER, 21);
+      servers.recordEvacuationEnd(SERVER, 1, at(20), 8_000, 0);
+      servers.recordEntryWithoutFigure(SERVER, at(21));
       assertTrue(servers.isCold(SERVER, 7_999));
-      assertFalse(servers.isNewEntry(SERVER, 21));
+      assertFalse(servers.isNewEntry(SERVER, at(21)));
     }
 
     /** Guards against losing what the server itself states. */
     @Test
     void entryThatSaysWarmEndsNoOtherSource() {
-      servers.recordEvacuationEnd(SERVER, 1, 20, 8_000, 0);
+      servers.recordEvacuationEnd(SERVER, 1, at(20), 8_000, 0);
       servers.recordResponse(SERVER, 1, 3_000, 0);
       entry(21, 0, 100);
       assertTrue(servers.isCold(SERVER, 2_999));
@@ -223,7 +237,7 @@
       second.recordReport(SERVER, Objects.requireNonNull(first.report(SERVER, 7, 10)), 10);
       ColdReport passedOn = second.report(SERVER, 0, 20);
       assertEquals(
-          new ColdReport(1, 7, List.of(new ColdReport.Time(ColdSource.START, 4_980, 1, 0))),
+          new ColdReport(1, 7, List.of(new ColdReport.Time(ColdSource.START, 4_980, 1, at(0)))),
           passedOn);
     }
 
@@ -238,7 +252,8 @@
               1,
               5,
               List.of(
-                  new ColdReport.Time(ColdSource.RESPONSE, Long.MAX_VALUE, Integer.MAX_VALUE, 0))),
+                  new ColdReport.Time(
+                      ColdSource.RESPONSE, Long.MAX_VALUE, Integer.MAX_VALUE, at(0)))),
           0);
       assertTrue(servers.isCold(SERVER, 59_999));
       assertFalse(servers.isCold(SERVER, 61_000));
--- a/experiment/src/main/java/org/shallothold/experiment/rate/StatedRateRun.java
+++ b/experiment/src/main/java/org/shallothold/experiment/rate/StatedRateRun.java
@@ -24,6 +24,7 @@
 import java.util.stream.IntStream;
 import org.shallothold.core.membership.ServerEntry;
 import org.shallothold.core.publish.PublishedItem;
+import org.shallothold.core.publish.PublishedPosition;
 import org.shallothold.core.route.CallKind;
 import org.shallothold.core.route.CallerLimits;
 import org.shallothold.core.route.Route;
@@ -139,13 +140,15 @@
                       eventLoop.execute(
                           () -> {
                             listener.itemsRead(
-                                PublishedTopic.CONFIGURATION, List.of(item("configuration")), 1);
+                                PublishedTopic.CONFIGURATION,
+                                List.of(item("configuration")),
+                                PublishedPosition.withoutEra(1));
                             listener.itemsRead(
                                 PublishedTopic.SERVERS,
                                 IntStream.range(0, ENGINES)
                                     .mapToObj(engine -> item("engine-" + engine))
                                     .toList(),
-                                1);
+                                PublishedPosition.withoutEra(1));
                           }),
                   StructuredLog.start(
                       new PrintStream(OutputStream.nullOutputStream()), "gateway-" + i))
@@ -161,7 +164,7 @@
   }
 
   private static PublishedItem item(String key) {
-    return new PublishedItem(key, new byte[0], 1);
+    return PublishedItem.of(key, new byte[0], 1);
   }
 
   /** Describes the engines, which all gateways reach at their loopback addresses. */
--- a/gateway/src/main/java/org/shallothold/gateway/forward/ColdStarts.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/ColdStarts.java
@@ -11,6 +11,7 @@
 import org.jspecify.annotations.Nullable;
 import org.shallothold.core.membership.ServerEntry;
 import org.shallothold.core.placement.TrackedServer;
+import org.shallothold.core.publish.PublishedPosition;
 import org.shallothold.core.rate.ColdFigure;
 import org.shallothold.core.rate.ColdReport;
 import org.shallothold.core.rate.ColdServers;
@@ -61,7 +62,7 @@
     private int issued;
   }
 
-  private record EvacuationEnd(long revision, long millis) {}
+  private record EvacuationEnd(PublishedPosition position, long millis) {}
 
   /**
    * Creates an instance without cold servers.
@@ -132,20 +133,23 @@
    * @param figure decodes the figure
    */
   void entryRead(
-      ServerEntry server, long revision, boolean firstList, Supplier<ColdFigure> figure) {
-    if (!servers.isNewEntry(server.id(), revision)) {
+      ServerEntry server,
+      PublishedPosition position,
+      boolean firstList,
+      Supplier<ColdFigure> figure) {
+    if (!servers.isNewEntry(server.id(), position)) {
       return;
     }
     ColdFigure decoded = figure.get();
     long remainingMillis = remainingMillis(server.id(), decoded);
     if (decoded instanceof ColdFigure.Absent || decoded instanceof ColdFigure.Unusable) {
-      servers.recordEntryWithoutFigure(server.id(), revision);
+      servers.recordEntryWithoutFigure(server.id(), position);
       return;
     }
     long nowMillis = MonotonicClock.millis();
     ColdServers.Change change =
         servers.recordEntry(
-            server.id(), server.startedMillis(), revision, remainingMillis, nowMillis);
+            server.id(), server.startedMillis(), position, remainingMillis, nowMillis);
     applied(server.id(), change, ColdSource.ENTRY.logName(), nowMillis);
     if (change == ColdServers.Change.BEGUN && !firstList) {
       rampUps.began(server.id(), server.startedMillis(), RampUps.Reason.COLD);
@@ -196,12 +200,13 @@
   /**
    * Records that the evacuation of a failure domain ended: its servers had no requests for a time.
    *
-   * @param revision revision up to which the end is known
+   * @param position position up to which the end is known
    * @param domainServers the listed servers of the domain
    */
-  void evacuationEnded(String domain, long revision, Collection<TrackedServer> domainServers) {
+  void evacuationEnded(
+      String domain, PublishedPosition position, Collection<TrackedServer> domainServers) {
     long nowMillis = MonotonicClock.millis();
-    EvacuationEnd end = new EvacuationEnd(revision, nowMillis);
+    EvacuationEnd end = new EvacuationEnd(position, nowMillis);
     evacuationEnds.put(domain, end);
     domainServers.forEach(server -> recordEvacuationEnd(server.entry(), end, nowMillis));
   }
@@ -211,7 +216,7 @@
         servers.recordEvacuationEnd(
             server.id(),
             server.startedMillis(),
-            end.revision(),
+            end.position(),
             end.millis() + coldStart(server).durationMillis() - nowMillis,
             nowMillis);
     applied(server.id(), change, ColdSource.EVACUATION_END.logName(), nowMillis);
@@ -395,7 +400,8 @@
             })
         .setRemainingMillis(time.remainingMillis())
         .setDistance(time.distance())
-        .setRevision(time.revision())
+        .setRevision(time.position().revision())
+        .setEra(time.position().era())
         .build();
   }
 
@@ -416,7 +422,10 @@
           case COLD_SOURCE_RESPONSE, COLD_SOURCE_UNSPECIFIED, UNRECOGNIZED -> ColdSource.RESPONSE;
         };
     return new ColdReport.Time(
-        source, time.getRemainingMillis(), time.getDistance(), time.getRevision());
+        source,
+        time.getRemainingMillis(),
+        time.getDistance(),
+        PublishedPosition.of(time.getEra(), time.getRevision()));
   }
 
   private static <V> Map<String, V> boundedMap() {
--- a/gateway/src/main/java/org/shallothold/gateway/forward/ForwardMetrics.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/ForwardMetrics.java
@@ -34,6 +34,7 @@
   final Counter requestsBlockedForPart;
   final Counter peerBytes;
   final Counter olderPlatformAnswers;
+  final Counter platformRestores;
   final Histogram firstEventSeconds;
   final Histogram answerSeconds;
 
@@ -155,6 +156,11 @@
             "shallothold_older_platform_answers_total",
             "Answers of the platform that end at an older revision than what is known.",
             "topic");
+    platformRestores =
+        metrics.counter(
+            "shallothold_platform_restores_total",
+            "Times that the platform came back from an older copy of its items.",
+            "topic");
     firstEventSeconds =
         metrics.secondsHistogram(
             "shallothold_forwarded_first_event_seconds",
--- a/gateway/src/main/java/org/shallothold/gateway/forward/ForwardingGateway.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/ForwardingGateway.java
@@ -17,7 +17,9 @@
 import org.shallothold.core.placement.TrackedServer;
 import org.shallothold.core.publish.PublishedChanges;
 import org.shallothold.core.publish.PublishedItem;
+import org.shallothold.core.publish.PublishedPosition;
 import org.shallothold.core.rate.RateObservation;
+import org.shallothold.core.route.RouteConfiguration;
 import org.shallothold.gateway.forward.caller.CallerListener;
 import org.shallothold.gateway.forward.peer.PeerExchange;
 import org.shallothold.gateway.forward.port.HeaderTranslation;
@@ -77,12 +79,14 @@
       CallerListener callerListener,
       HeaderTranslation translation,
       PublishedDecoder decoder,
+      long itemLifetimeMillis,
       StructuredLog log) {
     this.options = options;
     this.eventLoop = eventLoop;
     this.callerListener = callerListener;
     this.log = log;
-    this.state = new RoutingState(eventLoop, decoder, translation, log, metrics);
+    this.state =
+        new RoutingState(eventLoop, decoder, translation, log, metrics, itemLifetimeMillis);
     this.forwarder =
         new Forwarder(
             options, eventLoop, state, translation, log, metrics, this::gatewayCount, prefixReads);
@@ -107,7 +111,13 @@
     CallerListener callerListener = CallerListener.bind(eventLoops, options.callerAddress());
     ForwardingGateway gateway =
         new ForwardingGateway(
-            options, eventLoops.next(), callerListener, translation, decoder, log);
+            options,
+            eventLoops.next(),
+            callerListener,
+            translation,
+            decoder,
+            source.itemLifetimeMillis(),
+            log);
     gateway.startListeners(eventLoops, source);
     log.add(
         LogLine.of("started")
@@ -564,35 +574,40 @@
     }
 
     @Override
-    public long asOfRevision(PublishedTopic topic) {
+    public PublishedPosition asOf(PublishedTopic topic) {
       return state.asOf(topic);
     }
 
     @Override
-    public long changedAtRevision(PublishedTopic topic) {
+    public PublishedPosition changedAt(PublishedTopic topic) {
       return state.changedAt(topic);
     }
 
+    @Override
+    public long configurationVersion() {
+      return state.configuration().map(RouteConfiguration::version).orElse(0L);
+    }
+
     @Override
     public List<PublishedItem> items(PublishedTopic topic) {
-      return state.items(topic);
+      return state.listing(topic);
     }
 
     @Override
     public void itemsReceived(
-        PublishedTopic topic, List<PublishedItem> items, long asOfRevision, String peer) {
-      state.learned(topic, items, asOfRevision, peer);
+        PublishedTopic topic, List<PublishedItem> items, PublishedPosition asOf, String peer) {
+      state.learned(topic, items, asOf, peer);
     }
 
     @Override
-    public PublishedChanges changes(PublishedTopic topic, long afterRevision) {
-      return state.changesAfter(topic, afterRevision);
+    public PublishedChanges changes(PublishedTopic topic, PublishedPosition after) {
+      return state.changesAfter(topic, after);
     }
 
     @Override
     public void changesReceived(
-        PublishedTopic topic, PublishedChanges changes, long asOfRevision, String peer) {
-      state.learned(topic, changes, asOfRevision, peer);
+        PublishedTopic topic, PublishedChanges changes, PublishedPosition asOf, String peer) {
+      state.learned(topic, changes, asOf, peer);
     }
 
     @Override
--- a/gateway/src/main/java/org/shallothold/gateway/forward/RoutingState.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/RoutingState.java
@@ -2,8 +2,10 @@
 
 import io.netty.channel.EventLoop;
 import java.net.InetSocketAddress;
+import java.util.Arrays;
 import java.util.Collection;
 import java.util.EnumMap;
+import java.util.EnumSet;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -22,7 +24,10 @@
 import org.shallothold.core.publish.PlatformContact;
 import org.shallothold.core.publish.PublishedChanges;
 import org.shallothold.core.publish.PublishedItem;
+import org.shallothold.core.publish.PublishedPosition;
 import org.shallothold.core.publish.PublishedState;
+import org.shallothold.core.publish.Restore;
+import org.shallothold.core.publish.RestoreRules;
 import org.shallothold.core.rate.RateObservation;
 import org.shallothold.core.rate.RateStatement;
 import org.shallothold.core.rate.StatedRates;
@@ -46,6 +51,7 @@
 
   // Several times the number of servers that leave while a list of servers can be out of date.
   private static final int MAX_LEAVING_INSTANCES = 10_000;
+  private static final String PLATFORM = "platform";
 
   private final EventLoop eventLoop;
   private final PublishedDecoder decoder;
@@ -77,11 +83,15 @@
   private final Map<String, String> unusableRates = new HashMap<>();
   private Consumer<String> rateChangeListener = serverId -> {};
   private @Nullable RouteConfiguration configuration;
-  private long configurationRevision;
+  // By key, the positions of the items of the configuration's topic that were decoded last.
+  private final Map<String, PublishedPosition> decodedPositions = new HashMap<>();
+  private byte[] activeValue = new byte[0];
   private Set<String> evacuatedDomains = Set.of();
   private final RampUps rampUps;
   private final ColdStarts coldStarts;
   private boolean firstListApplied;
+  // Topics whose latest news came from a peer and not from the platform.
+  private final Set<PublishedTopic> learnedTopics = EnumSet.noneOf(PublishedTopic.class);
 
   /**
    * A server's request for no further requests from this gateway.
@@ -96,7 +106,8 @@
       PublishedDecoder decoder,
       HeaderTranslation translation,
       StructuredLog log,
-      ForwardMetrics metrics) {
+      ForwardMetrics metrics,
+      long itemLifetimeMillis) {
     this.metrics = metrics;
     this.eventLoop = eventLoop;
     this.decoder = decoder;
@@ -105,11 +116,21 @@
     this.rampUps = new RampUps(this::server, this::coldStart, log, metrics);
     this.coldStarts = new ColdStarts(this::coldStart, this::server, rampUps, log, metrics);
     for (PublishedTopic topic : PublishedTopic.values()) {
-      publishedStates.put(topic, PublishedState.empty());
+      publishedStates.put(topic, PublishedState.of(restoreRules(topic, itemLifetimeMillis)));
       contacts.put(topic, PlatformContact.create());
     }
   }
 
+  private RestoreRules restoreRules(PublishedTopic topic, long itemLifetimeMillis) {
+    // By then a server that has left has lapsed, also if it lapsed and registered again meanwhile.
+    long outdatedMillis = itemLifetimeMillis + PublishedState.REPUBLISH_GRACE_MILLIS;
+    return switch (topic) {
+      case CONFIGURATION -> new RestoreRules(outdatedMillis, outdatedMillis, decoder::version);
+      case SERVERS ->
+          RestoreRules.withoutVersions(PublishedState.REPUBLISH_GRACE_MILLIS, outdatedMillis);
+    };
+  }
+
   /** Returns the configuration in force, or empty if none is known yet. */
   Optional<RouteConfiguration> configuration() {
     return Optional.ofNullable(configuration);
@@ -137,7 +158,7 @@
 
   /** Returns whether a configuration and a list of servers, which may be empty, were received. */
   boolean isLoaded() {
-    return configuration != null && asOf(PublishedTopic.SERVERS) > 0;
+    return configuration != null && asOf(PublishedTopic.SERVERS).isKnown();
   }
 
   /** Returns whether there is a configuration and at least one server. */
@@ -201,24 +222,24 @@
     return pools.values().stream().mapToInt(BackendPool::size).sum();
   }
 
-  /** Returns the revision up to which a topic is known; 0 if nothing was received. */
-  long asOf(PublishedTopic topic) {
-    return publishedState(topic).completeRevision();
+  /** Returns the position up to which a topic is known. */
+  PublishedPosition asOf(PublishedTopic topic) {
+    return publishedState(topic).complete();
   }
 
-  /** Returns the revision of the latest known change of a topic; 0 if there was none. */
-  long changedAt(PublishedTopic topic) {
-    return publishedState(topic).lastChangeRevision();
+  /** Returns the position of the latest known change of a topic. */
+  PublishedPosition changedAt(PublishedTopic topic) {
+    return publishedState(topic).lastChange();
   }
 
-  /** Returns all items of a topic, ordered by key. */
-  List<PublishedItem> items(PublishedTopic topic) {
-    return publishedState(topic).items();
+  /** Returns the items of a topic as the platform lists them, ordered by key, for peers. */
+  List<PublishedItem> listing(PublishedTopic topic) {
+    return publishedState(topic).listing();
   }
 
-  /** Returns the changes of a topic after a revision. */
-  PublishedChanges changesAfter(PublishedTopic topic, long revision) {
-    return publishedState(topic).changesAfter(revision);
+  /** Returns the changes of a topic after a position of the current era. */
+  PublishedChanges changesAfter(PublishedTopic topic, PublishedPosition position) {
+    return publishedState(topic).changesAfter(position);
   }
 
   /** Returns the milliseconds since a topic was last read from the platform. */
@@ -234,11 +255,46 @@
   }
 
   @Override
-  public void itemsRead(PublishedTopic topic, List<PublishedItem> items, long asOf) {
+  public void itemsRead(PublishedTopic topic, List<PublishedItem> items, PublishedPosition asOf) {
     boolean afterOutage = recordContact(topic);
     recordOlderAnswer(topic, items, asOf);
-    publishedState(topic).replaceAll(items, asOf, afterOutage, contact(topic).regainedMillis());
-    apply(topic, "platform");
+    long graceStartMillis =
+        isNewEra(topic, asOf) ? MonotonicClock.millis() : contact(topic).regainedMillis();
+    replaceAll(topic, items, asOf, afterOutage, graceStartMillis, PLATFORM);
+    apply(topic, PLATFORM);
+  }
+
+  private boolean isNewEra(PublishedTopic topic, PublishedPosition asOf) {
+    return asOf(topic).isKnown() && asOf.era() > asOf(topic).era();
+  }
+
+  private void replaceAll(
+      PublishedTopic topic,
+      List<PublishedItem> items,
+      PublishedPosition asOf,
+      boolean afterOutage,
+      long graceStartMillis,
+      String source) {
+    boolean newEra = isNewEra(topic, asOf);
+    publishedState(topic).replaceAll(items, asOf, afterOutage, graceStartMillis);
+    if (newEra) {
+      publishedState(topic).lastRestore().ifPresent(restore -> logRestore(topic, restore, source));
+    }
+  }
+
+  private void logRestore(PublishedTopic topic, Restore restore, String source) {
+    metrics.platformRestores.labelValues(topic.name()).inc();
+    log.add(
+        LogLine.of("platform_restored")
+            .with("topic", topic.name())
+            .with("source", source)
+            .with("era", restore.to().era())
+            .with("former_era", restore.from().era())
+            .with("as_of", restore.to().revision())
+            .with("former_as_of", restore.from().revision())
+            .with("missing", restore.missing())
+            .with("outdated", restore.outdated())
+            .with("changed", restore.changed()));
   }
 
   @Override
@@ -246,24 +302,32 @@
       PublishedTopic topic,
       List<PublishedItem> changed,
       List<PublishedSource.Removal> removed,
-      long asOf) {
+      PublishedPosition asOf) {
     boolean afterOutage = recordContact(topic);
     recordOlderAnswer(topic, changed, asOf);
     PublishedState state = publishedState(topic);
+    if (asOf.era() < state.complete().era()) {
+      // A peer has told of a later era, which the source reads when it next gets an answer.
+      if (state.takeHigherVersions(changed)) {
+        apply(topic, PLATFORM);
+      }
+      return;
+    }
     changed.forEach(state::put);
     removed.forEach(
         removal ->
             state.remove(
-                removal.key(), removal.revision(), afterOutage, contact(topic).regainedMillis()));
-    state.advanceCompleteRevision(asOf);
+                removal.key(), removal.position(), afterOutage, contact(topic).regainedMillis()));
+    state.advance(asOf);
     if (!changed.isEmpty() || !removed.isEmpty()) {
-      apply(topic, "platform");
+      apply(topic, PLATFORM);
     }
   }
 
   /** Counts an answer of the platform that ends before what is known, and logs its items. */
-  private void recordOlderAnswer(PublishedTopic topic, List<PublishedItem> items, long asOf) {
-    if (asOf >= asOf(topic)) {
+  private void recordOlderAnswer(
+      PublishedTopic topic, List<PublishedItem> items, PublishedPosition asOf) {
+    if (!asOf(topic).isAfter(asOf)) {
       return;
     }
     metrics.olderPlatformAnswers.labelValues(topic.name()).inc();
@@ -271,8 +335,10 @@
       log.add(
           LogLine.of("platform_answer_older")
               .with("topic", topic.name())
-              .with("as_of", asOf)
-              .with("known_as_of", asOf(topic))
+              .with("as_of", asOf.revision())
+              .with("era", asOf.era())
+              .with("known_as_of", asOf(topic).revision())
+              .with("known_era", asOf(topic).era())
               .with("items", items.size()));
     }
   }
@@ -286,27 +352,34 @@
   }
 
   /**
-   * Applies a peer's copy of a topic; ignored if it isn't newer than this gateway's.
+   * Applies a peer's copy of a topic; if it isn't newer than this gateway's, only higher versions
+   * are taken from it.
    *
-   * @param asOf revision up to which the copy is complete
+   * @param asOf position up to which the copy is complete
    * @param peer process id of the peer
    */
-  void learned(PublishedTopic topic, List<PublishedItem> items, long asOf, String peer) {
-    if (asOf <= asOf(topic)) {
+  void learned(
+      PublishedTopic topic, List<PublishedItem> items, PublishedPosition asOf, String peer) {
+    if (!asOf.isAfter(asOf(topic))) {
+      if (publishedState(topic).takeHigherVersions(items)) {
+        apply(topic, peer);
+      }
       return;
     }
-    publishedState(topic).replaceAll(items, asOf, false, MonotonicClock.millis());
+    learnedTopics.add(topic);
+    replaceAll(topic, items, asOf, false, MonotonicClock.millis(), peer);
     apply(topic, peer);
   }
 
   /**
    * Applies a peer's changes of a topic; ignored if this gateway's copy is as new.
    *
-   * @param changes changes after a revision up to which this gateway's copy is complete
-   * @param asOf revision up to which the peer's copy is complete
+   * @param changes changes after a position up to which this gateway's copy is complete
+   * @param asOf position up to which the peer's copy is complete
    * @param peer process id of the peer
    */
-  void learned(PublishedTopic topic, PublishedChanges changes, long asOf, String peer) {
+  void learned(
+      PublishedTopic topic, PublishedChanges changes, PublishedPosition asOf, String peer) {
     if (publishedState(topic).apply(changes, asOf)) {
       apply(topic, peer);
     }
@@ -464,7 +537,7 @@
   private void dropExpiredItems() {
     for (PublishedTopic topic : PublishedTopic.values()) {
       boolean expired =
-          !contact(topic).isLost()
+          (!contact(topic).isLost() || learnedTopics.contains(topic))
               && !publishedState(topic).dropExpired(MonotonicClock.millis()).isEmpty();
       if (expired) {
         apply(topic, "grace period over");
@@ -480,6 +553,7 @@
    */
   private boolean recordContact(PublishedTopic topic) {
     PlatformContact contact = contact(topic);
+    learnedTopics.remove(topic);
     long nowMillis = MonotonicClock.millis();
     boolean first = !contact.hasAnswered();
     long awayMillis = first ? 0 : nowMillis - contact.lastAnswerMillis();
@@ -508,11 +582,9 @@
 
   private void applyConfiguration(String source) {
     for (PublishedItem item : publishedState(PublishedTopic.CONFIGURATION).items()) {
-      if (item.revision() <= configurationRevision) {
-        continue;
+      if (!item.position().equals(decodedPositions.put(item.key(), item.position()))) {
+        decoder.configuration(item).ifPresent(decoded -> activate(decoded, item, source));
       }
-      configurationRevision = item.revision();
-      decoder.configuration(item).ifPresent(decoded -> activate(decoded, source));
     }
   }
 
@@ -547,7 +619,7 @@
         LogLine.of(event)
             .with("failure_domain", domain)
             .with("servers", servers.values().stream().filter(isIn(domain)).count())
-            .with("revision", changedAt(PublishedTopic.CONFIGURATION))
+            .with("revision", changedAt(PublishedTopic.CONFIGURATION).revision())
             .with("source", source));
   }
 
@@ -559,12 +631,13 @@
     server.setEvacuated(evacuatedDomains.contains(server.entry().failureDomain()));
   }
 
-  private void activate(RouteConfiguration decoded, String source) {
+  private void activate(RouteConfiguration decoded, PublishedItem item, String source) {
     RouteConfiguration previousConfiguration = configuration;
-    if (previousConfiguration != null && decoded.version() <= previousConfiguration.version()) {
+    if (previousConfiguration != null && !replaces(decoded, item, previousConfiguration)) {
       return;
     }
     configuration = decoded;
+    activeValue = item.value();
     log.add(
         LogLine.of("configuration_in_force")
             .with("version", decoded.version())
@@ -574,6 +647,14 @@
     applyCacheCapacities();
   }
 
+  /** Returns whether a configuration is newer: a later write, unless its version is lower. */
+  private boolean replaces(
+      RouteConfiguration decoded, PublishedItem item, RouteConfiguration previous) {
+    return decoded.version() == previous.version()
+        ? !Arrays.equals(item.value(), activeValue)
+        : decoded.version() > previous.version();
+  }
+
   private void applyServers(String source) {
     Set<String> listed = new HashSet<>();
     for (PublishedItem item : publishedState(PublishedTopic.SERVERS).items()) {
@@ -584,7 +665,7 @@
                 listed.add(entry.id());
                 putServer(entry, source);
                 coldStarts.entryRead(
-                    entry, item.revision(), !firstListApplied, () -> decoder.coldFigure(item));
+                    entry, item.position(), !firstListApplied, () -> decoder.coldFigure(item));
               });
     }
     for (String id : List.copyOf(servers.keySet())) {
--- a/gateway/src/main/java/org/shallothold/gateway/forward/peer/PeerExchange.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/peer/PeerExchange.java
@@ -6,6 +6,7 @@
 import java.net.InetSocketAddress;
 import java.util.Collection;
 import java.util.Comparator;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -19,6 +20,7 @@
 import org.jspecify.annotations.Nullable;
 import org.shallothold.core.publish.PublishedChanges;
 import org.shallothold.core.publish.PublishedItem;
+import org.shallothold.core.publish.PublishedPosition;
 import org.shallothold.gateway.forward.MonotonicClock;
 import org.shallothold.gateway.forward.port.PublishedTopic;
 import org.shallothold.runtime.logging.LogLine;
@@ -69,6 +71,8 @@
   // A connection that was opened on demand, beyond the subset, is kept for this long after its use.
   private static final long EXTRA_CONNECTION_MILLIS = 10_000;
   private static final long MIN_REQUEST_INTERVAL_MILLIS = 250;
+  // A version that this gateway can't use although a peer does is not fetched again and again.
+  private static final long VERSION_REQUEST_INTERVAL_MILLIS = 2_000;
   // The platform itself is expected to deliver a change within this time; an earlier request to a
   // peer would only duplicate that.
   private static final long PLATFORM_GRACE_MILLIS = 300;
@@ -105,37 +109,38 @@
      */
     void peerLost(String peer);
 
-    /** Returns the revision up to which every change of a topic is known; 0 if nothing is. */
-    long asOfRevision(PublishedTopic topic);
+    /** Returns the position up to which every change of a topic is known. */
+    PublishedPosition asOf(PublishedTopic topic);
 
-    /** Returns the revision of the latest known change of a topic; 0 if there was none. */
-    long changedAtRevision(PublishedTopic topic);
+    /** Returns the position of the latest known change of a topic. */
+    PublishedPosition changedAt(PublishedTopic topic);
 
-    /** Returns all known items of a topic. */
+    /** Returns the version of the configuration in force; 0 if there is none. */
+    long configurationVersion();
+
+    /** Returns all items of a topic as the platform lists them. */
     List<PublishedItem> items(PublishedTopic topic);
 
-    /** Returns the changes of a topic after a revision. */
-    PublishedChanges changes(PublishedTopic topic, long afterRevision);
+    /** Returns the changes of a topic after a position of the current era. */
+    PublishedChanges changes(PublishedTopic topic, PublishedPosition after);
 
     /**
      * Applies all items of a topic as a peer knows them.
      *
-     * @param asOfRevision revision up to which the peer knows every change; newer than this
-     *     gateway's
+     * @param asOf position up to which the peer knows every change
      * @param peer process id of the peer
      */
     void itemsReceived(
-        PublishedTopic topic, List<PublishedItem> items, long asOfRevision, String peer);
+        PublishedTopic topic, List<PublishedItem> items, PublishedPosition asOf, String peer);
 
     /**
-     * Applies the changes of a topic after a revision that this gateway knows.
+     * Applies the changes of a topic after a position that this gateway knows.
      *
-     * @param asOfRevision revision up to which the peer knows every change; newer than this
-     *     gateway's
+     * @param asOf position up to which the peer knows every change; newer than this gateway's
      * @param peer process id of the peer
      */
     void changesReceived(
-        PublishedTopic topic, PublishedChanges changes, long asOfRevision, String peer);
+        PublishedTopic topic, PublishedChanges changes, PublishedPosition asOf, String peer);
 
     /** Returns whether this gateway is leaving. */
     boolean isLeaving();
@@ -198,9 +203,11 @@
   private final Map<String, PeerStatus> peers = new TreeMap<>();
   private final Map<PublishedTopic, Long> behindSinceMillis = new HashMap<>();
   private long lastRequestMillis;
+  private long requestedVersion;
+  private long versionRequestedMillis = Long.MIN_VALUE / 2;
   private boolean changesScheduled;
   private long updateSentMillis = Long.MIN_VALUE / 2;
-  private long announcedRevision;
+  private Map<PublishedTopic, PublishedPosition> announcedPositions = Map.of();
 
   private final SentState sentState = new SentState();
   private final Map<PeerConnection, ReceivedState> receivedStates = new HashMap<>();
@@ -424,10 +431,10 @@
     extraAddressUsedMillis.values().removeIf(millis -> now - millis > EXTRA_CONNECTION_MILLIS);
     updateConnections();
     updateLiveGateways(now);
-    long changedAtRevision = publishedChangedAtRevision();
-    boolean announces = changedAtRevision != announcedRevision;
+    Map<PublishedTopic, PublishedPosition> changePositions = changePositions();
+    boolean announces = !changePositions.equals(announcedPositions);
     if (announces || now - updateSentMillis >= UPDATE_INTERVAL_MILLIS) {
-      announcedRevision = changedAtRevision;
+      announcedPositions = changePositions;
       updateSentMillis = now;
       sendUpdate(announces ? PeerTraffic.Cause.ANNOUNCEMENT : PeerTraffic.Cause.PERIODIC);
     }
@@ -452,20 +459,27 @@
     }
   }
 
-  /** Returns the revision of the latest published change that is known. */
-  private long publishedChangedAtRevision() {
-    return Math.max(
-        handler.changedAtRevision(PublishedTopic.CONFIGURATION),
-        handler.changedAtRevision(PublishedTopic.SERVERS));
+  /** Returns the positions of the latest published changes that are known. */
+  private Map<PublishedTopic, PublishedPosition> changePositions() {
+    Map<PublishedTopic, PublishedPosition> positions = new EnumMap<>(PublishedTopic.class);
+    for (PublishedTopic topic : PublishedTopic.values()) {
+      positions.put(topic, handler.changedAt(topic));
+    }
+    return positions;
   }
 
   private void sendUpdate(PeerTraffic.Cause cause) {
+    PublishedPosition configuration = handler.changedAt(PublishedTopic.CONFIGURATION);
+    PublishedPosition servers = handler.changedAt(PublishedTopic.SERVERS);
     FleetNews.Builder update =
         FleetNews.newBuilder()
             .setProcessId(processId)
             .setAddress(ownAddress)
-            .setConfigurationChangedAt(handler.changedAtRevision(PublishedTopic.CONFIGURATION))
-            .setServersChangedAt(handler.changedAtRevision(PublishedTopic.SERVERS))
+            .setConfigurationChangedAt(configuration.revision())
+            .setConfigurationEra(configuration.era())
+            .setConfigurationVersion(handler.configurationVersion())
+            .setServersChangedAt(servers.revision())
+            .setServersEra(servers.era())
             .setLeaving(handler.isLeaving())
             .addAllConnectedTo(writableAddressHashes());
     handler.describe(update);
@@ -660,9 +674,24 @@
       // Older builds repeat it in their updates. It is not passed on.
       handler.evidenceReceived(update.getProcessId(), update.getCrashEvidence());
     }
+    PublishedPosition configuration =
+        PublishedPosition.of(update.getConfigurationEra(), update.getConfigurationChangedAt());
     requestIfBehind(
-        connection, PublishedTopic.CONFIGURATION, update.getConfigurationChangedAt(), now);
-    requestIfBehind(connection, PublishedTopic.SERVERS, update.getServersChangedAt(), now);
+        connection,
+        PublishedTopic.CONFIGURATION,
+        configuration,
+        update.getConfigurationVersion(),
+        now);
+    PublishedPosition servers =
+        PublishedPosition.of(update.getServersEra(), update.getServersChangedAt());
+    requestIfBehind(connection, PublishedTopic.SERVERS, servers, 0, now);
+  }
+
+  /** Returns whether a peer's version is higher and was not requested lately. */
+  private boolean wantsVersion(long peerVersion, long now) {
+    return peerVersion > handler.configurationVersion()
+        && (peerVersion != requestedVersion
+            || now - versionRequestedMillis >= VERSION_REQUEST_INTERVAL_MILLIS);
   }
 
   /**
@@ -795,28 +824,42 @@
   }
 
   /**
-   * Requests a topic from a peer that knows a newer revision, unless the platform is expected to
-   * deliver it.
+   * Requests a topic from a peer that knows a newer position, or an item in a higher version,
+   * unless the platform is expected to deliver it.
+   *
+   * @param peerVersion version of the configuration at the peer; 0 for other topics
    */
   private void requestIfBehind(
-      PeerConnection connection, PublishedTopic topic, long peerRevision, long now) {
-    long ownRevision = handler.asOfRevision(topic);
-    if (peerRevision <= ownRevision) {
+      PeerConnection connection,
+      PublishedTopic topic,
+      PublishedPosition peerPosition,
+      long peerVersion,
+      long now) {
+    PublishedPosition ownPosition = handler.asOf(topic);
+    boolean hasHigherVersion = wantsVersion(peerVersion, now);
+    if (!peerPosition.isAfter(ownPosition) && !hasHigherVersion) {
       behindSinceMillis.remove(topic);
       return;
     }
     long sinceMillis = behindSinceMillis.computeIfAbsent(topic, key -> now);
-    boolean nothingKnown = ownRevision == 0;
+    boolean nothingKnown = !ownPosition.isKnown();
+    // The changes after this gateway's own position may lack the item in the higher version.
+    PublishedPosition knownPosition = hasHigherVersion ? PublishedPosition.NONE : ownPosition;
     if ((nothingKnown || now - sinceMillis >= PLATFORM_GRACE_MILLIS)
         && now - lastRequestMillis >= MIN_REQUEST_INTERVAL_MILLIS) {
       lastRequestMillis = now;
+      if (hasHigherVersion) {
+        requestedVersion = peerVersion;
+        versionRequestedMillis = now;
+      }
       send(
           connection,
           Envelope.newBuilder()
               .setPublishedRequest(
                   PublishedRequest.newBuilder()
                       .setTopic(toProto(topic))
-                      .setAsOf(ownRevision)
+                      .setAsOf(knownPosition.revision())
+                      .setEra(knownPosition.era())
                       .setAcceptsChanges(true))
               .build(),
           PeerTraffic.Cause.PUBLISHED);
@@ -825,25 +868,32 @@
 
   private void sendItems(PeerConnection connection, PublishedRequest request) {
     PublishedTopic topic = fromProto(request.getTopic());
-    if (topic == null || handler.asOfRevision(topic) <= request.getAsOf()) {
+    if (topic == null) {
+      return;
+    }
+    PublishedPosition asOf = handler.asOf(topic);
+    PublishedPosition known = PublishedPosition.of(request.getEra(), request.getAsOf());
+    if (!asOf.isAfter(known)) {
       return;
     }
     PublishedItems.Builder items =
         PublishedItems.newBuilder()
             .setTopic(request.getTopic())
-            .setAsOf(handler.asOfRevision(topic));
-    if (request.getAcceptsChanges() && request.getAsOf() > 0) {
-      PublishedChanges changes = handler.changes(topic, request.getAsOf());
-      items.setChangesSince(request.getAsOf());
-      changes.items().forEach(item -> items.addItems(toProto(item)));
+            .setAsOf(asOf.revision())
+            .setEra(asOf.era());
+    // The changes since a position of another era would lack what that era lost.
+    if (request.getAcceptsChanges() && request.getAsOf() > 0 && known.era() == asOf.era()) {
+      PublishedChanges changes = handler.changes(topic, known);
+      items.setChangesSince(known.revision());
+      changes.items().forEach(item -> items.addItems(toProto(item, asOf.era())));
       changes
-          .removedRevisions()
+          .removals()
           .forEach(
-              (key, revision) ->
+              (key, position) ->
                   items.addRemovals(
-                      PublishedRemoval.newBuilder().setKey(key).setRevision(revision)));
+                      PublishedRemoval.newBuilder().setKey(key).setRevision(position.revision())));
     } else {
-      handler.items(topic).forEach(item -> items.addItems(toProto(item)));
+      handler.items(topic).forEach(item -> items.addItems(toProto(item, asOf.era())));
     }
     send(
         connection,
@@ -854,37 +904,52 @@
   private void handleItems(PeerConnection connection, PublishedItems items) {
     PublishedTopic topic = fromProto(items.getTopic());
     Hello hello = connection.remoteHello();
-    if (topic == null || hello == null || items.getAsOf() <= handler.asOfRevision(topic)) {
+    if (topic == null || hello == null) {
       return;
     }
+    PublishedPosition asOf = PublishedPosition.of(items.getEra(), items.getAsOf());
     List<PublishedItem> decoded =
-        items.getItemsList().stream()
-            .map(
-                item ->
-                    new PublishedItem(
-                        item.getKey(), item.getValue().toByteArray(), item.getRevision()))
-            .toList();
+        items.getItemsList().stream().map(item -> fromProto(item, items.getEra())).toList();
     if (!items.hasChangesSince()) {
-      handler.itemsReceived(topic, decoded, items.getAsOf(), hello.getProcessId());
-    } else if (items.getChangesSince() <= handler.asOfRevision(topic)) {
-      Map<String, Long> removedRevisions = new TreeMap<>();
+      handler.itemsReceived(topic, decoded, asOf, hello.getProcessId());
+      return;
+    }
+    PublishedPosition since = PublishedPosition.of(items.getEra(), items.getChangesSince());
+    PublishedPosition ownPosition = handler.asOf(topic);
+    if (since.era() == ownPosition.era()
+        && !since.isAfter(ownPosition)
+        && asOf.isAfter(ownPosition)) {
+      Map<String, PublishedPosition> removals = new TreeMap<>();
       items
           .getRemovalsList()
-          .forEach(removal -> removedRevisions.put(removal.getKey(), removal.getRevision()));
+          .forEach(
+              removal ->
+                  removals.put(
+                      removal.getKey(),
+                      PublishedPosition.of(items.getEra(), removal.getRevision())));
       handler.changesReceived(
-          topic,
-          new PublishedChanges(decoded, removedRevisions),
-          items.getAsOf(),
-          hello.getProcessId());
+          topic, new PublishedChanges(decoded, removals), asOf, hello.getProcessId());
     }
   }
 
-  private static org.shallothold.wire.proto.PublishedItem toProto(PublishedItem item) {
-    return org.shallothold.wire.proto.PublishedItem.newBuilder()
-        .setKey(item.key())
-        .setValue(ByteString.copyFrom(item.value()))
-        .setRevision(item.revision())
-        .build();
+  private static org.shallothold.wire.proto.PublishedItem toProto(PublishedItem item, long era) {
+    org.shallothold.wire.proto.PublishedItem.Builder encoded =
+        org.shallothold.wire.proto.PublishedItem.newBuilder()
+            .setKey(item.key())
+            .setValue(ByteString.copyFrom(item.value()))
+            .setRevision(item.revision());
+    if (item.position().era() != era) {
+      encoded.setEra(item.position().era());
+    }
+    return encoded.build();
+  }
+
+  private static PublishedItem fromProto(
+      org.shallothold.wire.proto.PublishedItem item, long messageEra) {
+    return new PublishedItem(
+        item.getKey(),
+        item.getValue().toByteArray(),
+        PublishedPosition.of(item.hasEra() ? item.getEra() : messageEra, item.getRevision()));
   }
 
   private static org.shallothold.wire.proto.PublishedTopic toProto(PublishedTopic topic) {
--- a/gateway/src/main/java/org/shallothold/gateway/forward/port/PublishedDecoder.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/port/PublishedDecoder.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import org.shallothold.core.membership.ServerEntry;
 import org.shallothold.core.publish.PublishedItem;
+import org.shallothold.core.publish.RestoreRules;
 import org.shallothold.core.rate.ColdFigure;
 import org.shallothold.core.route.RouteConfiguration;
 
@@ -15,6 +16,14 @@
   /** Returns the routing configuration of an item, or empty if the item holds no valid one. */
   Optional<RouteConfiguration> configuration(PublishedItem item);
 
+  /**
+   * Returns the version that the operators gave an item, by which it is compared with other writes
+   * of the item; {@link RestoreRules#NO_VERSION} if it has none.
+   */
+  default long version(PublishedItem item) {
+    return RestoreRules.NO_VERSION;
+  }
+
   /**
    * Returns the failure domain whose evacuation an item of the configuration's topic asks for, or
    * empty if it asks for none. The evacuation lasts until the item is removed.
--- a/gateway/src/main/java/org/shallothold/gateway/forward/port/PublishedSource.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/port/PublishedSource.java
@@ -3,33 +3,38 @@
 import io.netty.channel.EventLoop;
 import java.util.List;
 import org.shallothold.core.publish.PublishedItem;
+import org.shallothold.core.publish.PublishedPosition;
 
 /** Reads the items that the platform publishes and watches them for changes. */
 public interface PublishedSource {
 
+  /** Lifetime of items on a platform that doesn't state it, in milliseconds. */
+  long DEFAULT_ITEM_LIFETIME_MILLIS = 4_000;
+
   /** Receives the items. Called on the event loop given to {@link #start}. */
   interface Listener {
 
     /**
      * Called with all items of a topic, after the first read and whenever the source has to read
-     * the topic again.
+     * the topic again. A position of a new era means that the platform was restored from an older
+     * copy of its items.
      *
-     * @param asOfRevision revision up to which every change is included; items may be newer
+     * @param asOf position up to which every change is included; items may be newer
      */
-    void itemsRead(PublishedTopic topic, List<PublishedItem> items, long asOfRevision);
+    void itemsRead(PublishedTopic topic, List<PublishedItem> items, PublishedPosition asOf);
 
     /**
      * Called after each successful watch, with the changes since the last call for the topic. Both
      * lists are empty if the watch ended without a change. An item that a read returned already may
-     * be passed on again.
+     * be passed on again. Always of the era in which the topic was last read.
      *
-     * @param asOfRevision revision up to which every change was passed on
+     * @param asOf position up to which every change was passed on
      */
     void itemsChanged(
         PublishedTopic topic,
         List<PublishedItem> changed,
         List<Removal> removed,
-        long asOfRevision);
+        PublishedPosition asOf);
 
     /** Called when a read or a watch failed; the source tries again by itself. */
     void readFailed(PublishedTopic topic, String reason);
@@ -39,9 +44,17 @@
    * Removal of an item.
    *
    * @param key key of the removed item
-   * @param revision revision of the removal
+   * @param position position of the removal
    */
-  record Removal(String key, long revision) {}
+  record Removal(String key, PublishedPosition position) {}
+
+  /**
+   * Returns the time after which the platform removes the item of an owner that is silent, in
+   * milliseconds.
+   */
+  default long itemLifetimeMillis() {
+    return DEFAULT_ITEM_LIFETIME_MILLIS;
+  }
 
   /**
    * Starts to read and watch all topics, until the process ends. Returns at once.
--- a/gateway/src/test/java/org/shallothold/gateway/forward/ForwardFixture.java
+++ b/gateway/src/test/java/org/shallothold/gateway/forward/ForwardFixture.java
@@ -25,6 +25,7 @@
 import org.shallothold.core.memory.MemoryBudget;
 import org.shallothold.core.placement.TrackedServer;
 import org.shallothold.core.publish.PublishedItem;
+import org.shallothold.core.publish.PublishedPosition;
 import org.shallothold.core.rate.ColdFigure;
 import org.shallothold.core.route.CallKind;
 import org.shallothold.core.route.CallerLimits;
@@ -254,12 +255,12 @@
                 entries.entrySet().stream()
                     .map(
                         entry ->
-                            new PublishedItem(
+                            PublishedItem.of(
                                 entry.getKey(),
                                 entry.getValue().getBytes(StandardCharsets.UTF_8),
                                 revision))
                     .toList(),
-                revision));
+                PublishedPosition.withoutEra(revision)));
   }
 
   /** Starts gateways that exchange their state and servers, and publishes these to all. */
@@ -387,14 +388,14 @@
         listener -> {
           listener.itemsRead(
               PublishedTopic.CONFIGURATION,
-              List.of(new PublishedItem("configuration", new byte[0], 1)),
-              revision);
+              List.of(PublishedItem.of("configuration", new byte[0], 1)),
+              PublishedPosition.withoutEra(revision));
           listener.itemsRead(
               PublishedTopic.SERVERS,
               listedServers.stream()
-                  .map(server -> new PublishedItem(server.id(), new byte[0], revision))
+                  .map(server -> PublishedItem.of(server.id(), new byte[0], revision))
                   .toList(),
-              revision);
+              PublishedPosition.withoutEra(revision));
         });
   }
 
@@ -415,8 +416,8 @@
         listener ->
             listener.itemsRead(
                 PublishedTopic.CONFIGURATION,
-                keys.map(key -> new PublishedItem(key, new byte[0], revision)).toList(),
-                revision));
+                keys.map(key -> PublishedItem.of(key, new byte[0], revision)).toList(),
+                PublishedPosition.withoutEra(revision)));
   }
 
   /** Opens a connection as a caller. */
--- a/gateway/src/test/java/org/shallothold/gateway/forward/ForwardGaugesTest.java
+++ b/gateway/src/test/java/org/shallothold/gateway/forward/ForwardGaugesTest.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.api.Test;
 import org.shallothold.core.membership.ServerEntry;
 import org.shallothold.core.publish.PublishedItem;
+import org.shallothold.core.publish.PublishedPosition;
 import org.shallothold.core.route.RouteConfiguration;
 import org.shallothold.gateway.forward.port.PublishedDecoder;
 import org.shallothold.gateway.forward.port.PublishedTopic;
@@ -28,7 +29,8 @@
           new TestDecoder(),
           new TestTranslation(),
           StructuredLog.start(System.out, "gauges-test"),
-          ForwardMetrics.create());
+          ForwardMetrics.create(),
+          4_000);
 
   @AfterEach
   void stop() {
@@ -38,8 +40,8 @@
   private void publishServers(String... ids) {
     state.itemsRead(
         PublishedTopic.SERVERS,
-        List.of(ids).stream().map(id -> new PublishedItem(id, new byte[0], 1)).toList(),
-        1);
+        List.of(ids).stream().map(id -> PublishedItem.of(id, new byte[0], 1)).toList(),
+        PublishedPosition.withoutEra(1));
   }
 
   /** Guards against an outage of the platform that is visible in no metric. */
--- a/gateway/src/test/java/org/shallothold/gateway/forward/PeerTrafficProgram.java
+++ b/gateway/src/test/java/org/shallothold/gateway/forward/PeerTrafficProgram.java
@@ -28,6 +28,7 @@
 import java.util.stream.IntStream;
 import org.shallothold.core.membership.ServerEntry;
 import org.shallothold.core.publish.PublishedItem;
+import org.shallothold.core.publish.PublishedPosition;
 import org.shallothold.core.route.CallKind;
 import org.shallothold.core.route.CallerLimits;
 import org.shallothold.core.route.Route;
@@ -205,7 +206,7 @@
     String id = engines.get(engine).id();
     String value = engines.get(engine).port() + "," + domain(engine) + "," + startedMillis + ",";
     PublishedItem item =
-        new PublishedItem(
+        PublishedItem.of(
             id, (value + "x".repeat(ITEM_BYTES)).getBytes(StandardCharsets.UTF_8), ++revision);
     store.put(id, item);
     return item;
@@ -213,7 +214,8 @@
 
   private synchronized void publishAll() {
     PublishedItem configuration =
-        new PublishedItem("configuration", new byte[CONFIGURATION_BYTES], 1);
+        PublishedItem.of("configuration", new byte[CONFIGURATION_BYTES], 1);
+    PublishedPosition asOf = PublishedPosition.withoutEra(revision);
     for (Member member : members) {
       PublishedSource.Listener listener = member.listener().join();
       member
@@ -221,15 +223,15 @@
           .join()
           .execute(
               () -> {
-                listener.itemsRead(PublishedTopic.CONFIGURATION, List.of(configuration), revision);
-                listener.itemsRead(PublishedTopic.SERVERS, List.copyOf(store.values()), revision);
+                listener.itemsRead(PublishedTopic.CONFIGURATION, List.of(configuration), asOf);
+                listener.itemsRead(PublishedTopic.SERVERS, List.copyOf(store.values()), asOf);
               });
     }
   }
 
   /** Gives all gateways a change; every third gets it later by the configured delay. */
   private void publish(List<PublishedItem> changed, List<PublishedSource.Removal> removed) {
-    long asOf = revision;
+    PublishedPosition asOf = PublishedPosition.withoutEra(revision);
     for (int i = 0; i < members.size(); i++) {
       Member member = members.get(i);
       PublishedSource.Listener listener = member.listener().join();
@@ -274,7 +276,9 @@
     synchronized (this) {
       String id = engines.get(engine).id();
       store.remove(id);
-      publish(List.of(), List.of(new PublishedSource.Removal(id, ++revision)));
+      publish(
+          List.of(),
+          List.of(new PublishedSource.Removal(id, PublishedPosition.withoutEra(++revision))));
     }
     sleep(DOWN_TIME.toMillis());
     synchronized (this) {
--- a/gateway/src/test/java/org/shallothold/gateway/forward/RoutingStateTest.java
+++ b/gateway/src/test/java/org/shallothold/gateway/forward/RoutingStateTest.java
@@ -13,6 +13,7 @@
 import org.junit.jupiter.api.Test;
 import org.shallothold.core.membership.ServerEntry;
 import org.shallothold.core.publish.PublishedItem;
+import org.shallothold.core.publish.PublishedPosition;
 import org.shallothold.core.publish.PublishedState;
 import org.shallothold.core.route.RouteConfiguration;
 import org.shallothold.gateway.forward.port.PublishedDecoder;
@@ -24,6 +25,7 @@
 class RoutingStateTest {
 
   private static final String SERVER = "one";
+  private static final long ITEM_LIFETIME_MILLIS = 300;
 
   private final EventLoop eventLoop = new DefaultEventLoop();
   private final RoutingState state =
@@ -32,7 +34,8 @@
           new SingleServerDecoder(),
           new TestTranslation(),
           StructuredLog.start(System.out, "routing-test"),
-          ForwardMetrics.create());
+          ForwardMetrics.create(),
+          ITEM_LIFETIME_MILLIS);
 
   @AfterEach
   void stop() {
@@ -51,8 +54,8 @@
     state.itemsChanged(
         PublishedTopic.SERVERS,
         List.of(),
-        List.of(new PublishedSource.Removal(SERVER, revision)),
-        revision);
+        List.of(new PublishedSource.Removal(SERVER, PublishedPosition.withoutEra(revision))),
+        PublishedPosition.withoutEra(revision));
   }
 
   @Nested
@@ -67,11 +70,16 @@
       onEventLoop(
           () -> {
             state.itemsRead(
-                PublishedTopic.SERVERS, List.of(new PublishedItem(SERVER, new byte[0], 1)), 1);
+                PublishedTopic.SERVERS,
+                List.of(PublishedItem.of(SERVER, new byte[0], 1)),
+                PublishedPosition.withoutEra(1));
             state.readFailed(PublishedTopic.SERVERS, "reset");
           });
       long contactMillis = MonotonicClock.millis();
-      onEventLoop(() -> state.itemsChanged(PublishedTopic.SERVERS, List.of(), List.of(), 1));
+      onEventLoop(
+          () ->
+              state.itemsChanged(
+                  PublishedTopic.SERVERS, List.of(), List.of(), PublishedPosition.withoutEra(1)));
       Thread.sleep(400);
       onEventLoop(() -> remove(2));
       assertTrue(isListed());
@@ -92,9 +100,9 @@
       state.itemsRead(
           PublishedTopic.SERVERS,
           List.of(servers).stream()
-              .map(server -> new PublishedItem(server, new byte[0], revision))
+              .map(server -> PublishedItem.of(server, new byte[0], revision))
               .toList(),
-          revision);
+          PublishedPosition.withoutEra(revision));
     }
 
     /** Guards against a gateway that slows all servers down when it starts. */
--- a/gateway/src/test/java/org/shallothold/gateway/forward/peer/PeerExchangeTest.java
+++ b/gateway/src/test/java/org/shallothold/gateway/forward/peer/PeerExchangeTest.java
@@ -25,6 +25,7 @@
 import org.junit.jupiter.api.Test;
 import org.shallothold.core.publish.PublishedChanges;
 import org.shallothold.core.publish.PublishedItem;
+import org.shallothold.core.publish.PublishedPosition;
 import org.shallothold.gateway.forward.port.PublishedTopic;
 import org.shallothold.runtime.logging.StructuredLog;
 import org.shallothold.wire.connection.ConnectionLimits;
@@ -64,6 +65,8 @@
   private static final class Gateway implements PeerExchange.StateHandler {
 
     private final long revision;
+    private long era;
+    private long version;
     private final BlockingQueue<String> receivedItems = new LinkedBlockingQueue<>();
     private final BlockingQueue<FleetNews> updates = new LinkedBlockingQueue<>();
     private final BlockingQueue<String> changes = new LinkedBlockingQueue<>();
@@ -76,6 +79,12 @@
       this.revision = revision;
     }
 
+    private Gateway(long era, long revision, long version) {
+      this(revision);
+      this.era = era;
+      this.version = version;
+    }
+
     @Override
     public void describeEvidence(WorkChanges.Builder workChanges) {
       knownEvidence.forEach(workChanges::setCrashEvidence);
@@ -114,37 +123,42 @@
     public void peerLost(String peer) {}
 
     @Override
-    public long asOfRevision(PublishedTopic topic) {
-      return topic == PublishedTopic.CONFIGURATION ? revision : 0;
+    public PublishedPosition asOf(PublishedTopic topic) {
+      return PublishedPosition.of(era, topic == PublishedTopic.CONFIGURATION ? revision : 0);
+    }
+
+    @Override
+    public PublishedPosition changedAt(PublishedTopic topic) {
+      return asOf(topic);
     }
 
     @Override
-    public long changedAtRevision(PublishedTopic topic) {
-      return asOfRevision(topic);
+    public long configurationVersion() {
+      return version;
     }
 
     @Override
     public List<PublishedItem> items(PublishedTopic topic) {
       byte[] value = "value".getBytes(StandardCharsets.UTF_8);
-      return List.of(new PublishedItem("item", value, revision));
+      return List.of(PublishedItem.of("item", value, revision));
     }
 
     @Override
     public void itemsReceived(
-        PublishedTopic topic, List<PublishedItem> items, long asOfRevision, String peer) {
+        PublishedTopic topic, List<PublishedItem> items, PublishedPosition asOf, String peer) {
       receivedItems.add(
-          topic + " " + items.getFirst().key() + " " + asOfRevision + " from " + peer);
+          topic + " " + items.getFirst().key() + " " + asOf.revision() + " from " + peer);
     }
 
     @Override
-    public PublishedChanges changes(PublishedTopic topic, long afterRevision) {
+    public PublishedChanges changes(PublishedTopic topic, PublishedPosition after) {
       return new PublishedChanges(items(topic), Map.of());
     }
 
     @Override
     public void changesReceived(
-        PublishedTopic topic, PublishedChanges changes, long asOfRevision, String peer) {
-      itemsReceived(topic, changes.items(), asOfRevision, peer);
+        PublishedTopic topic, PublishedChanges changes, PublishedPosition asOf, String peer) {
+      itemsReceived(topic, changes.items(), asOf, peer);
     }
 
     @Override
@@ -218,6 +232,27 @@
     assertTrue(ahead.receivedItems.isEmpty());
   }
 
+  /** Guards against old revisions of a gateway that is cut off, which outweigh a new era. */
+  @Test
+  void gatewayOfAnEarlierEraGetsTheItemsOfTheNewOne() throws IOException, InterruptedException {
+    InetSocketAddress first = freeAddress();
+    start("first", first, new Gateway(2, 7, 1));
+    Gateway behind = new Gateway(1, 90, 1);
+    start("second", freeAddress(), behind, first);
+    assertEquals("CONFIGURATION item 7 from first", behind.receivedItems.take());
+  }
+
+  /** Guards against a gateway that serves the older configuration of a restored platform. */
+  @Test
+  void gatewayWithALowerVersionGetsTheHigherOneOfAnEarlierEra()
+      throws IOException, InterruptedException {
+    InetSocketAddress first = freeAddress();
+    start("first", first, new Gateway(1, 7, 5));
+    Gateway restored = new Gateway(2, 90, 4);
+    start("second", freeAddress(), restored, first);
+    assertEquals("CONFIGURATION item 7 from first", restored.receivedItems.take());
+  }
+
   /** Guards against gateways that stay connected to the seeds only and never to each other. */
   @Test
   void gatewaysDiscoverEachOtherThroughSeed() throws IOException, InterruptedException {
--- a/wire/src/main/java/org/shallothold/wire/proto/ColdTime.java
+++ b/wire/src/main/java/org/shallothold/wire/proto/ColdTime.java
@@ -112,6 +112,21 @@
     return revision_;
   }
 
+  public static final int ERA_FIELD_NUMBER = 5;
+  private long era_ = 0L;
+  /**
+   * <pre>
+   * Era of the revision.
+   * </pre>
+   *
+   * <code>int64 era = 5;</code>
+   * @return The era.
+   */
+  @java.lang.Override
+  public long getEra() {
+    return era_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -138,6 +153,9 @@
     if (revision_ != 0L) {
       output.writeInt64(4, revision_);
     }
+    if (era_ != 0L) {
+      output.writeInt64(5, era_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -163,6 +181,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt64Size(4, revision_);
     }
+    if (era_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(5, era_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -185,6 +207,8 @@
         != other.getDistance()) return false;
     if (getRevision()
         != other.getRevision()) return false;
+    if (getEra()
+        != other.getEra()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -206,6 +230,9 @@
     hash = (37 * hash) + REVISION_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getRevision());
+    hash = (37 * hash) + ERA_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getEra());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -345,6 +372,7 @@
       remainingMillis_ = 0L;
       distance_ = 0;
       revision_ = 0L;
+      era_ = 0L;
       return this;
     }
 
@@ -390,6 +418,9 @@
       if (((from_bitField0_ & 0x00000008) != 0)) {
         result.revision_ = revision_;
       }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.era_ = era_;
+      }
     }
 
     @java.lang.Override
@@ -416,6 +447,9 @@
       if (other.getRevision() != 0L) {
         setRevision(other.getRevision());
       }
+      if (other.getEra() != 0L) {
+        setEra(other.getEra());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -462,6 +496,11 @@
               bitField0_ |= 0x00000008;
               break;
             } // case 32
+            case 40: {
+              era_ = input.readInt64();
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 40
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -651,6 +690,50 @@
       return this;
     }
 
+    private long era_ ;
+    /**
+     * <pre>
+     * Era of the revision.
+     * </pre>
+     *
+     * <code>int64 era = 5;</code>
+     * @return The era.
+     */
+    @java.lang.Override
+    public long getEra() {
+      return era_;
+    }
+    /**
+     * <pre>
+     * Era of the revision.
+     * </pre>
+     *
+     * <code>int64 era = 5;</code>
+     * @param value The era to set.
+     * @return This builder for chaining.
+     */
+    public Builder setEra(long value) {
+
+      era_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Era of the revision.
+     * </pre>
+     *
+     * <code>int64 era = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearEra() {
+      bitField0_ = (bitField0_ & ~0x00000010);
+      era_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:shallothold.ColdTime)
   }
 
--- a/wire/src/main/java/org/shallothold/wire/proto/ColdTimeOrBuilder.java
+++ b/wire/src/main/java/org/shallothold/wire/proto/ColdTimeOrBuilder.java
@@ -46,4 +46,14 @@
    * @return The revision.
    */
   long getRevision();
+
+  /**
+   * <pre>
+   * Era of the revision.
+   * </pre>
+   *
+   * <code>int64 era = 5;</code>
+   * @return The era.
+   */
+  long getEra();
 }
--- a/wire/src/main/java/org/shallothold/wire/proto/FleetNews.java
+++ b/wire/src/main/java/org/shallothold/wire/proto/FleetNews.java
@@ -889,6 +889,47 @@
   }
   private int connectedToMemoizedSerializedSize = -1;
 
+  public static final int CONFIGURATION_ERA_FIELD_NUMBER = 19;
+  private long configurationEra_ = 0L;
+  /**
+   * <pre>
+   * Eras of the revisions in configuration_changed_at and servers_changed_at.
+   * </pre>
+   *
+   * <code>int64 configuration_era = 19;</code>
+   * @return The configurationEra.
+   */
+  @java.lang.Override
+  public long getConfigurationEra() {
+    return configurationEra_;
+  }
+
+  public static final int SERVERS_ERA_FIELD_NUMBER = 20;
+  private long serversEra_ = 0L;
+  /**
+   * <code>int64 servers_era = 20;</code>
+   * @return The serversEra.
+   */
+  @java.lang.Override
+  public long getServersEra() {
+    return serversEra_;
+  }
+
+  public static final int CONFIGURATION_VERSION_FIELD_NUMBER = 21;
+  private long configurationVersion_ = 0L;
+  /**
+   * <pre>
+   * Version of the configuration that is in force at the sender.
+   * </pre>
+   *
+   * <code>int64 configuration_version = 21;</code>
+   * @return The configurationVersion.
+   */
+  @java.lang.Override
+  public long getConfigurationVersion() {
+    return configurationVersion_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -972,6 +1013,15 @@
     for (int i = 0; i < connectedTo_.size(); i++) {
       output.writeFixed32NoTag(connectedTo_.getInt(i));
     }
+    if (configurationEra_ != 0L) {
+      output.writeInt64(19, configurationEra_);
+    }
+    if (serversEra_ != 0L) {
+      output.writeInt64(20, serversEra_);
+    }
+    if (configurationVersion_ != 0L) {
+      output.writeInt64(21, configurationVersion_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -1101,6 +1151,18 @@
       }
       connectedToMemoizedSerializedSize = dataSize;
     }
+    if (configurationEra_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(19, configurationEra_);
+    }
+    if (serversEra_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(20, serversEra_);
+    }
+    if (configurationVersion_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(21, configurationVersion_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -1156,6 +1218,12 @@
     }
     if (!getConnectedToList()
         .equals(other.getConnectedToList())) return false;
+    if (getConfigurationEra()
+        != other.getConfigurationEra()) return false;
+    if (getServersEra()
+        != other.getServersEra()) return false;
+    if (getConfigurationVersion()
+        != other.getConfigurationVersion()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -1227,6 +1295,15 @@
       hash = (37 * hash) + CONNECTED_TO_FIELD_NUMBER;
       hash = (53 * hash) + getConnectedToList().hashCode();
     }
+    hash = (37 * hash) + CONFIGURATION_ERA_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getConfigurationEra());
+    hash = (37 * hash) + SERVERS_ERA_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getServersEra());
+    hash = (37 * hash) + CONFIGURATION_VERSION_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getConfigurationVersion());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -1447,6 +1524,9 @@
         differenceBuilder_ = null;
       }
       connectedTo_ = emptyIntList();
+      configurationEra_ = 0L;
+      serversEra_ = 0L;
+      configurationVersion_ = 0L;
       return this;
     }
 
@@ -1565,6 +1645,15 @@
         connectedTo_.makeImmutable();
         result.connectedTo_ = connectedTo_;
       }
+      if (((from_bitField0_ & 0x00020000) != 0)) {
+        result.configurationEra_ = configurationEra_;
+      }
+      if (((from_bitField0_ & 0x00040000) != 0)) {
+        result.serversEra_ = serversEra_;
+      }
+      if (((from_bitField0_ & 0x00080000) != 0)) {
+        result.configurationVersion_ = configurationVersion_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -1727,6 +1816,15 @@
         }
         onChanged();
       }
+      if (other.getConfigurationEra() != 0L) {
+        setConfigurationEra(other.getConfigurationEra());
+      }
+      if (other.getServersEra() != 0L) {
+        setServersEra(other.getServersEra());
+      }
+      if (other.getConfigurationVersion() != 0L) {
+        setConfigurationVersion(other.getConfigurationVersion());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1901,6 +1999,21 @@
               input.popLimit(limit);
               break;
             } // case 146
+            case 152: {
+              configurationEra_ = input.readInt64();
+              bitField0_ |= 0x00020000;
+              break;
+            } // case 152
+            case 160: {
+              serversEra_ = input.readInt64();
+              bitField0_ |= 0x00040000;
+              break;
+            } // case 160
+            case 168: {
+              configurationVersion_ = input.readInt64();
+              bitField0_ |= 0x00080000;
+              break;
+            } // case 168
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -4323,6 +4436,126 @@
       return this;
     }
 
+    private long configurationEra_ ;
+    /**
+     * <pre>
+     * Eras of the revisions in configuration_changed_at and servers_changed_at.
+     * </pre>
+     *
+     * <code>int64 configuration_era = 19;</code>
+     * @return The configurationEra.
+     */
+    @java.lang.Override
+    public long getConfigurationEra() {
+      return configurationEra_;
+    }
+    /**
+     * <pre>
+     * Eras of the revisions in configuration_changed_at and servers_changed_at.
+     * </pre>
+     *
+     * <code>int64 configuration_era = 19;</code>
+     * @param value The configurationEra to set.
+     * @return This builder for chaining.
+     */
+    public Builder setConfigurationEra(long value) {
+
+      configurationEra_ = value;
+      bitField0_ |= 0x00020000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Eras of the revisions in configuration_changed_at and servers_changed_at.
+     * </pre>
+     *
+     * <code>int64 configuration_era = 19;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearConfigurationEra() {
+      bitField0_ = (bitField0_ & ~0x00020000);
+      configurationEra_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private long serversEra_ ;
+    /**
+     * <code>int64 servers_era = 20;</code>
+     * @return The serversEra.
+     */
+    @java.lang.Override
+    public long getServersEra() {
+      return serversEra_;
+    }
+    /**
+     * <code>int64 servers_era = 20;</code>
+     * @param value The serversEra to set.
+     * @return This builder for chaining.
+     */
+    public Builder setServersEra(long value) {
+
+      serversEra_ = value;
+      bitField0_ |= 0x00040000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>int64 servers_era = 20;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearServersEra() {
+      bitField0_ = (bitField0_ & ~0x00040000);
+      serversEra_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private long configurationVersion_ ;
+    /**
+     * <pre>
+     * Version of the configuration that is in force at the sender.
+     * </pre>
+     *
+     * <code>int64 configuration_version = 21;</code>
+     * @return The configurationVersion.
+     */
+    @java.lang.Override
+    public long getConfigurationVersion() {
+      return configurationVersion_;
+    }
+    /**
+     * <pre>
+     * Version of the configuration that is in force at the sender.
+     * </pre>
+     *
+     * <code>int64 configuration_version = 21;</code>
+     * @param value The configurationVersion to set.
+     * @return This builder for chaining.
+     */
+    public Builder setConfigurationVersion(long value) {
+
+      configurationVersion_ = value;
+      bitField0_ |= 0x00080000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Version of the configuration that is in force at the sender.
+     * </pre>
+     *
+     * <code>int64 configuration_version = 21;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearConfigurationVersion() {
+      bitField0_ = (bitField0_ & ~0x00080000);
+      configurationVersion_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:shallothold.FleetNews)
   }
 
--- a/wire/src/main/java/org/shallothold/wire/proto/FleetNewsOrBuilder.java
+++ b/wire/src/main/java/org/shallothold/wire/proto/FleetNewsOrBuilder.java
@@ -511,4 +511,30 @@
    * @return The connectedTo at the given index.
    */
   int getConnectedTo(int index);
+
+  /**
+   * <pre>
+   * Eras of the revisions in configuration_changed_at and servers_changed_at.
+   * </pre>
+   *
+   * <code>int64 configuration_era = 19;</code>
+   * @return The configurationEra.
+   */
+  long getConfigurationEra();
+
+  /**
+   * <code>int64 servers_era = 20;</code>
+   * @return The serversEra.
+   */
+  long getServersEra();
+
+  /**
+   * <pre>
+   * Version of the configuration that is in force at the sender.
+   * </pre>
+   *
+   * <code>int64 configuration_version = 21;</code>
+   * @return The configurationVersion.
+   */
+  long getConfigurationVersion();
 }
--- a/wire/src/main/java/org/shallothold/wire/proto/PublishedItem.java
+++ b/wire/src/main/java/org/shallothold/wire/proto/PublishedItem.java
@@ -50,6 +50,7 @@
             org.shallothold.wire.proto.PublishedItem.class, org.shallothold.wire.proto.PublishedItem.Builder.class);
   }
 
+  private int bitField0_;
   public static final int KEY_FIELD_NUMBER = 1;
   @SuppressWarnings("serial")
   private volatile java.lang.Object key_ = "";
@@ -111,6 +112,33 @@
     return revision_;
   }
 
+  public static final int ERA_FIELD_NUMBER = 4;
+  private long era_ = 0L;
+  /**
+   * <pre>
+   * Era of the revision; present only if it isn't that of the message.
+   * </pre>
+   *
+   * <code>optional int64 era = 4;</code>
+   * @return Whether the era field is set.
+   */
+  @java.lang.Override
+  public boolean hasEra() {
+    return ((bitField0_ & 0x00000001) != 0);
+  }
+  /**
+   * <pre>
+   * Era of the revision; present only if it isn't that of the message.
+   * </pre>
+   *
+   * <code>optional int64 era = 4;</code>
+   * @return The era.
+   */
+  @java.lang.Override
+  public long getEra() {
+    return era_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -134,6 +162,9 @@
     if (revision_ != 0L) {
       output.writeInt64(3, revision_);
     }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      output.writeInt64(4, era_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -154,6 +185,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt64Size(3, revision_);
     }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(4, era_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -175,6 +210,11 @@
         .equals(other.getValue())) return false;
     if (getRevision()
         != other.getRevision()) return false;
+    if (hasEra() != other.hasEra()) return false;
+    if (hasEra()) {
+      if (getEra()
+          != other.getEra()) return false;
+    }
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -193,6 +233,11 @@
     hash = (37 * hash) + REVISION_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getRevision());
+    if (hasEra()) {
+      hash = (37 * hash) + ERA_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getEra());
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -327,6 +372,7 @@
       key_ = "";
       value_ = com.google.protobuf.ByteString.EMPTY;
       revision_ = 0L;
+      era_ = 0L;
       return this;
     }
 
@@ -369,6 +415,12 @@
       if (((from_bitField0_ & 0x00000004) != 0)) {
         result.revision_ = revision_;
       }
+      int to_bitField0_ = 0;
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.era_ = era_;
+        to_bitField0_ |= 0x00000001;
+      }
+      result.bitField0_ |= to_bitField0_;
     }
 
     @java.lang.Override
@@ -394,6 +446,9 @@
       if (other.getRevision() != 0L) {
         setRevision(other.getRevision());
       }
+      if (other.hasEra()) {
+        setEra(other.getEra());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -435,6 +490,11 @@
               bitField0_ |= 0x00000004;
               break;
             } // case 24
+            case 32: {
+              era_ = input.readInt64();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 32
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -588,6 +648,62 @@
       return this;
     }
 
+    private long era_ ;
+    /**
+     * <pre>
+     * Era of the revision; present only if it isn't that of the message.
+     * </pre>
+     *
+     * <code>optional int64 era = 4;</code>
+     * @return Whether the era field is set.
+     */
+    @java.lang.Override
+    public boolean hasEra() {
+      return ((bitField0_ & 0x00000008) != 0);
+    }
+    /**
+     * <pre>
+     * Era of the revision; present only if it isn't that of the message.
+     * </pre>
+     *
+     * <code>optional int64 era = 4;</code>
+     * @return The era.
+     */
+    @java.lang.Override
+    public long getEra() {
+      return era_;
+    }
+    /**
+     * <pre>
+     * Era of the revision; present only if it isn't that of the message.
+     * </pre>
+     *
+     * <code>optional int64 era = 4;</code>
+     * @param value The era to set.
+     * @return This builder for chaining.
+     */
+    public Builder setEra(long value) {
+
+      era_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Era of the revision; present only if it isn't that of the message.
+     * </pre>
+     *
+     * <code>optional int64 era = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearEra() {
+      bitField0_ = (bitField0_ & ~0x00000008);
+      era_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:shallothold.PublishedItem)
   }
 
--- a/wire/src/main/java/org/shallothold/wire/proto/PublishedItemOrBuilder.java
+++ b/wire/src/main/java/org/shallothold/wire/proto/PublishedItemOrBuilder.java
@@ -33,4 +33,23 @@
    * @return The revision.
    */
   long getRevision();
+
+  /**
+   * <pre>
+   * Era of the revision; present only if it isn't that of the message.
+   * </pre>
+   *
+   * <code>optional int64 era = 4;</code>
+   * @return Whether the era field is set.
+   */
+  boolean hasEra();
+  /**
+   * <pre>
+   * Era of the revision; present only if it isn't that of the message.
+   * </pre>
+   *
+   * <code>optional int64 era = 4;</code>
+   * @return The era.
+   */
+  long getEra();
 }
--- a/wire/src/main/java/org/shallothold/wire/proto/PublishedItems.java
+++ b/wire/src/main/java/org/shallothold/wire/proto/PublishedItems.java
@@ -214,6 +214,21 @@
     return removals_.get(index);
   }
 
+  public static final int ERA_FIELD_NUMBER = 6;
+  private long era_ = 0L;
+  /**
+   * <pre>
+   * Era of as_of, of changes_since and of the removals.
+   * </pre>
+   *
+   * <code>int64 era = 6;</code>
+   * @return The era.
+   */
+  @java.lang.Override
+  public long getEra() {
+    return era_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -243,6 +258,9 @@
     for (int i = 0; i < removals_.size(); i++) {
       output.writeMessage(5, removals_.get(i));
     }
+    if (era_ != 0L) {
+      output.writeInt64(6, era_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -282,6 +300,10 @@
           }
           size += 1 * count;
         }
+    if (era_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(6, era_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -309,6 +331,8 @@
     }
     if (!getRemovalsList()
         .equals(other.getRemovalsList())) return false;
+    if (getEra()
+        != other.getEra()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -338,6 +362,9 @@
       hash = (37 * hash) + REMOVALS_FIELD_NUMBER;
       hash = (53 * hash) + getRemovalsList().hashCode();
     }
+    hash = (37 * hash) + ERA_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getEra());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -490,6 +517,7 @@
         removalsBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000010);
+      era_ = 0L;
       return this;
     }
 
@@ -556,6 +584,9 @@
         result.changesSince_ = changesSince_;
         to_bitField0_ |= 0x00000001;
       }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.era_ = era_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -632,6 +663,9 @@
           }
         }
       }
+      if (other.getEra() != 0L) {
+        setEra(other.getEra());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -699,6 +733,11 @@
               }
               break;
             } // case 42
+            case 48: {
+              era_ = input.readInt64();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 48
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1408,6 +1447,50 @@
       return removalsBuilder_;
     }
 
+    private long era_ ;
+    /**
+     * <pre>
+     * Era of as_of, of changes_since and of the removals.
+     * </pre>
+     *
+     * <code>int64 era = 6;</code>
+     * @return The era.
+     */
+    @java.lang.Override
+    public long getEra() {
+      return era_;
+    }
+    /**
+     * <pre>
+     * Era of as_of, of changes_since and of the removals.
+     * </pre>
+     *
+     * <code>int64 era = 6;</code>
+     * @param value The era to set.
+     * @return This builder for chaining.
+     */
+    public Builder setEra(long value) {
+
+      era_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Era of as_of, of changes_since and of the removals.
+     * </pre>
+     *
+     * <code>int64 era = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearEra() {
+      bitField0_ = (bitField0_ & ~0x00000020);
+      era_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:shallothold.PublishedItems)
   }
 
--- a/wire/src/main/java/org/shallothold/wire/proto/PublishedItemsOrBuilder.java
+++ b/wire/src/main/java/org/shallothold/wire/proto/PublishedItemsOrBuilder.java
@@ -113,4 +113,14 @@
    */
   org.shallothold.wire.proto.PublishedRemovalOrBuilder getRemovalsOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * Era of as_of, of changes_since and of the removals.
+   * </pre>
+   *
+   * <code>int64 era = 6;</code>
+   * @return The era.
+   */
+  long getEra();
 }
--- a/wire/src/main/java/org/shallothold/wire/proto/PublishedRequest.java
+++ b/wire/src/main/java/org/shallothold/wire/proto/PublishedRequest.java
@@ -97,6 +97,21 @@
     return acceptsChanges_;
   }
 
+  public static final int ERA_FIELD_NUMBER = 5;
+  private long era_ = 0L;
+  /**
+   * <pre>
+   * Era of as_of.
+   * </pre>
+   *
+   * <code>int64 era = 5;</code>
+   * @return The era.
+   */
+  @java.lang.Override
+  public long getEra() {
+    return era_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -120,6 +135,9 @@
     if (acceptsChanges_ != false) {
       output.writeBool(4, acceptsChanges_);
     }
+    if (era_ != 0L) {
+      output.writeInt64(5, era_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -141,6 +159,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(4, acceptsChanges_);
     }
+    if (era_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(5, era_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -161,6 +183,8 @@
         != other.getAsOf()) return false;
     if (getAcceptsChanges()
         != other.getAcceptsChanges()) return false;
+    if (getEra()
+        != other.getEra()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -180,6 +204,9 @@
     hash = (37 * hash) + ACCEPTS_CHANGES_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getAcceptsChanges());
+    hash = (37 * hash) + ERA_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getEra());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -318,6 +345,7 @@
       topic_ = 0;
       asOf_ = 0L;
       acceptsChanges_ = false;
+      era_ = 0L;
       return this;
     }
 
@@ -360,6 +388,9 @@
       if (((from_bitField0_ & 0x00000004) != 0)) {
         result.acceptsChanges_ = acceptsChanges_;
       }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.era_ = era_;
+      }
     }
 
     @java.lang.Override
@@ -383,6 +414,9 @@
       if (other.getAcceptsChanges() != false) {
         setAcceptsChanges(other.getAcceptsChanges());
       }
+      if (other.getEra() != 0L) {
+        setEra(other.getEra());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -424,6 +458,11 @@
               bitField0_ |= 0x00000004;
               break;
             } // case 32
+            case 40: {
+              era_ = input.readInt64();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 40
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -569,6 +608,50 @@
       return this;
     }
 
+    private long era_ ;
+    /**
+     * <pre>
+     * Era of as_of.
+     * </pre>
+     *
+     * <code>int64 era = 5;</code>
+     * @return The era.
+     */
+    @java.lang.Override
+    public long getEra() {
+      return era_;
+    }
+    /**
+     * <pre>
+     * Era of as_of.
+     * </pre>
+     *
+     * <code>int64 era = 5;</code>
+     * @param value The era to set.
+     * @return This builder for chaining.
+     */
+    public Builder setEra(long value) {
+
+      era_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Era of as_of.
+     * </pre>
+     *
+     * <code>int64 era = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearEra() {
+      bitField0_ = (bitField0_ & ~0x00000008);
+      era_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:shallothold.PublishedRequest)
   }
 
--- a/wire/src/main/java/org/shallothold/wire/proto/PublishedRequestOrBuilder.java
+++ b/wire/src/main/java/org/shallothold/wire/proto/PublishedRequestOrBuilder.java
@@ -36,4 +36,14 @@
    * @return The acceptsChanges.
    */
   boolean getAcceptsChanges();
+
+  /**
+   * <pre>
+   * Era of as_of.
+   * </pre>
+   *
+   * <code>int64 era = 5;</code>
+   * @return The era.
+   */
+  long getEra();
 }
--- a/wire/src/main/java/org/shallothold/wire/proto/Shallothold.java
+++ b/wire/src/main/java/org/shallothold/wire/proto/Shallothold.java
@@ -449,7 +449,7 @@
       "lainReport\022\023\n\013call_number\030\001 \001(\003\022\014\n\004json\030" +
       "\002 \001(\014\"#\n\014AuditRequest\022\023\n\013call_number\030\001 \001" +
       "(\003\"0\n\013AuditReport\022\023\n\013call_number\030\001 \001(\003\022\014" +
-      "\n\004json\030\002 \001(\014\"\262\006\n\tFleetNews\022\022\n\nprocess_id" +
+      "\n\004json\030\002 \001(\014\"\201\007\n\tFleetNews\022\022\n\nprocess_id" +
       "\030\001 \001(\t\022\017\n\007address\030\002 \001(\t\022\027\n\017known_address" +
       "es\030\003 \003(\t\022 \n\030configuration_changed_at\030\004 \001" +
       "(\003\022\032\n\022servers_changed_at\030\005 \001(\003\022(\n\topen_w" +
@@ -465,104 +465,107 @@
       "dence\022\'\n\006demand\030\016 \003(\0132\027.shallothold.Rank" +
       "Demand\022\016\n\006number\030\020 \001(\003\0220\n\ndifference\030\021 \001" +
       "(\0132\034.shallothold.StateDifference\022\024\n\014conn" +
-      "ected_to\030\022 \003(\007\0320\n\016TightLoadEntry\022\013\n\003key\030" +
-      "\001 \001(\t\022\r\n\005value\030\002 \001(\005:\0028\001\032M\n\021EngineSpeeds" +
-      "Entry\022\013\n\003key\030\001 \001(\t\022\'\n\005value\030\002 \001(\0132\030.shal" +
-      "lothold.EngineSpeed:\0028\001\0320\n\016HeavyLoadEntr" +
-      "y\022\013\n\003key\030\001 \001(\t\022\r\n\005value\030\002 \001(\005:\0028\001\"v\n\017Sta" +
-      "teDifference\022\032\n\022removed_server_ids\030\001 \003(\t" +
-      "\022\024\n\014address_ages\030\002 \003(\r\0221\n\017reads_by_serve" +
-      "r\030\003 \003(\0132\030.shallothold.ServerReads\"F\n\013Ser" +
-      "verReads\022\021\n\tserver_id\030\001 \001(\t\022\024\n\014chain_has" +
-      "hes\030\002 \003(\006\022\016\n\006tokens\030\003 \003(\005\"w\n\nRankDemand\022" +
-      "\017\n\007service\030\001 \001(\t\022\020\n\010priority\030\002 \001(\005\022\026\n\016ro" +
-      "ute_priority\030\003 \001(\005\022\026\n\016arrived_millis\030\004 \001" +
-      "(\005\022\026\n\016waiting_millis\030\005 \001(\005\"\277\002\n\013WorkChang" +
-      "es\022(\n\topen_work\030\001 \003(\0132\025.shallothold.Open" +
-      "Work\022-\n\014prefix_reads\030\002 \003(\0132\027.shallothold" +
-      ".PrefixRead\0222\n\016crash_evidence\030\003 \001(\0132\032.sh" +
-      "allothold.CrashEvidence\0221\n\017reads_by_serv" +
-      "er\030\004 \003(\0132\030.shallothold.ServerReads\0226\n\020co" +
-      "mpact_evidence\030\005 \001(\0132\034.shallothold.Compa" +
-      "ctEvidence\022\031\n\021sent_to_connected\030\006 \001(\010\022\014\n" +
-      "\004hops\030\007 \001(\005\022\017\n\007sent_to\030\010 \003(\007\"m\n\017CompactE" +
-      "vidence\022$\n\004ends\030\001 \003(\0132\026.shallothold.Engi" +
-      "neEnd\022\031\n\021answered_part_ids\030\002 \003(\006\022\031\n\021answ" +
-      "er_age_millis\030\003 \003(\003\"`\n\tEngineEnd\022\021\n\tserv" +
-      "er_id\030\001 \001(\t\022\022\n\nage_millis\030\002 \001(\003\022\020\n\010part_" +
-      "ids\030\003 \003(\006\022\032\n\022sent_before_millis\030\004 \003(\022\"l\n" +
-      "\rCrashEvidence\022.\n\nsuspicions\030\001 \003(\0132\032.sha" +
-      "llothold.PartSuspicion\022+\n\tsuccesses\030\002 \003(" +
-      "\0132\030.shallothold.PartSuccess\"f\n\rPartSuspi" +
-      "cion\022\017\n\007part_id\030\001 \001(\006\022\021\n\tserver_id\030\002 \001(\t" +
-      "\022\030\n\020crash_age_millis\030\003 \001(\003\022\027\n\017sent_age_m" +
-      "illis\030\004 \001(\003\"2\n\013PartSuccess\022\017\n\007part_id\030\001 " +
-      "\001(\006\022\022\n\nage_millis\030\002 \001(\003\"\351\002\n\010OpenWork\022\021\n\t" +
-      "server_id\030\001 \001(\t\022\020\n\010requests\030\002 \001(\005\022\023\n\013rea" +
-      "d_millis\030\003 \001(\005\022\025\n\rtight_streams\030\004 \001(\005\022\030\n" +
-      "\020sent_read_millis\030\006 \001(\003\022\031\n\014leaving_life\030" +
-      "\007 \001(\003H\000\210\001\001\022,\n\013stated_rate\030\010 \001(\0132\027.shallo" +
-      "thold.StatedRate\022$\n\004cold\030\t \001(\0132\026.shallot" +
-      "hold.ColdState\022)\n\007ramp_up\030\n \001(\0132\030.shallo" +
-      "thold.RampUpState\022\026\n\016decode_percent\030\013 \001(" +
-      "\005\022)\n\005speed\030\014 \001(\0132\032.shallothold.MeasuredS" +
-      "peedB\017\n\r_leaving_lifeJ\004\010\005\020\006\"f\n\tColdState" +
-      "\022\026\n\016instance_start\030\001 \001(\003\022\033\n\023requests_per" +
-      "_second\030\002 \001(\001\022$\n\005times\030\003 \003(\0132\025.shallotho" +
-      "ld.ColdTime\"q\n\010ColdTime\022\'\n\006source\030\001 \001(\0162" +
-      "\027.shallothold.ColdSource\022\030\n\020remaining_mi" +
-      "llis\030\002 \001(\003\022\020\n\010distance\030\003 \001(\005\022\020\n\010revision" +
-      "\030\004 \001(\003\"X\n\013RampUpState\022\026\n\016instance_start\030" +
-      "\001 \001(\003\022\022\n\nage_millis\030\002 \001(\003\022\017\n\007on_time\030\003 \001" +
-      "(\005\022\014\n\004late\030\004 \001(\005\"h\n\rMeasuredSpeed\022\r\n\005rat" +
-      "io\030\001 \001(\001\022\017\n\007samples\030\002 \001(\005\022\031\n\021momentary_p" +
-      "ercent\030\003 \001(\005\022\034\n\024momentary_age_millis\030\004 \001" +
-      "(\005\"r\n\nStatedRate\022\026\n\016instance_start\030\001 \001(\003" +
-      "\022 \n\023requests_per_second\030\002 \001(\001H\000\210\001\001\022\022\n\nag" +
-      "e_millis\030\003 \001(\003B\026\n\024_requests_per_second\"\200" +
-      "\002\n\021SendPermitRequest\022\021\n\tserver_id\030\001 \001(\t\022" +
-      ",\n\013stated_rate\030\002 \001(\0132\027.shallothold.State" +
-      "dRate\022\026\n\016request_number\030\003 \001(\003\022\024\n\014asked_m" +
-      "illis\030\004 \001(\003\022\026\n\016trial_part_ids\030\005 \003(\006\022\023\n\013t" +
-      "rial_ended\030\006 \001(\010\022$\n\004cold\030\007 \001(\0132\026.shallot" +
-      "hold.ColdState\022)\n\007ramp_up\030\010 \001(\0132\030.shallo" +
-      "thold.RampUpState\"\213\001\n\020SendPermitAnswer\022\021" +
-      "\n\tserver_id\030\001 \001(\t\022\026\n\016instance_start\030\002 \001(" +
-      "\003\022\026\n\016request_number\030\003 \001(\003\022\024\n\014asked_milli" +
-      "s\030\004 \001(\003\022\017\n\007granted\030\005 \001(\010\022\r\n\005trial\030\006 \001(\010\"" +
-      "\256\001\n\013EngineSpeed\022\024\n\014token_millis\030\001 \001(\001\022\023\n" +
-      "\013pair_millis\030\002 \001(\001\022\024\n\014read_samples\030\003 \001(\005" +
-      "\022\023\n\013step_millis\030\004 \001(\001\022\024\n\014step_samples\030\005 " +
-      "\001(\005\022\034\n\024reading_pause_millis\030\006 \001(\001\022\025\n\rpau" +
-      "se_samples\030\007 \001(\005\"C\n\nPrefixRead\022\021\n\tserver" +
-      "_id\030\001 \001(\t\022\022\n\nchain_hash\030\002 \001(\006\022\016\n\006tokens\030" +
-      "\003 \001(\005\"f\n\020PublishedRequest\022*\n\005topic\030\001 \001(\016" +
-      "2\033.shallothold.PublishedTopic\022\r\n\005as_of\030\002" +
-      " \001(\003\022\027\n\017accepts_changes\030\004 \001(\010\"=\n\rPublish" +
-      "edItem\022\013\n\003key\030\001 \001(\t\022\r\n\005value\030\002 \001(\014\022\020\n\010re" +
-      "vision\030\003 \001(\003\"\325\001\n\016PublishedItems\022*\n\005topic" +
-      "\030\001 \001(\0162\033.shallothold.PublishedTopic\022\r\n\005a" +
-      "s_of\030\002 \001(\003\022)\n\005items\030\003 \003(\0132\032.shallothold." +
-      "PublishedItem\022\032\n\rchanges_since\030\004 \001(\003H\000\210\001" +
-      "\001\022/\n\010removals\030\005 \003(\0132\035.shallothold.Publis" +
-      "hedRemovalB\020\n\016_changes_since\"1\n\020Publishe" +
-      "dRemoval\022\013\n\003key\030\001 \001(\t\022\020\n\010revision\030\002 \001(\003*" +
-      "S\n\004Role\022\024\n\020ROLE_UNSPECIFIED\020\000\022\020\n\014ROLE_GA" +
-      "TEWAY\020\001\022\020\n\014ROLE_SIDECAR\020\002\022\021\n\rROLE_OPERAT" +
-      "OR\020\003*v\n\nFinishKind\022\033\n\027FINISH_KIND_UNSPEC" +
-      "IFIED\020\000\022\030\n\024FINISH_KIND_COMPLETE\020\001\022\026\n\022FIN" +
-      "ISH_KIND_BROKEN\020\002\022\031\n\025FINISH_KIND_CANCELL" +
-      "ED\020\003*d\n\013VerdictKind\022\034\n\030VERDICT_KIND_UNSP" +
-      "ECIFIED\020\000\022\030\n\024VERDICT_KIND_NOT_RUN\020\001\022\035\n\031V" +
-      "ERDICT_KIND_MAY_HAVE_RUN\020\002*\221\001\n\nColdSourc" +
-      "e\022\033\n\027COLD_SOURCE_UNSPECIFIED\020\000\022\025\n\021COLD_S" +
-      "OURCE_ENTRY\020\001\022\030\n\024COLD_SOURCE_RESPONSE\020\002\022" +
-      "\025\n\021COLD_SOURCE_START\020\003\022\036\n\032COLD_SOURCE_EV" +
-      "ACUATION_END\020\004*q\n\016PublishedTopic\022\037\n\033PUBL" +
-      "ISHED_TOPIC_UNSPECIFIED\020\000\022!\n\035PUBLISHED_T" +
-      "OPIC_CONFIGURATION\020\001\022\033\n\027PUBLISHED_TOPIC_" +
-      "SERVERS\020\002B\036\n\032org.shallothold.wire.protoP" +
-      "\001b\006proto3"
+      "ected_to\030\022 \003(\007\022\031\n\021configuration_era\030\023 \001(" +
+      "\003\022\023\n\013servers_era\030\024 \001(\003\022\035\n\025configuration_" +
+      "version\030\025 \001(\003\0320\n\016TightLoadEntry\022\013\n\003key\030\001" +
+      " \001(\t\022\r\n\005value\030\002 \001(\005:\0028\001\032M\n\021EngineSpeedsE" +
+      "ntry\022\013\n\003key\030\001 \001(\t\022\'\n\005value\030\002 \001(\0132\030.shall" +
+      "othold.EngineSpeed:\0028\001\0320\n\016HeavyLoadEntry" +
+      "\022\013\n\003key\030\001 \001(\t\022\r\n\005value\030\002 \001(\005:\0028\001\"v\n\017Stat" +
+      "eDifference\022\032\n\022removed_server_ids\030\001 \003(\t\022" +
+      "\024\n\014address_ages\030\002 \003(\r\0221\n\017reads_by_server" +
+      "\030\003 \003(\0132\030.shallothold.ServerReads\"F\n\013Serv" +
+      "erReads\022\021\n\tserver_id\030\001 \001(\t\022\024\n\014chain_hash" +
+      "es\030\002 \003(\006\022\016\n\006tokens\030\003 \003(\005\"w\n\nRankDemand\022\017" +
+      "\n\007service\030\001 \001(\t\022\020\n\010priority\030\002 \001(\005\022\026\n\016rou" +
+      "te_priority\030\003 \001(\005\022\026\n\016arrived_millis\030\004 \001(" +
+      "\005\022\026\n\016waiting_millis\030\005 \001(\005\"\277\002\n\013WorkChange" +
+      "s\022(\n\topen_work\030\001 \003(\0132\025.shallothold.OpenW" +
+      "ork\022-\n\014prefix_reads\030\002 \003(\0132\027.shallothold." +
+      "PrefixRead\0222\n\016crash_evidence\030\003 \001(\0132\032.sha" +
+      "llothold.CrashEvidence\0221\n\017reads_by_serve" +
+      "r\030\004 \003(\0132\030.shallothold.ServerReads\0226\n\020com" +
+      "pact_evidence\030\005 \001(\0132\034.shallothold.Compac" +
+      "tEvidence\022\031\n\021sent_to_connected\030\006 \001(\010\022\014\n\004" +
+      "hops\030\007 \001(\005\022\017\n\007sent_to\030\010 \003(\007\"m\n\017CompactEv" +
+      "idence\022$\n\004ends\030\001 \003(\0132\026.shallothold.Engin" +
+      "eEnd\022\031\n\021answered_part_ids\030\002 \003(\006\022\031\n\021answe" +
+      "r_age_millis\030\003 \003(\003\"`\n\tEngineEnd\022\021\n\tserve" +
+      "r_id\030\001 \001(\t\022\022\n\nage_millis\030\002 \001(\003\022\020\n\010part_i" +
+      "ds\030\003 \003(\006\022\032\n\022sent_before_millis\030\004 \003(\022\"l\n\r" +
+      "CrashEvidence\022.\n\nsuspicions\030\001 \003(\0132\032.shal" +
+      "lothold.PartSuspicion\022+\n\tsuccesses\030\002 \003(\013" +
+      "2\030.shallothold.PartSuccess\"f\n\rPartSuspic" +
+      "ion\022\017\n\007part_id\030\001 \001(\006\022\021\n\tserver_id\030\002 \001(\t\022" +
+      "\030\n\020crash_age_millis\030\003 \001(\003\022\027\n\017sent_age_mi" +
+      "llis\030\004 \001(\003\"2\n\013PartSuccess\022\017\n\007part_id\030\001 \001" +
+      "(\006\022\022\n\nage_millis\030\002 \001(\003\"\351\002\n\010OpenWork\022\021\n\ts" +
+      "erver_id\030\001 \001(\t\022\020\n\010requests\030\002 \001(\005\022\023\n\013read" +
+      "_millis\030\003 \001(\005\022\025\n\rtight_streams\030\004 \001(\005\022\030\n\020" +
+      "sent_read_millis\030\006 \001(\003\022\031\n\014leaving_life\030\007" +
+      " \001(\003H\000\210\001\001\022,\n\013stated_rate\030\010 \001(\0132\027.shallot" +
+      "hold.StatedRate\022$\n\004cold\030\t \001(\0132\026.shalloth" +
+      "old.ColdState\022)\n\007ramp_up\030\n \001(\0132\030.shallot" +
+      "hold.RampUpState\022\026\n\016decode_percent\030\013 \001(\005" +
+      "\022)\n\005speed\030\014 \001(\0132\032.shallothold.MeasuredSp" +
+      "eedB\017\n\r_leaving_lifeJ\004\010\005\020\006\"f\n\tColdState\022" +
+      "\026\n\016instance_start\030\001 \001(\003\022\033\n\023requests_per_" +
+      "second\030\002 \001(\001\022$\n\005times\030\003 \003(\0132\025.shallothol" +
+      "d.ColdTime\"~\n\010ColdTime\022\'\n\006source\030\001 \001(\0162\027" +
+      ".shallothold.ColdSource\022\030\n\020remaining_mil" +
+      "lis\030\002 \001(\003\022\020\n\010distance\030\003 \001(\005\022\020\n\010revision\030" +
+      "\004 \001(\003\022\013\n\003era\030\005 \001(\003\"X\n\013RampUpState\022\026\n\016ins" +
+      "tance_start\030\001 \001(\003\022\022\n\nage_millis\030\002 \001(\003\022\017\n" +
+      "\007on_time\030\003 \001(\005\022\014\n\004late\030\004 \001(\005\"h\n\rMeasured" +
+      "Speed\022\r\n\005ratio\030\001 \001(\001\022\017\n\007samples\030\002 \001(\005\022\031\n" +
+      "\021momentary_percent\030\003 \001(\005\022\034\n\024momentary_ag" +
+      "e_millis\030\004 \001(\005\"r\n\nStatedRate\022\026\n\016instance" +
+      "_start\030\001 \001(\003\022 \n\023requests_per_second\030\002 \001(" +
+      "\001H\000\210\001\001\022\022\n\nage_millis\030\003 \001(\003B\026\n\024_requests_" +
+      "per_second\"\200\002\n\021SendPermitRequest\022\021\n\tserv" +
+      "er_id\030\001 \001(\t\022,\n\013stated_rate\030\002 \001(\0132\027.shall" +
+      "othold.StatedRate\022\026\n\016request_number\030\003 \001(" +
+      "\003\022\024\n\014asked_millis\030\004 \001(\003\022\026\n\016trial_part_id" +
+      "s\030\005 \003(\006\022\023\n\013trial_ended\030\006 \001(\010\022$\n\004cold\030\007 \001" +
+      "(\0132\026.shallothold.ColdState\022)\n\007ramp_up\030\010 " +
+      "\001(\0132\030.shallothold.RampUpState\"\213\001\n\020SendPe" +
+      "rmitAnswer\022\021\n\tserver_id\030\001 \001(\t\022\026\n\016instanc" +
+      "e_start\030\002 \001(\003\022\026\n\016request_number\030\003 \001(\003\022\024\n" +
+      "\014asked_millis\030\004 \001(\003\022\017\n\007granted\030\005 \001(\010\022\r\n\005" +
+      "trial\030\006 \001(\010\"\256\001\n\013EngineSpeed\022\024\n\014token_mil" +
+      "lis\030\001 \001(\001\022\023\n\013pair_millis\030\002 \001(\001\022\024\n\014read_s" +
+      "amples\030\003 \001(\005\022\023\n\013step_millis\030\004 \001(\001\022\024\n\014ste" +
+      "p_samples\030\005 \001(\005\022\034\n\024reading_pause_millis\030" +
+      "\006 \001(\001\022\025\n\rpause_samples\030\007 \001(\005\"C\n\nPrefixRe" +
+      "ad\022\021\n\tserver_id\030\001 \001(\t\022\022\n\nchain_hash\030\002 \001(" +
+      "\006\022\016\n\006tokens\030\003 \001(\005\"s\n\020PublishedRequest\022*\n" +
+      "\005topic\030\001 \001(\0162\033.shallothold.PublishedTopi" +
+      "c\022\r\n\005as_of\030\002 \001(\003\022\027\n\017accepts_changes\030\004 \001(" +
+      "\010\022\013\n\003era\030\005 \001(\003\"W\n\rPublishedItem\022\013\n\003key\030\001" +
+      " \001(\t\022\r\n\005value\030\002 \001(\014\022\020\n\010revision\030\003 \001(\003\022\020\n" +
+      "\003era\030\004 \001(\003H\000\210\001\001B\006\n\004_era\"\342\001\n\016PublishedIte" +
+      "ms\022*\n\005topic\030\001 \001(\0162\033.shallothold.Publishe" +
+      "dTopic\022\r\n\005as_of\030\002 \001(\003\022)\n\005items\030\003 \003(\0132\032.s" +
+      "hallothold.PublishedItem\022\032\n\rchanges_sinc" +
+      "e\030\004 \001(\003H\000\210\001\001\022/\n\010removals\030\005 \003(\0132\035.shallot" +
+      "hold.PublishedRemoval\022\013\n\003era\030\006 \001(\003B\020\n\016_c" +
+      "hanges_since\"1\n\020PublishedRemoval\022\013\n\003key\030" +
+      "\001 \001(\t\022\020\n\010revision\030\002 \001(\003*S\n\004Role\022\024\n\020ROLE_" +
+      "UNSPECIFIED\020\000\022\020\n\014ROLE_GATEWAY\020\001\022\020\n\014ROLE_" +
+      "SIDECAR\020\002\022\021\n\rROLE_OPERATOR\020\003*v\n\nFinishKi" +
+      "nd\022\033\n\027FINISH_KIND_UNSPECIFIED\020\000\022\030\n\024FINIS" +
+      "H_KIND_COMPLETE\020\001\022\026\n\022FINISH_KIND_BROKEN\020" +
+      "\002\022\031\n\025FINISH_KIND_CANCELLED\020\003*d\n\013VerdictK" +
+      "ind\022\034\n\030VERDICT_KIND_UNSPECIFIED\020\000\022\030\n\024VER" +
+      "DICT_KIND_NOT_RUN\020\001\022\035\n\031VERDICT_KIND_MAY_" +
+      "HAVE_RUN\020\002*\221\001\n\nColdSource\022\033\n\027COLD_SOURCE" +
+      "_UNSPECIFIED\020\000\022\025\n\021COLD_SOURCE_ENTRY\020\001\022\030\n" +
+      "\024COLD_SOURCE_RESPONSE\020\002\022\025\n\021COLD_SOURCE_S" +
+      "TART\020\003\022\036\n\032COLD_SOURCE_EVACUATION_END\020\004*q" +
+      "\n\016PublishedTopic\022\037\n\033PUBLISHED_TOPIC_UNSP" +
+      "ECIFIED\020\000\022!\n\035PUBLISHED_TOPIC_CONFIGURATI" +
+      "ON\020\001\022\033\n\027PUBLISHED_TOPIC_SERVERS\020\002B\036\n\032org" +
+      ".shallothold.wire.protoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -777,7 +780,7 @@
     internal_static_shallothold_FleetNews_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_shallothold_FleetNews_descriptor,
-        new java.lang.String[] { "ProcessId", "Address", "KnownAddresses", "ConfigurationChangedAt", "ServersChangedAt", "OpenWork", "PrefixReads", "Leaving", "TightLoad", "EngineSpeeds", "HeavyLoad", "KnownAddressAgeMillis", "CrashEvidence", "Demand", "Number", "Difference", "ConnectedTo", });
+        new java.lang.String[] { "ProcessId", "Address", "KnownAddresses", "ConfigurationChangedAt", "ServersChangedAt", "OpenWork", "PrefixReads", "Leaving", "TightLoad", "EngineSpeeds", "HeavyLoad", "KnownAddressAgeMillis", "CrashEvidence", "Demand", "Number", "Difference", "ConnectedTo", "ConfigurationEra", "ServersEra", "ConfigurationVersion", });
     internal_static_shallothold_FleetNews_TightLoadEntry_descriptor =
       internal_static_shallothold_FleetNews_descriptor.getNestedType(0);
     internal_static_shallothold_FleetNews_TightLoadEntry_fieldAccessorTable = new
@@ -867,7 +870,7 @@
     internal_static_shallothold_ColdTime_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_shallothold_ColdTime_descriptor,
-        new java.lang.String[] { "Source", "RemainingMillis", "Distance", "Revision", });
+        new java.lang.String[] { "Source", "RemainingMillis", "Distance", "Revision", "Era", });
     internal_static_shallothold_RampUpState_descriptor =
       getDescriptor().getMessageType(47);
     internal_static_shallothold_RampUpState_fieldAccessorTable = new
@@ -915,19 +918,19 @@
     internal_static_shallothold_PublishedRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_shallothold_PublishedRequest_descriptor,
-        new java.lang.String[] { "Topic", "AsOf", "AcceptsChanges", });
+        new java.lang.String[] { "Topic", "AsOf", "AcceptsChanges", "Era", });
     internal_static_shallothold_PublishedItem_descriptor =
       getDescriptor().getMessageType(55);
     internal_static_shallothold_PublishedItem_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_shallothold_PublishedItem_descriptor,
-        new java.lang.String[] { "Key", "Value", "Revision", });
+        new java.lang.String[] { "Key", "Value", "Revision", "Era", });
     internal_static_shallothold_PublishedItems_descriptor =
       getDescriptor().getMessageType(56);
     internal_static_shallothold_PublishedItems_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_shallothold_PublishedItems_descriptor,
-        new java.lang.String[] { "Topic", "AsOf", "Items", "ChangesSince", "Removals", });
+        new java.lang.String[] { "Topic", "AsOf", "Items", "ChangesSince", "Removals", "Era", });
     internal_static_shallothold_PublishedRemoval_descriptor =
       getDescriptor().getMessageType(57);
     internal_static_shallothold_PublishedRemoval_fieldAccessorTable = new
