--- a/gateway/src/test/java/org/shallothold/gateway/forward/ScriptedServer.java
+++ b/gateway/src/test/java/org/shallothold/gateway/forward/ScriptedServer.java
@@ -6,6 +6,7 @@
 import java.io.OutputStream;
 import java.net.ConnectException;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -21,10 +22,12 @@
 final class ScriptedServer implements AutoCloseable {
 
   private static final int MAX_REFUSAL_CHECKS = 500;
+  private static final int UNREAD_BUFFER_BYTES = 4 * 1024;
   private static final Duration REFUSAL_CHECK_INTERVAL = Duration.ofMillis(10);
 
   private final String id;
   private final Script script;
+  private final boolean readsBodies;
   private final int port;
   private final Set<Socket> connections = ConcurrentHashMap.newKeySet();
   private volatile ServerSocket socket;
@@ -96,7 +99,8 @@
     }
   }
 
-  private ScriptedServer(String id, Script script, ServerSocket socket) {
+  private ScriptedServer(String id, Script script, ServerSocket socket, boolean readsBodies) {
+    this.readsBodies = readsBodies;
     this.id = id;
     this.script = script;
     this.socket = socket;
@@ -104,8 +108,23 @@
   }
 
   static ScriptedServer start(String id, Script script) throws IOException {
-    ScriptedServer server =
-        new ScriptedServer(id, script, new ServerSocket(0, 50, InetAddress.getLoopbackAddress()));
+    return start(id, script, true);
+  }
+
+  /** Starts a server that runs its script when it has read the head of a request. */
+  static ScriptedServer startBeforeBodies(String id, Script script) throws IOException {
+    return start(id, script, false);
+  }
+
+  private static ScriptedServer start(String id, Script script, boolean readsBodies)
+      throws IOException {
+    ServerSocket socket = new ServerSocket();
+    if (!readsBodies) {
+      // Long requests stay unwritten at the gateway.
+      socket.setReceiveBufferSize(UNREAD_BUFFER_BYTES);
+    }
+    socket.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 50);
+    ScriptedServer server = new ScriptedServer(id, script, socket, readsBodies);
     Thread.ofVirtual().start(() -> server.accept(server.socket));
     return server;
   }
@@ -223,7 +242,8 @@
       while (!head.isEmpty()) {
         Request request = new Request(head, "");
         String length = request.header("Content-Length");
-        byte[] body = input.readNBytes(length.isEmpty() ? 0 : Integer.parseInt(length));
+        byte[] body =
+            input.readNBytes(length.isEmpty() || !readsBodies ? 0 : Integer.parseInt(length));
         request = new Request(head, new String(body, StandardCharsets.UTF_8));
         requests.add(request);
         script.handle(new Exchange(request, connection, connection.getOutputStream()));
