Recognize an earlier write whether a peer or the platform lists it

What callers saw: nothing yet; a soak of copies that learn from each other while the platform is restored found it. A gateway that heard of a restore from a peer used a server that had left as soon as it read the platform itself: the peer passes an unchanged entry on with the position of the earlier era, the platform lists it in the new one, and the later position counted as a new write. The same revision and value is now the same write there too. The test fails before (the server is held).

--- a/core/src/main/java/org/shallothold/core/publish/PublishedState.java
+++ b/core/src/main/java/org/shallothold/core/publish/PublishedState.java
@@ -180,7 +180,7 @@
   private boolean isOutdated(PublishedItem item) {
     return unconfirmed.get(item.key())
             instanceof Unconfirmed.Outdated(long end, PublishedItem listed)
-        && !item.position().isAfter(listed.position());
+        && (!item.position().isAfter(listed.position()) || isSameWrite(item, listed));
   }
 
   private static boolean isNewWrite(
--- a/core/src/test/java/org/shallothold/core/publish/PublishedStateTest.java
+++ b/core/src/test/java/org/shallothold/core/publish/PublishedStateTest.java
@@ -245,6 +245,16 @@
       assertEquals(List.of(), held());
     }
 
+    /** Guards against a server that has left and is used since a peer told of the restore first. */
+    @Test
+    void anEarlierWriteIsTheSameWhetherAPeerOrThePlatformLists() {
+      list(1, 10, item("a", 1, 1, 5));
+      versioned.remove("a", PublishedPosition.of(1, 11), false, 0);
+      list(2, 10, item("a", 1, 1, 5));
+      list(2, 10, item("a", 1, 2, 5));
+      assertEquals(List.of(), held());
+    }
+
     @Test
     void theHighestVersionCountsInWhateverOrderTheyArePublished() {
       list(1, 10, item("configuration", 7, 1, 10));
