Forget an earlier write that a later listing lacks

Found by the same soak: an entry that was not used since it was older than what is known stayed noted when a full listing no longer had it, and was taken when its time was over, so that a server that had left got requests for good. The test fails before.

--- a/core/src/main/java/org/shallothold/core/publish/PublishedState.java
+++ b/core/src/main/java/org/shallothold/core/publish/PublishedState.java
@@ -279,8 +279,10 @@
     return PublishedPosition.of(position.era(), Math.max(position.revision(), 1));
   }
 
+  /** Returns the keys of which something is known and that a listing lacks. */
   private Set<String> unlisted(Collection<PublishedItem> listing) {
     Set<String> keys = new HashSet<>(items.keySet());
+    keys.addAll(unconfirmed.keySet());
     listing.forEach(item -> keys.remove(item.key()));
     return keys;
   }
--- a/core/src/test/java/org/shallothold/core/publish/PublishedStateTest.java
+++ b/core/src/test/java/org/shallothold/core/publish/PublishedStateTest.java
@@ -255,6 +255,17 @@
       assertEquals(List.of(), held());
     }
 
+    /** Guards against taking an earlier write that the platform does not list any more. */
+    @Test
+    void anEarlierWriteThatALaterListingLacksIsForgotten() {
+      list(1, 10, item("a", 1, 1, 5));
+      versioned.remove("a", PublishedPosition.of(1, 11), false, 0);
+      list(2, 10, item("a", 1, 2, 5));
+      list(2, 12);
+      assertEquals(List.of(), versioned.dropExpired(RESTORED_MILLIS + 4_000));
+      assertEquals(List.of(), held());
+    }
+
     @Test
     void theHighestVersionCountsInWhateverOrderTheyArePublished() {
       list(1, 10, item("configuration", 7, 1, 10));
