Recognize earlier writes that a gateway has never seen

When the platform went back to an entry of before, that one was in no record of replaced writes and was taken for new, also if the server had left since.

WriteLog records which revisions are known without gaps. A revision in that range whose write is unknown was assigned again, and so were all later ones; what the restored platform lists below it and differs from what is held is an earlier write. The test fails before.

--- a/core/src/main/java/org/shallothold/core/publish/PublishedState.java
+++ b/core/src/main/java/org/shallothold/core/publish/PublishedState.java
@@ -39,8 +39,7 @@
   private final Map<String, PublishedItem> items = new HashMap<>();
   private final Map<String, PublishedPosition> removals = new HashMap<>();
   private final Map<String, Unconfirmed> unconfirmed = new HashMap<>();
-  private final FormerWrites formerWrites = FormerWrites.create();
-  private PublishedPosition firstListing = PublishedPosition.NONE;
+  private final WriteLog knownWrites = WriteLog.create();
   private PublishedPosition complete = PublishedPosition.NONE;
   private PublishedPosition lastChange = PublishedPosition.NONE;
   private @Nullable Restore lastRestore;
@@ -142,6 +141,8 @@
     if (!asOf.isAfter(complete) || asOf.era() != complete.era()) {
       return false;
     }
+    // Of several writes of an item, the changes contain the last one.
+    knownWrites.startAt(asOf.revision());
     boolean changed = false;
     for (PublishedItem item : changes.items()) {
       changed |= put(item);
@@ -159,6 +160,7 @@
    * @return whether the item was added or updated
    */
   public boolean put(PublishedItem item) {
+    knownWrites.addItem(item);
     PublishedItem held = items.get(item.key());
     int versionOrder = held == null ? 0 : compareVersions(item, held);
     if (versionOrder < 0 || isOutdated(item)) {
@@ -196,10 +198,7 @@
   private void accept(PublishedItem item) {
     removals.remove(item.key());
     unconfirmed.remove(item.key());
-    PublishedItem former = items.put(item.key(), item);
-    if (former != null) {
-      formerWrites.add(former);
-    }
+    items.put(item.key(), item);
     lastChange = lastChange.latest(item.position());
   }
 
@@ -215,6 +214,13 @@
    */
   public boolean remove(
       String key, PublishedPosition position, boolean afterOutage, long contactMillis) {
+    knownWrites.addRemoval(key, position.revision());
+    return removeUnlisted(key, position, afterOutage, contactMillis);
+  }
+
+  /** Removes an item that is known to be gone by a position, but not since which one. */
+  private boolean removeUnlisted(
+      String key, PublishedPosition position, boolean afterOutage, long contactMillis) {
     PublishedItem held = items.get(key);
     if (held == null) {
       unconfirmed.remove(key);
@@ -258,9 +264,7 @@
       takeRestored(listing, asOf, contactMillis);
       return true;
     }
-    if (!complete.isKnown()) {
-      firstListing = asOf;
-    }
+    knownWrites.startAt(asOf.revision());
     boolean changed = false;
     for (PublishedItem item : listing) {
       changed |= put(item);
@@ -268,7 +272,7 @@
     for (String key : unlisted(listing)) {
       // The grace period of an item that was missing before goes on.
       if (!(unconfirmed.get(key) instanceof Unconfirmed.Missing)) {
-        changed |= remove(key, positive(asOf), afterOutage, contactMillis);
+        changed |= removeUnlisted(key, positive(asOf), afterOutage, contactMillis);
       }
     }
     advance(asOf);
@@ -297,6 +301,7 @@
     for (PublishedItem item : candidates) {
       PublishedItem held = items.get(item.key());
       if (isVersioned(item) && (held == null || compareVersions(item, held) > 0)) {
+        knownWrites.addItem(item);
         accept(item);
         changed = true;
       }
@@ -318,6 +323,7 @@
       Collection<PublishedItem> listing, PublishedPosition asOf, long nowMillis) {
     unconfirmed.clear();
     PublishedPosition from = complete;
+    long firstReassigned = knownWrites.firstReassigned(listing, from.revision());
     int changed = 0;
     int outdated = 0;
     for (PublishedItem item : listing) {
@@ -328,7 +334,10 @@
       if (held != null && compareVersions(item, held) < 0) {
         unconfirmed.put(item.key(), new Unconfirmed.Outdated(NEVER, item));
         outdated++;
-      } else if (isVersioned(item) || !isEarlierWrite(item, held)) {
+      } else if (isVersioned(item)
+          || (held != null && item.hasSameValue(held))
+          || item.revision() >= firstReassigned
+          || !mayBeEarlierWrite(item, from)) {
         accept(item);
         changed++;
       } else {
@@ -340,17 +349,20 @@
     Set<String> missing = unlisted(listing);
     missing.forEach(key -> unconfirmed.put(key, missing(key, nowMillis)));
     complete = asOf;
+    knownWrites.startAt(asOf.revision());
+    listing.forEach(knownWrites::addItem);
     lastChange = asOf;
     lastRestore = new Restore(from, asOf, missing.size(), outdated, changed);
   }
 
-  /** Returns whether an item of a restored platform is a write that was replaced or removed. */
-  private boolean isEarlierWrite(PublishedItem item, @Nullable PublishedItem held) {
-    if (held != null && item.hasSameValue(held)) {
-      return false;
-    }
-    // What was there at the first listing is either held or among the former writes.
-    return formerWrites.contains(item) || item.revision() <= firstListing.revision();
+  /**
+   * Returns whether an item that a restored platform lists, and that is not the held one, may have
+   * been replaced or removed before.
+   *
+   * @param from position up to which the copy was complete
+   */
+  private boolean mayBeEarlierWrite(PublishedItem item, PublishedPosition from) {
+    return item.revision() <= from.revision() || knownWrites.contains(item);
   }
 
   private Unconfirmed missing(String key, long nowMillis) {
@@ -383,10 +395,7 @@
   }
 
   private void removeNow(String key, PublishedPosition position) {
-    PublishedItem former = items.remove(key);
-    if (former != null) {
-      formerWrites.add(former);
-    }
+    items.remove(key);
     unconfirmed.remove(key);
     removals.put(key, position);
     lastChange = lastChange.latest(position);
--- a/core/src/test/java/org/shallothold/core/publish/PublishedStateTest.java
+++ b/core/src/test/java/org/shallothold/core/publish/PublishedStateTest.java
@@ -266,6 +266,18 @@
       assertEquals(List.of(), held());
     }
 
+    /** Guards against a server that has left and of which a peer had told the last state only. */
+    @Test
+    void anEarlierWriteThatWasNeverSeenIsNotTakenForNew() {
+      list(1, 10);
+      versioned.apply(
+          new PublishedChanges(List.of(item("a", 2, 1, 15)), Map.of()),
+          PublishedPosition.of(1, 16));
+      versioned.remove("a", PublishedPosition.of(1, 17), false, 0);
+      list(2, 13, item("a", 1, 2, 12));
+      assertEquals(List.of(), held());
+    }
+
     @Test
     void theHighestVersionCountsInWhateverOrderTheyArePublished() {
       list(1, 10, item("configuration", 7, 1, 10));
