--- a/command/src/main/java/org/shallothold/command/logs/RequestStory.java
+++ b/command/src/main/java/org/shallothold/command/logs/RequestStory.java
@@ -128,9 +128,26 @@
                             age(entry, time),
                             entry.text("topic"),
                             entry.text("reason"))));
+    restore(logs, last).ifPresent(beliefs::add);
     return beliefs;
   }
 
+  /** Returns what the process last took over from a platform that came back from an older copy. */
+  private static Optional<String> restore(LogFiles logs, LogEntry last) {
+    return logs.lastBefore(last.process(), List.of("platform_restored"), last.time())
+        .map(
+            entry ->
+                "%s had read era %s of the platform after era %s (%s) for %d ms; %s items missing, %s outdated"
+                    .formatted(
+                        last.process(),
+                        entry.text("era"),
+                        entry.text("former_era"),
+                        entry.text("topic"),
+                        age(entry, last.time()),
+                        entry.text("missing"),
+                        entry.text("outdated")));
+  }
+
   /** Returns since when, and from whom, the process knew what held the request. */
   private static Optional<String> knownLimit(
       LogFiles logs, List<LogEntry> entries, String event, String knowledge) {
