Ask the peer that knows more, although most peers don't

What callers may see: after many gateways were started on a store's older copy, they serve its configuration on although one gateway has the version in force.

Cause: a gateway that is behind a peer waits 300 ms for the platform before it asks. Each update of a peer that knows no more than the gateway itself cleared the time since it is behind, so with several such peers, each with an update every 600 ms, the wait never ended.

It is now cleared only when what the peer told is reached. higherVersionIsFetchedAlthoughMostPeersLackIt fails before (nothing is asked for within 6 s beside six such peers) and passes.

--- a/gateway/src/main/java/org/shallothold/gateway/forward/peer/PeerExchange.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/peer/PeerExchange.java
@@ -201,7 +201,7 @@
   private final Map<String, Long> extraAddressUsedMillis = new HashMap<>();
   private Set<String> liveGateways = Set.of();
   private final Map<String, PeerStatus> peers = new TreeMap<>();
-  private final Map<PublishedTopic, Long> behindSinceMillis = new HashMap<>();
+  private final Map<PublishedTopic, Behind> behind = new EnumMap<>(PublishedTopic.class);
   private long lastRequestMillis;
   private long requestedVersion;
   private long versionRequestedMillis = Long.MIN_VALUE / 2;
@@ -219,6 +219,14 @@
     private boolean leaving;
   }
 
+  /**
+   * What a peer was the first to know more of.
+   *
+   * @param version version of the configuration at the peer; 0 for other topics
+   * @param sinceMillis time at which the peer told it
+   */
+  private record Behind(PublishedPosition position, long version, long sinceMillis) {}
+
   private PeerExchange(
       EventLoop eventLoop,
       Settings settings,
@@ -687,6 +695,11 @@
     requestIfBehind(connection, PublishedTopic.SERVERS, servers, 0, now);
   }
 
+  private boolean isReached(PublishedTopic topic, Behind known) {
+    return !known.position().isAfter(handler.asOf(topic))
+        && known.version() <= handler.configurationVersion();
+  }
+
   /** Returns whether a peer's version is higher and was not requested lately. */
   private boolean wantsVersion(long peerVersion, long now) {
     return peerVersion > handler.configurationVersion()
@@ -837,11 +850,15 @@
       long now) {
     PublishedPosition ownPosition = handler.asOf(topic);
     boolean hasHigherVersion = wantsVersion(peerVersion, now);
+    // Not cleared by peers that know no more either: they may be most of them.
+    behind.computeIfPresent(topic, (key, known) -> isReached(key, known) ? null : known);
     if (!peerPosition.isAfter(ownPosition) && !hasHigherVersion) {
-      behindSinceMillis.remove(topic);
       return;
     }
-    long sinceMillis = behindSinceMillis.computeIfAbsent(topic, key -> now);
+    long sinceMillis =
+        behind
+            .computeIfAbsent(topic, key -> new Behind(peerPosition, peerVersion, now))
+            .sinceMillis();
     boolean nothingKnown = !ownPosition.isKnown();
     // The changes after this gateway's own position may lack the item in the higher version.
     PublishedPosition knownPosition = hasHigherVersion ? PublishedPosition.NONE : ownPosition;
--- a/gateway/src/test/java/org/shallothold/gateway/forward/peer/PeerExchangeTest.java
+++ b/gateway/src/test/java/org/shallothold/gateway/forward/peer/PeerExchangeTest.java
@@ -253,6 +253,24 @@
     assertEquals("CONFIGURATION item 7 from first", restored.receivedItems.take());
   }
 
+  /** Guards against one gateway with the higher version that is not asked beside many others. */
+  @Test
+  void higherVersionIsFetchedAlthoughMostPeersLackIt() throws IOException, InterruptedException {
+    InetSocketAddress first = freeAddress();
+    start("first", first, new Gateway(1, 7, 5));
+    InetSocketAddress[] peers = new InetSocketAddress[7];
+    peers[0] = first;
+    for (int i = 1; i < peers.length; i++) {
+      peers[i] = freeAddress();
+      start("restored-" + i, peers[i], new Gateway(2, 90, 4));
+      Thread.sleep(90);
+    }
+    Gateway restored = new Gateway(2, 90, 4);
+    start("last", freeAddress(), restored, peers);
+    assertEquals(
+        "CONFIGURATION item 7 from first", restored.receivedItems.poll(6, TimeUnit.SECONDS));
+  }
+
   /** Guards against gateways that stay connected to the seeds only and never to each other. */
   @Test
   void gatewaysDiscoverEachOtherThroughSeed() throws IOException, InterruptedException {
