Label the counters of restores with the topic as the gauges do

shallothold_platform_restores_total and shallothold_older_platform_answers_total said topic="SERVERS" where shallothold_platform_contact says topic="servers", so that the two couldn't be joined. The name has one place now, PublishedTopic.label().

--- a/gateway/src/main/java/org/shallothold/gateway/forward/ForwardGauges.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/ForwardGauges.java
@@ -187,7 +187,7 @@
     configurationVersion.set(
         (double) state.configuration().map(RouteConfiguration::version).orElse(0L));
     for (PublishedTopic topic : PublishedTopic.values()) {
-      String name = topic.name().toLowerCase(Locale.ROOT);
+      String name = topic.label();
       publishedAge.labelValues(name).set(state.readAgeMillis(topic) / MILLIS_PER_SECOND);
       platformContact.labelValues(name).set(state.isPlatformUnreachable(topic) ? 0 : 1);
     }
--- a/gateway/src/main/java/org/shallothold/gateway/forward/RoutingState.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/RoutingState.java
@@ -283,7 +283,7 @@
   }
 
   private void logRestore(PublishedTopic topic, Restore restore, String source) {
-    metrics.platformRestores.labelValues(topic.name()).inc();
+    metrics.platformRestores.labelValues(topic.label()).inc();
     log.add(
         LogLine.of("platform_restored")
             .with("topic", topic.name())
@@ -330,7 +330,7 @@
     if (!asOf(topic).isAfter(asOf)) {
       return;
     }
-    metrics.olderPlatformAnswers.labelValues(topic.name()).inc();
+    metrics.olderPlatformAnswers.labelValues(topic.label()).inc();
     if (!items.isEmpty()) {
       log.add(
           LogLine.of("platform_answer_older")
--- a/gateway/src/test/java/org/shallothold/gateway/forward/RoutingStateTest.java
+++ b/gateway/src/test/java/org/shallothold/gateway/forward/RoutingStateTest.java
@@ -1,5 +1,6 @@
 package org.shallothold.gateway.forward;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -28,13 +29,14 @@
   private static final long ITEM_LIFETIME_MILLIS = 300;
 
   private final EventLoop eventLoop = new DefaultEventLoop();
+  private final ForwardMetrics metrics = ForwardMetrics.create();
   private final RoutingState state =
       new RoutingState(
           eventLoop,
           new SingleServerDecoder(),
           new TestTranslation(),
           StructuredLog.start(System.out, "routing-test"),
-          ForwardMetrics.create(),
+          metrics,
           ITEM_LIFETIME_MILLIS);
 
   @AfterEach
@@ -58,6 +60,17 @@
         PublishedPosition.withoutEra(revision));
   }
 
+  /** Guards against counters whose topics are named otherwise than those of the gauges. */
+  @Test
+  void restoresAreCountedByTheTopicOfTheGauges() {
+    onEventLoop(
+        () -> {
+          state.itemsRead(PublishedTopic.SERVERS, List.of(), PublishedPosition.of(1, 5));
+          state.itemsRead(PublishedTopic.SERVERS, List.of(), PublishedPosition.of(2, 4));
+          assertEquals(1, metrics.platformRestores.labelValues("servers").get());
+        });
+  }
+
   @Nested
   class AfterAnOutage {
 
