Log a configuration that isn't taken since its version is lower

An unreadable configuration left the line published_item_skipped before configurations were ordered by their version; since then it, and one of a lower version that a restored store shows, was passed over without a line. configuration_not_taken names the version, the one in force and where it stands. The test fails before.

--- a/gateway/src/main/java/org/shallothold/gateway/forward/RoutingState.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/RoutingState.java
@@ -261,9 +261,26 @@
     long graceStartMillis =
         isNewEra(topic, asOf) ? MonotonicClock.millis() : contact(topic).regainedMillis();
     replaceAll(topic, items, asOf, afterOutage, graceStartMillis, PLATFORM);
+    logLowerVersions(items);
     apply(topic, PLATFORM);
   }
 
+  /** Logs configurations that aren't taken since their version is lower, or is none. */
+  private void logLowerVersions(List<PublishedItem> items) {
+    long inForce = configuration().map(RouteConfiguration::version).orElse(Long.MIN_VALUE);
+    items.stream()
+        .filter(item -> decoder.version(item) != RestoreRules.NO_VERSION)
+        .filter(item -> decoder.version(item) < inForce)
+        .forEach(
+            item ->
+                log.add(
+                    LogLine.of("configuration_not_taken")
+                        .with("version", decoder.version(item))
+                        .with("in_force", inForce)
+                        .with("era", item.position().era())
+                        .with("revision", item.revision())));
+  }
+
   private boolean isNewEra(PublishedTopic topic, PublishedPosition asOf) {
     return asOf(topic).isKnown() && asOf.era() > asOf(topic).era();
   }
@@ -305,6 +322,7 @@
       PublishedPosition asOf) {
     boolean afterOutage = recordContact(topic);
     recordOlderAnswer(topic, changed, asOf);
+    logLowerVersions(changed);
     PublishedState state = publishedState(topic);
     if (asOf.era() < state.complete().era()) {
       // A peer has told of a later era, which the source reads when it next gets an answer.
--- a/gateway/src/test/java/org/shallothold/gateway/forward/RoutingStateTest.java
+++ b/gateway/src/test/java/org/shallothold/gateway/forward/RoutingStateTest.java
@@ -6,7 +6,11 @@
 
 import io.netty.channel.DefaultEventLoop;
 import io.netty.channel.EventLoop;
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import org.junit.jupiter.api.AfterEach;
@@ -16,6 +20,8 @@
 import org.shallothold.core.publish.PublishedItem;
 import org.shallothold.core.publish.PublishedPosition;
 import org.shallothold.core.publish.PublishedState;
+import org.shallothold.core.publish.RestoreRules;
+import org.shallothold.core.route.CallerLimits;
 import org.shallothold.core.route.RouteConfiguration;
 import org.shallothold.gateway.forward.port.PublishedDecoder;
 import org.shallothold.gateway.forward.port.PublishedSource;
@@ -30,12 +36,15 @@
 
   private final EventLoop eventLoop = new DefaultEventLoop();
   private final ForwardMetrics metrics = ForwardMetrics.create();
+  private final ByteArrayOutputStream output = new ByteArrayOutputStream();
+  private final StructuredLog log =
+      StructuredLog.start(new PrintStream(output, true, StandardCharsets.UTF_8), "routing-test");
   private final RoutingState state =
       new RoutingState(
           eventLoop,
           new SingleServerDecoder(),
           new TestTranslation(),
-          StructuredLog.start(System.out, "routing-test"),
+          log,
           metrics,
           ITEM_LIFETIME_MILLIS);
 
@@ -60,6 +69,31 @@
         PublishedPosition.withoutEra(revision));
   }
 
+  /** Guards against a configuration that isn't taken and leaves no line. */
+  @Test
+  void configurationWithALowerVersionIsLogged() {
+    onEventLoop(
+        () -> {
+          state.itemsRead(
+              PublishedTopic.CONFIGURATION,
+              List.of(configuration(7, 1, 5)),
+              PublishedPosition.of(1, 5));
+          state.itemsChanged(
+              PublishedTopic.CONFIGURATION,
+              List.of(configuration(6, 1, 6)),
+              List.of(),
+              PublishedPosition.of(1, 6));
+        });
+    log.flush();
+    String text = output.toString(StandardCharsets.UTF_8);
+    assertTrue(text.contains("\"event\":\"configuration_not_taken\",\"version\":6"), text);
+  }
+
+  private static PublishedItem configuration(int version, long era, long revision) {
+    return new PublishedItem(
+        "configuration", new byte[] {(byte) version}, PublishedPosition.of(era, revision));
+  }
+
   /** Guards against counters whose topics are named otherwise than those of the gauges. */
   @Test
   void restoresAreCountedByTheTopicOfTheGauges() {
@@ -166,7 +200,14 @@
 
     @Override
     public Optional<RouteConfiguration> configuration(PublishedItem item) {
-      return Optional.empty();
+      return Optional.of(
+          RouteConfiguration.of(
+              item.value()[0], List.of(), List.of(), false, Map.of(), CallerLimits.DEFAULT));
+    }
+
+    @Override
+    public long version(PublishedItem item) {
+      return item.value().length == 0 ? RestoreRules.NO_VERSION : item.value()[0];
     }
 
     @Override
