Measure how late the event loop is, and log which connection held it

Callers of sound servers got no answer for up to 10 s, and no log line or metric told why.

Hypotheses: (1) a flush for each forwarded event, as the reviewer guesses; (2) the work of decoding, buffering and accounting for each small piece, in a turn that nothing bounds; (3) a full buffer towards a slow caller. 250 thread dumps of the gateway during the case, 100 ms apart: 85 within reads from a backend server, of these 82 in the decode loop, 36 in Attempt.forwardEvents, 1 in a flush. That rules out (1) and (3).

Adds the histogram shallothold_event_loop_delay_seconds and, at most once a second, the line event_loop_held with the connection that took the most time, its server or caller, request and bytes; explain tells it for requests that were open meanwhile.

RequestStoryTest.heldEventLoopIsToldWithItsConnection tests the sentence.

--- a/command/src/main/java/org/shallothold/command/logs/RequestStory.java
+++ b/command/src/main/java/org/shallothold/command/logs/RequestStory.java
@@ -12,6 +12,9 @@
 
   private static final Set<String> FOREIGN_BYTES = Set.of("additional_bytes", "foreign_response");
 
+  // A hold is logged when it has ended, perhaps after the requests that it delayed.
+  private static final Duration EVENT_LOOP_LINE_DELAY = Duration.ofSeconds(1);
+
   private RequestStory() {}
 
   /** Returns the sentences for a request with at least one line. */
@@ -25,6 +28,7 @@
     knownLimit(logs, entries, "server_cold", "knew that %s is cold").ifPresent(story::add);
     blockedPart(logs, entries).ifPresent(story::add);
     foreignBytes(logs, requestId).forEach(story::add);
+    heldEventLoop(logs, entries).forEach(story::add);
     story.add("cause: " + cause(entries));
     return List.copyOf(story);
   }
@@ -215,6 +219,35 @@
         .toList();
   }
 
+  /** Tells what held the process's event loop while the request was open. */
+  private static List<String> heldEventLoop(LogFiles logs, List<LogEntry> entries) {
+    LogEntry last = entries.getLast();
+    Instant end = last.time().plus(EVENT_LOOP_LINE_DELAY);
+    return logs.entries().stream()
+        .filter(entry -> entry.event().equals("event_loop_held"))
+        .filter(entry -> entry.process().equals(last.process()))
+        .filter(entry -> entry.time().isAfter(arrival(entries)) && entry.time().isBefore(end))
+        .map(
+            entry ->
+                "%s %s: its event loop was held for %s ms, of which the %s %s (request '%s') took %s ms for %s bytes"
+                    .formatted(
+                        entry.time(),
+                        entry.process(),
+                        entry.text("delay_millis"),
+                        entry.text("busiest"),
+                        entry.text("name"),
+                        entry.text("request"),
+                        entry.text("busiest_millis"),
+                        entry.text("busiest_bytes")))
+        .toList();
+  }
+
+  private static Instant arrival(List<LogEntry> entries) {
+    LogEntry first = entries.getFirst();
+    String ageMillis = first.text("age_millis");
+    return ageMillis.isEmpty() ? first.time() : first.time().minusMillis(Long.parseLong(ageMillis));
+  }
+
   private static String connection(LogEntry entry) {
     return "; connection open for %s ms, last response %s ms before"
         .formatted(entry.text("connection_age_millis"), entry.text("since_last_response_millis"));
--- a/command/src/test/java/org/shallothold/command/logs/RequestStoryTest.java
+++ b/command/src/test/java/org/shallothold/command/logs/RequestStoryTest.java
@@ -95,6 +95,37 @@
                     + " 0 items missing, 1 outdated"));
   }
 
+  /** Guards against a late answer that doesn't lead to the connection that delayed it. */
+  @Test
+  void heldEventLoopIsToldWithItsConnection() throws IOException {
+    Path held =
+        Files.write(
+            directory.resolve("held.log"),
+            List.of(
+                heldLine("2026-01-01T00:00:03.700Z", "one"),
+                heldLine("2026-01-01T00:00:03.700Z", "two"),
+                heldLine("2026-01-01T00:00:01Z", "one")));
+    logs();
+    LogFiles both =
+        LogFiles.read(
+            List.of(
+                directory.resolve("first.log").toString(),
+                directory.resolve("second.log").toString(),
+                held.toString()));
+    assertEquals(
+        List.of(
+            "2026-01-01T00:00:03.700Z one: its event loop was held for 900 ms,"
+                + " of which the server s2 (request 'r9') took 870 ms for 1048576 bytes"),
+        RequestStory.of(both, "r1").stream().filter(line -> line.contains("event loop")).toList());
+  }
+
+  private static String heldLine(String time, String process) {
+    return ("{\"time\":\"%s\",\"process\":\"%s\",\"event\":\"event_loop_held\",\"delay_millis\":900,"
+            + "\"read_millis\":880,\"busiest\":\"server\",\"name\":\"s2\",\"request\":\"r9\","
+            + "\"busiest_millis\":870,\"busiest_bytes\":1048576}")
+        .formatted(time, process);
+  }
+
   /** Guards against a cause that hides how old the gateway's view was. */
   @Test
   void beliefsAreToldWithTheirAge() throws IOException {
--- a/gateway/src/main/java/org/shallothold/gateway/forward/ForwardMetrics.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/ForwardMetrics.java
@@ -11,6 +11,9 @@
   private static final double[] LATENCY_BUCKETS_SECONDS = {
     0.01, 0.025, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 0.75, 1, 1.5, 2.5, 5, 10
   };
+  private static final double[] DELAY_BUCKETS_SECONDS = {
+    0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5
+  };
 
   final Counter requests;
   final Counter attempts;
@@ -35,6 +38,7 @@
   final Counter peerBytes;
   final Counter olderPlatformAnswers;
   final Counter platformRestores;
+  final Histogram eventLoopDelaySeconds;
   final Histogram firstEventSeconds;
   final Histogram answerSeconds;
 
@@ -161,6 +165,11 @@
             "shallothold_platform_restores_total",
             "Times that the platform came back from an older copy of its items.",
             "topic");
+    eventLoopDelaySeconds =
+        metrics.secondsHistogram(
+            "shallothold_event_loop_delay_seconds",
+            "Time by which a periodic task of the event loop was late.",
+            DELAY_BUCKETS_SECONDS);
     firstEventSeconds =
         metrics.secondsHistogram(
             "shallothold_forwarded_first_event_seconds",
--- a/gateway/src/main/java/org/shallothold/gateway/forward/Forwarder.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/Forwarder.java
@@ -30,6 +30,7 @@
 import org.shallothold.gateway.forward.port.HeaderTranslation;
 import org.shallothold.runtime.logging.LogLine;
 import org.shallothold.runtime.logging.StructuredLog;
+import org.shallothold.wire.connection.ReadTimes;
 import org.shallothold.wire.proto.SendPermitAnswer;
 
 /**
@@ -176,6 +177,11 @@
     return requestMemory;
   }
 
+  @Override
+  public ReadTimes readTimes() {
+    return state.readTimes();
+  }
+
   /** Records that a response was given up because the memory for buffers is used up. */
   void bufferShed(String service, String serverId, RequestTrace trace, int bytes) {
     metrics.buffersShed.labelValues(service).inc();
--- a/gateway/src/main/java/org/shallothold/gateway/forward/ForwardingGateway.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/ForwardingGateway.java
@@ -198,6 +198,7 @@
     if (options.metricsAddress() != null) {
       StatusListener.start(eventLoops, options.metricsAddress(), this::metricsResponse);
     }
+    EventLoopWatch.start(eventLoop, state.readTimes(), log, metrics);
     source.start(eventLoop, state);
     callerListener.serve(forwarder);
     eventLoop.scheduleAtFixedRate(
--- a/gateway/src/main/java/org/shallothold/gateway/forward/RoutingState.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/RoutingState.java
@@ -42,6 +42,7 @@
 import org.shallothold.gateway.forward.port.PublishedTopic;
 import org.shallothold.runtime.logging.LogLine;
 import org.shallothold.runtime.logging.StructuredLog;
+import org.shallothold.wire.connection.ReadTimes;
 
 /**
  * The configuration in force and the listed backend servers, as read from the platform or received
@@ -65,6 +66,7 @@
   private final Map<String, TrackedServer> servers = new HashMap<>();
   private final Map<String, Set<TrackedServer>> serversByService = new HashMap<>();
   private final Map<String, BackendPool> pools = new HashMap<>();
+  private final ReadTimes readTimes = ReadTimes.create();
   // By server id, the start time of the instance that announced that it leaves. Kept also while the
   // server isn't listed: an older list, or one that the platform restores after an outage, may
   // contain it again.
@@ -166,6 +168,11 @@
     return configuration != null && !servers.isEmpty();
   }
 
+  /** Returns the accounts of the time that reading takes on the event loop. */
+  ReadTimes readTimes() {
+    return readTimes;
+  }
+
   /** Returns the connection pool of a server, created at its first use. */
   BackendPool pool(ServerEntry server) {
     return pools.computeIfAbsent(server.id(), id -> createPool(server));
@@ -193,7 +200,8 @@
   private BackendPool createPool(ServerEntry server) {
     return BackendPool.of(
         eventLoop,
-        new InetSocketAddress(server.host(), server.port()),
+        new BackendPool.Server(server.id(), new InetSocketAddress(server.host(), server.port())),
+        readTimes,
         translation,
         foreignBytes -> recordForeignBytes(server, foreignBytes));
   }
--- a/gateway/src/main/java/org/shallothold/gateway/forward/backend/BackendPool.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/backend/BackendPool.java
@@ -21,6 +21,9 @@
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 import org.shallothold.gateway.forward.port.HeaderTranslation;
+import org.shallothold.wire.connection.ReadSource;
+import org.shallothold.wire.connection.ReadTimes;
+import org.shallothold.wire.connection.TimedReads;
 import org.shallothold.wire.connection.Transport;
 
 /**
@@ -42,6 +45,8 @@
   private static final int MAX_CHECKS = 4;
 
   private final Bootstrap bootstrap;
+  private final Server server;
+  private final ReadTimes readTimes;
   private final HeaderTranslation translation;
   private final ForeignBytesListener foreignBytesListener;
   private final Deque<IdleConnection> idleConnections = new ArrayDeque<>();
@@ -58,18 +63,28 @@
     void foreignBytesReceived(ForeignBytes foreignBytes);
   }
 
+  /**
+   * A backend server.
+   *
+   * @param id id by which logs name it
+   */
+  public record Server(String id, InetSocketAddress address) {}
+
   private BackendPool(
       EventLoop eventLoop,
-      InetSocketAddress address,
+      Server server,
+      ReadTimes readTimes,
       HeaderTranslation translation,
       ForeignBytesListener foreignBytesListener) {
+    this.server = server;
+    this.readTimes = readTimes;
     this.translation = translation;
     this.foreignBytesListener = foreignBytesListener;
     this.bootstrap =
         new Bootstrap()
             .group(eventLoop)
             .channel(Transport.socketChannel(eventLoop.parent()))
-            .remoteAddress(address)
+            .remoteAddress(server.address())
             .option(ChannelOption.TCP_NODELAY, true)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
             .handler(
@@ -85,10 +100,11 @@
   /** Returns a pool without connections; they are opened on demand. */
   public static BackendPool of(
       EventLoop eventLoop,
-      InetSocketAddress address,
+      Server server,
+      ReadTimes readTimes,
       HeaderTranslation translation,
       ForeignBytesListener foreignBytesListener) {
-    return new BackendPool(eventLoop, address, translation, foreignBytesListener);
+    return new BackendPool(eventLoop, server, readTimes, translation, foreignBytesListener);
   }
 
   /** Handle of a request in flight. */
@@ -256,6 +272,8 @@
     BackendConnection connection = new BackendConnection(connectionOwner, translation, channel);
     channel
         .pipeline()
+        .addLast(
+            TimedReads.of(readTimes, ReadSource.server(server.id(), connection::lastRequestId)))
         .addLast(connection.decoder())
         .addLast(new HttpRequestEncoder())
         .addLast(connection);
--- a/gateway/src/main/java/org/shallothold/gateway/forward/caller/CallerListener.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/caller/CallerListener.java
@@ -17,6 +17,8 @@
 import java.util.Set;
 import java.util.stream.Collectors;
 import org.jspecify.annotations.Nullable;
+import org.shallothold.wire.connection.ReadSource;
+import org.shallothold.wire.connection.TimedReads;
 import org.shallothold.wire.connection.Transport;
 
 /** Accepts the connections of callers. Not thread-safe; used on the event loop after the start. */
@@ -140,6 +142,7 @@
             .setMaxChunkSize(MAX_CHUNK_BYTES);
     channel
         .pipeline()
+        .addLast(TimedReads.of(currentService.readTimes(), ReadSource.caller(channel)))
         .addLast(new HttpServerCodec(connection.headerCounter().countWith(decoding)))
         .addLast(connection);
   }
--- a/gateway/src/test/java/org/shallothold/gateway/forward/BackendPoolTest.java
+++ b/gateway/src/test/java/org/shallothold/gateway/forward/BackendPoolTest.java
@@ -31,6 +31,7 @@
 import org.shallothold.gateway.forward.backend.BackendListener;
 import org.shallothold.gateway.forward.backend.BackendPool;
 import org.shallothold.gateway.forward.port.ResponseMetadata;
+import org.shallothold.wire.connection.ReadTimes;
 import org.shallothold.wire.connection.Transport;
 
 /** Which connections to a backend server are used for further requests. */
@@ -58,7 +59,11 @@
   private BackendPool poolOf(ServerSocket socket) {
     return BackendPool.of(
         eventLoop,
-        new InetSocketAddress(InetAddress.getLoopbackAddress(), Math.max(0, socket.getLocalPort())),
+        new BackendPool.Server(
+            "server",
+            new InetSocketAddress(
+                InetAddress.getLoopbackAddress(), Math.max(0, socket.getLocalPort()))),
+        ReadTimes.create(),
         new TestTranslation(),
         foreignBytes -> additionalBytes.complete(foreignBytes.length()));
   }
--- a/gateway/src/test/java/org/shallothold/gateway/forward/caller/CallerListenerTest.java
+++ b/gateway/src/test/java/org/shallothold/gateway/forward/caller/CallerListenerTest.java
@@ -19,6 +19,7 @@
 import org.shallothold.core.memory.RequestMemoryBudget;
 import org.shallothold.core.route.CallerLimits;
 import org.shallothold.core.verdict.ReasonCode;
+import org.shallothold.wire.connection.ReadTimes;
 import org.shallothold.wire.connection.Transport;
 
 /** Tests connections that callers open while the gateway starts. */
@@ -82,6 +83,11 @@
       return requestMemory;
     }
 
+    @Override
+    public ReadTimes readTimes() {
+      return ReadTimes.create();
+    }
+
     @Override
     public boolean isLeaving() {
       return false;
