Share the event loop's time among connections, whatever work their bytes make

Cause: nothing bounded the work for one connection. Netty bounds a read in bytes (16 buffers of 64 KB), queues the next read as a task while bytes arrive, and compares the time once in 64 tasks: 64 MB, some 5 million chunks, before another connection has its turn.

Now each connection has credit for 1 ms of the event loop's time, which it regains slowly. One that has used it up is deferred: its bytes are handled in slices of 2 KB, in turns with other deferred ones, for 2 ms in each iteration of the event loop, and its socket isn't read meanwhile. All others go first. No response is ended for it and no form of bytes is treated apart; deferred connections use all time that nothing else needs, so that a sound one that is deferred by mistake loses a turn and nothing else. The end of a read is passed on after its last slice, and the bytes behind a response include those that wait, so that what tells responses apart (MIXED) sees what it saw before. Socket buffers are bounded, since the transport reads them to their end when the other side closes.

BackendConnectionTest.wholeWithinBodyAcrossSlices fails if the waiting bytes are left out. Metrics shallothold_read_deferrals_total and shallothold_deferred_read_seconds_total, line reads_deferred; explain tells it for the request that caused it.

--- a/command/src/main/java/org/shallothold/command/logs/RequestStory.java
+++ b/command/src/main/java/org/shallothold/command/logs/RequestStory.java
@@ -29,6 +29,7 @@
     blockedPart(logs, entries).ifPresent(story::add);
     foreignBytes(logs, requestId).forEach(story::add);
     heldEventLoop(logs, entries).forEach(story::add);
+    deferredReads(logs, requestId).forEach(story::add);
     story.add("cause: " + cause(entries));
     return List.copyOf(story);
   }
@@ -235,8 +236,26 @@
                         entry.process(),
                         entry.text("delay_millis"),
                         entry.text("busiest"),
-                        entry.text("name"),
-                        entry.text("request"),
+                        entry.text("busiest_name"),
+                        entry.text("busiest_request"),
+                        entry.text("busiest_millis"),
+                        entry.text("busiest_bytes")))
+        .toList();
+  }
+
+  /** Tells how much work the bytes of the request's connection made. */
+  private static List<String> deferredReads(LogFiles logs, String requestId) {
+    return logs.entries().stream()
+        .filter(entry -> entry.event().equals("reads_deferred"))
+        .filter(entry -> entry.text("busiest_request").equals(requestId))
+        .map(
+            entry ->
+                "%s %s: bytes of its %s %s took turns with others, since they made much work: last %s ms for %s bytes"
+                    .formatted(
+                        entry.time(),
+                        entry.process(),
+                        entry.text("busiest"),
+                        entry.text("busiest_name"),
                         entry.text("busiest_millis"),
                         entry.text("busiest_bytes")))
         .toList();
--- a/command/src/test/java/org/shallothold/command/logs/RequestStoryTest.java
+++ b/command/src/test/java/org/shallothold/command/logs/RequestStoryTest.java
@@ -119,9 +119,35 @@
         RequestStory.of(both, "r1").stream().filter(line -> line.contains("event loop")).toList());
   }
 
+  /** Guards against a slow response that doesn't lead to the work that its bytes make. */
+  @Test
+  void deferredReadsAreToldForTheRequestThatCausedThem() throws IOException {
+    Path deferred =
+        Files.write(
+            directory.resolve("deferred.log"),
+            List.of(
+                heldLine("2026-01-01T00:00:05Z", "one")
+                    .replace("event_loop_held", "reads_deferred")
+                    .replace("r9", "r1")));
+    logs();
+    LogFiles both =
+        LogFiles.read(
+            List.of(
+                directory.resolve("first.log").toString(),
+                directory.resolve("second.log").toString(),
+                deferred.toString()));
+    List<String> story = RequestStory.of(both, "r1");
+    assertTrue(
+        story.contains(
+            "2026-01-01T00:00:05Z one: bytes of its server s2 took turns with others,"
+                + " since they made much work: last 870 ms for 1048576 bytes"),
+        story.toString());
+    assertEquals("cause: the backend server failed (s1: connection closed)", story.getLast());
+  }
+
   private static String heldLine(String time, String process) {
     return ("{\"time\":\"%s\",\"process\":\"%s\",\"event\":\"event_loop_held\",\"delay_millis\":900,"
-            + "\"read_millis\":880,\"busiest\":\"server\",\"name\":\"s2\",\"request\":\"r9\","
+            + "\"read_millis\":880,\"busiest\":\"server\",\"busiest_name\":\"s2\",\"busiest_request\":\"r9\","
             + "\"busiest_millis\":870,\"busiest_bytes\":1048576}")
         .formatted(time, process);
   }
--- a/gateway/src/main/java/org/shallothold/gateway/forward/ForwardMetrics.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/ForwardMetrics.java
@@ -39,6 +39,8 @@
   final Counter olderPlatformAnswers;
   final Counter platformRestores;
   final Histogram eventLoopDelaySeconds;
+  final Counter readDeferrals;
+  final Counter deferredReadSeconds;
   final Histogram firstEventSeconds;
   final Histogram answerSeconds;
 
@@ -165,6 +167,16 @@
             "shallothold_platform_restores_total",
             "Times that the platform came back from an older copy of its items.",
             "topic");
+    readDeferrals =
+        metrics.counter(
+            "shallothold_read_deferrals_total",
+            "Times that a connection had to wait for a turn, since its bytes made much work.",
+            "source");
+    deferredReadSeconds =
+        metrics.counter(
+            "shallothold_deferred_read_seconds_total",
+            "Time of the event loop that connections used in such turns.",
+            "source");
     eventLoopDelaySeconds =
         metrics.secondsHistogram(
             "shallothold_event_loop_delay_seconds",
--- a/gateway/src/main/java/org/shallothold/gateway/forward/Forwarder.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/Forwarder.java
@@ -30,7 +30,7 @@
 import org.shallothold.gateway.forward.port.HeaderTranslation;
 import org.shallothold.runtime.logging.LogLine;
 import org.shallothold.runtime.logging.StructuredLog;
-import org.shallothold.wire.connection.ReadTimes;
+import org.shallothold.wire.connection.ReadScheduler;
 import org.shallothold.wire.proto.SendPermitAnswer;
 
 /**
@@ -53,6 +53,7 @@
   private final MemoryBudget memory;
   private final RequestMemoryBudget requestMemory;
   private final RequestMemoryWatch requestMemoryWatch;
+  private final ReadScheduler callerReads;
 
   private final Map<String, ServiceQueue> queuesByService = new HashMap<>();
   private final Map<String, FleetRetryBudget> retryBudgetsByService = new HashMap<>();
@@ -85,6 +86,7 @@
     this.metrics = metrics;
     this.gatewayCount = gatewayCount;
     this.prefixReads = prefixReads;
+    this.callerReads = ReadScheduler.create("caller", eventLoop);
     this.memory = MemoryBudget.of(options.bufferBytes());
     this.prefillPaceLog = new PrefillPaceLog(state, log);
     this.rateLimits = new StatedRateLimits(state, log, metrics);
@@ -178,8 +180,8 @@
   }
 
   @Override
-  public ReadTimes readTimes() {
-    return state.readTimes();
+  public ReadScheduler readScheduler() {
+    return callerReads;
   }
 
   /** Records that a response was given up because the memory for buffers is used up. */
--- a/gateway/src/main/java/org/shallothold/gateway/forward/ForwardingGateway.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/ForwardingGateway.java
@@ -198,7 +198,8 @@
     if (options.metricsAddress() != null) {
       StatusListener.start(eventLoops, options.metricsAddress(), this::metricsResponse);
     }
-    EventLoopWatch.start(eventLoop, state.readTimes(), log, metrics);
+    EventLoopWatch.start(
+        eventLoop, List.of(state.serverReads(), forwarder.readScheduler()), log, metrics);
     source.start(eventLoop, state);
     callerListener.serve(forwarder);
     eventLoop.scheduleAtFixedRate(
--- a/gateway/src/main/java/org/shallothold/gateway/forward/RoutingState.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/RoutingState.java
@@ -42,7 +42,7 @@
 import org.shallothold.gateway.forward.port.PublishedTopic;
 import org.shallothold.runtime.logging.LogLine;
 import org.shallothold.runtime.logging.StructuredLog;
-import org.shallothold.wire.connection.ReadTimes;
+import org.shallothold.wire.connection.ReadScheduler;
 
 /**
  * The configuration in force and the listed backend servers, as read from the platform or received
@@ -66,7 +66,7 @@
   private final Map<String, TrackedServer> servers = new HashMap<>();
   private final Map<String, Set<TrackedServer>> serversByService = new HashMap<>();
   private final Map<String, BackendPool> pools = new HashMap<>();
-  private final ReadTimes readTimes = ReadTimes.create();
+  private final ReadScheduler serverReads;
   // By server id, the start time of the instance that announced that it leaves. Kept also while the
   // server isn't listed: an older list, or one that the platform restores after an outage, may
   // contain it again.
@@ -115,6 +115,7 @@
     this.decoder = decoder;
     this.translation = translation;
     this.log = log;
+    this.serverReads = ReadScheduler.create("server", eventLoop);
     this.rampUps = new RampUps(this::server, this::coldStart, log, metrics);
     this.coldStarts = new ColdStarts(this::coldStart, this::server, rampUps, log, metrics);
     for (PublishedTopic topic : PublishedTopic.values()) {
@@ -168,9 +169,9 @@
     return configuration != null && !servers.isEmpty();
   }
 
-  /** Returns the accounts of the time that reading takes on the event loop. */
-  ReadTimes readTimes() {
-    return readTimes;
+  /** Returns the scheduler of the reads from servers' connections. */
+  ReadScheduler serverReads() {
+    return serverReads;
   }
 
   /** Returns the connection pool of a server, created at its first use. */
@@ -201,7 +202,7 @@
     return BackendPool.of(
         eventLoop,
         new BackendPool.Server(server.id(), new InetSocketAddress(server.host(), server.port())),
-        readTimes,
+        serverReads,
         translation,
         foreignBytes -> recordForeignBytes(server, foreignBytes));
   }
--- a/gateway/src/main/java/org/shallothold/gateway/forward/backend/BackendConnection.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/backend/BackendConnection.java
@@ -18,6 +18,8 @@
 import org.shallothold.gateway.forward.backend.ResponseMatcher.Mismatch;
 import org.shallothold.gateway.forward.port.HeaderTranslation;
 import org.shallothold.gateway.forward.port.ResponseMetadata;
+import org.shallothold.wire.connection.ReadScheduler;
+import org.shallothold.wire.connection.ScheduledReads;
 
 /**
  * An HTTP/1.1 connection to a backend server that carries at most one request at a time. Discards
@@ -37,6 +39,7 @@
   private final long openedNanos = System.nanoTime();
   private final ResponseDecoder decoder = new ResponseDecoder(this);
   private final ResponseMatcher matcher;
+  private final ScheduledReads reads;
 
   private @Nullable BackendListener listener;
   private String requestId = "";
@@ -67,13 +70,24 @@
     void foreignBytesReceived(ForeignBytes foreignBytes);
   }
 
-  BackendConnection(Owner owner, HeaderTranslation translation, Channel channel) {
+  BackendConnection(
+      Owner owner,
+      HeaderTranslation translation,
+      Channel channel,
+      String serverId,
+      ReadScheduler readScheduler) {
     this.owner = owner;
     this.channel = channel;
     this.matcher = new ResponseMatcher(translation);
+    this.reads = readScheduler.newReads(channel, () -> serverId, this::lastRequestId);
   }
 
-  /** Returns the decoder to put in front of this handler in the channel's pipeline. */
+  /** Returns the first handler of the channel's pipeline. */
+  ScheduledReads reads() {
+    return reads;
+  }
+
+  /** Returns the decoder to put between the reads and this handler in the channel's pipeline. */
   ResponseDecoder decoder() {
     return decoder;
   }
@@ -130,7 +144,7 @@
 
   /** Stops or resumes reading, so that a slow caller exerts backpressure on the server. */
   void setAutoRead(boolean enabled) {
-    channel.config().setAutoRead(enabled);
+    reads.setAutoRead(enabled);
   }
 
   @Override
@@ -290,7 +304,7 @@
       fail("connection lost before the end of the response");
       return;
     }
-    ByteBuf following = decoder.endResponse();
+    ByteBuf following = reads.withUnread(decoder.endResponse());
     Optional<Mismatch> mismatch = matcher.matchEnd(following);
     if (mismatch.isPresent()) {
       failUnmatched(mismatch.get());
@@ -303,7 +317,7 @@
       closeForAdditionalBytes(ForeignBytes.Place.AFTER_RESPONSE, following.readableBytes());
     }
     // Bytes that follow the response may wait unread while reading is paused.
-    reusable &= channel.config().isAutoRead();
+    reusable &= !reads.mayHaveUnreadBytes();
     // A server that responded before it received the whole request would read the rest of it as
     // the next request.
     reusable &= requestWritten;
--- a/gateway/src/main/java/org/shallothold/gateway/forward/backend/BackendPool.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/backend/BackendPool.java
@@ -21,9 +21,7 @@
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 import org.shallothold.gateway.forward.port.HeaderTranslation;
-import org.shallothold.wire.connection.ReadSource;
-import org.shallothold.wire.connection.ReadTimes;
-import org.shallothold.wire.connection.TimedReads;
+import org.shallothold.wire.connection.ReadScheduler;
 import org.shallothold.wire.connection.Transport;
 
 /**
@@ -40,13 +38,15 @@
   // soon as it is over. The margin keeps a request from crossing that close.
   private static final long KEEP_ALIVE_MARGIN_MILLIS = 500;
   private static final int CONNECT_TIMEOUT_MILLIS = 400;
+  // Bounds what is left to be read at once when the server closes its side.
+  private static final int RECEIVE_BUFFER_BYTES = 256 * 1024;
   // A connection that a server accepted while it was ending is closed within this time.
   private static final long CHECK_OPEN_MILLIS = 20;
   private static final int MAX_CHECKS = 4;
 
   private final Bootstrap bootstrap;
   private final Server server;
-  private final ReadTimes readTimes;
+  private final ReadScheduler readScheduler;
   private final HeaderTranslation translation;
   private final ForeignBytesListener foreignBytesListener;
   private final Deque<IdleConnection> idleConnections = new ArrayDeque<>();
@@ -73,11 +73,11 @@
   private BackendPool(
       EventLoop eventLoop,
       Server server,
-      ReadTimes readTimes,
+      ReadScheduler readScheduler,
       HeaderTranslation translation,
       ForeignBytesListener foreignBytesListener) {
     this.server = server;
-    this.readTimes = readTimes;
+    this.readScheduler = readScheduler;
     this.translation = translation;
     this.foreignBytesListener = foreignBytesListener;
     this.bootstrap =
@@ -86,6 +86,7 @@
             .channel(Transport.socketChannel(eventLoop.parent()))
             .remoteAddress(server.address())
             .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
             .handler(
                 new ChannelInitializer<Channel>() {
@@ -101,10 +102,10 @@
   public static BackendPool of(
       EventLoop eventLoop,
       Server server,
-      ReadTimes readTimes,
+      ReadScheduler readScheduler,
       HeaderTranslation translation,
       ForeignBytesListener foreignBytesListener) {
-    return new BackendPool(eventLoop, server, readTimes, translation, foreignBytesListener);
+    return new BackendPool(eventLoop, server, readScheduler, translation, foreignBytesListener);
   }
 
   /** Handle of a request in flight. */
@@ -269,11 +270,11 @@
   }
 
   private void initialize(Channel channel) {
-    BackendConnection connection = new BackendConnection(connectionOwner, translation, channel);
+    BackendConnection connection =
+        new BackendConnection(connectionOwner, translation, channel, server.id(), readScheduler);
     channel
         .pipeline()
-        .addLast(
-            TimedReads.of(readTimes, ReadSource.server(server.id(), connection::lastRequestId)))
+        .addLast(connection.reads())
         .addLast(connection.decoder())
         .addLast(new HttpRequestEncoder())
         .addLast(connection);
--- a/gateway/src/main/java/org/shallothold/gateway/forward/caller/CallerListener.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/caller/CallerListener.java
@@ -17,8 +17,6 @@
 import java.util.Set;
 import java.util.stream.Collectors;
 import org.jspecify.annotations.Nullable;
-import org.shallothold.wire.connection.ReadSource;
-import org.shallothold.wire.connection.TimedReads;
 import org.shallothold.wire.connection.Transport;
 
 /** Accepts the connections of callers. Not thread-safe; used on the event loop after the start. */
@@ -31,6 +29,8 @@
   private static final int MIN_READ_BYTES = 64;
   private static final int INITIAL_READ_BYTES = 2 * 1024;
   private static final int MAX_READ_BYTES = 16 * 1024;
+  // Bounds what is left to be read at once when the caller closes its side.
+  private static final int RECEIVE_BUFFER_BYTES = 256 * 1024;
 
   private final Set<CallerConnection> connections = new HashSet<>();
   private @Nullable CallerService service;
@@ -56,6 +56,7 @@
             .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
             .option(ChannelOption.AUTO_READ, false)
             .childOption(ChannelOption.TCP_NODELAY, true)
+            .childOption(ChannelOption.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
             .childOption(
                 ChannelOption.RCVBUF_ALLOCATOR,
                 new AdaptiveRecvByteBufAllocator(
@@ -142,7 +143,7 @@
             .setMaxChunkSize(MAX_CHUNK_BYTES);
     channel
         .pipeline()
-        .addLast(TimedReads.of(currentService.readTimes(), ReadSource.caller(channel)))
+        .addLast(currentService.readScheduler().newReads(channel))
         .addLast(new HttpServerCodec(connection.headerCounter().countWith(decoding)))
         .addLast(connection);
   }
--- a/gateway/src/main/java/org/shallothold/gateway/forward/caller/CallerService.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/caller/CallerService.java
@@ -4,7 +4,7 @@
 import org.shallothold.core.memory.RequestMemoryBudget;
 import org.shallothold.core.route.CallerLimits;
 import org.shallothold.core.verdict.ReasonCode;
-import org.shallothold.wire.connection.ReadTimes;
+import org.shallothold.wire.connection.ReadScheduler;
 
 /** Processes the requests of callers. Called on the event loop. */
 public interface CallerService {
@@ -29,8 +29,8 @@
   /** Returns the memory that callers' requests share. */
   RequestMemoryBudget requestMemory();
 
-  /** Returns the accounts of the time that reading takes. */
-  ReadTimes readTimes();
+  /** Returns the scheduler of the reads from callers' connections. */
+  ReadScheduler readScheduler();
 
   /** Returns whether connections are to be closed after their next response. */
   boolean isLeaving();
--- a/gateway/src/test/java/org/shallothold/gateway/forward/BackendPoolTest.java
+++ b/gateway/src/test/java/org/shallothold/gateway/forward/BackendPoolTest.java
@@ -31,7 +31,7 @@
 import org.shallothold.gateway.forward.backend.BackendListener;
 import org.shallothold.gateway.forward.backend.BackendPool;
 import org.shallothold.gateway.forward.port.ResponseMetadata;
-import org.shallothold.wire.connection.ReadTimes;
+import org.shallothold.wire.connection.ReadScheduler;
 import org.shallothold.wire.connection.Transport;
 
 /** Which connections to a backend server are used for further requests. */
@@ -63,7 +63,7 @@
             "server",
             new InetSocketAddress(
                 InetAddress.getLoopbackAddress(), Math.max(0, socket.getLocalPort()))),
-        ReadTimes.create(),
+        ReadScheduler.create("test", eventLoop),
         new TestTranslation(),
         foreignBytes -> additionalBytes.complete(foreignBytes.length()));
   }
--- a/gateway/src/test/java/org/shallothold/gateway/forward/backend/BackendConnectionTest.java
+++ b/gateway/src/test/java/org/shallothold/gateway/forward/backend/BackendConnectionTest.java
@@ -16,6 +16,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Nested;
@@ -26,6 +27,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 import org.shallothold.gateway.forward.TestTranslations;
 import org.shallothold.gateway.forward.port.ResponseMetadata;
+import org.shallothold.wire.connection.ReadScheduler;
 
 /**
  * To which request the bytes on a connection belong, if a server responds to an earlier request
@@ -36,6 +38,9 @@
   // A shorter beginning of a response is not told from a body.
   private static final int RECOGNIZABLE_LENGTH = "HTTP/1.1 200".length();
 
+  // Of the reads that ScheduledReads passes on.
+  private static final int SLICE_BYTES = 2 * 1024;
+
   private static final String PENDING = "pending";
   private static final String FAILED = "failed";
 
@@ -94,14 +99,21 @@
   /** A connection that carries one request, and what its listener received. */
   private static final class Connection implements BackendConnection.Owner, BackendListener {
     private final EmbeddedChannel channel = new EmbeddedChannel();
+    private long nowNanos;
+    // Each look at the clock finds the connection's credit used up.
+    private final ReadScheduler scheduler =
+        ReadScheduler.withClock(
+            channel.eventLoop(), () -> nowNanos += TimeUnit.MILLISECONDS.toNanos(1));
     private final StringBuilder received = new StringBuilder();
     private String outcome = PENDING;
     private final List<ForeignBytes> foreignBytes = new ArrayList<>();
 
     private Connection() {
       BackendConnection connection =
-          new BackendConnection(this, TestTranslations.create(), channel);
-      channel.pipeline().addLast(connection.decoder(), new HttpRequestEncoder(), connection);
+          new BackendConnection(this, TestTranslations.create(), channel, "server", scheduler);
+      channel
+          .pipeline()
+          .addLast(connection.reads(), connection.decoder(), new HttpRequestEncoder(), connection);
       FullHttpRequest request =
           new DefaultFullHttpRequest(
               HttpVersion.HTTP_1_1, HttpMethod.POST, "/x", Unpooled.EMPTY_BUFFER);
@@ -113,6 +125,9 @@
       if (!bytes.isEmpty() && channel.isActive()) {
         channel.writeInbound(Unpooled.copiedBuffer(bytes, StandardCharsets.ISO_8859_1));
       }
+      while (scheduler.deferredConnections() > 0) {
+        channel.runPendingTasks();
+      }
     }
 
     private String outcome() {
@@ -192,6 +207,22 @@
     }
   }
 
+  /** Asserts the outcome of one read in which a slice ends at an index of the bytes received. */
+  private static void assertMatchedInSlices(String own, int position, String late, int sliceEnd) {
+    int endOfStatusLine = own.indexOf("\r\n") + 2;
+    String name = "X-Padding: ";
+    int paddingLength = SLICE_BYTES - sliceEnd - name.length() - 2;
+    String padding = name + "x".repeat(paddingLength) + "\r\n";
+    String read =
+        own.substring(0, endOfStatusLine)
+            + padding
+            + own.substring(endOfStatusLine, position)
+            + late
+            + own.substring(position);
+    String outcome = outcomeOf(List.of(read), isConnectionDelimited(own));
+    assertTrue(List.of(ownOutcome(own), FAILED).contains(outcome), () -> read + " -> " + outcome);
+  }
+
   /** Returns the lengths up to that of a text, in steps, and that length. */
   private static IntStream lengths(int first, int step, String text) {
     return IntStream.concat(
@@ -236,6 +267,25 @@
           .forEach(position -> assertMatched(own, position, late, position < headLength(own)));
     }
 
+    /**
+     * Guards against the same where the bytes of one read are handled in slices, so that the bytes
+     * behind the response wait while its end is handled.
+     */
+    @ParameterizedTest
+    @MethodSource("org.shallothold.gateway.forward.backend.BackendConnectionTest#pairs")
+    void wholeWithinBodyAcrossSlices(String own, String late) {
+      lengths(headLength(own), 5, own)
+          .forEach(
+              position ->
+                  IntStream.of(
+                          position,
+                          position + late.length() / 2,
+                          position + late.length(),
+                          // With a length, the body ends here.
+                          own.length())
+                      .forEach(sliceEnd -> assertMatchedInSlices(own, position, late, sliceEnd)));
+    }
+
     /**
      * Guards against the same for a cut one. Without a length or chunks, only a field by which a
      * server names or signs a response tells it from the body.
--- a/gateway/src/test/java/org/shallothold/gateway/forward/caller/CallerListenerTest.java
+++ b/gateway/src/test/java/org/shallothold/gateway/forward/caller/CallerListenerTest.java
@@ -19,7 +19,7 @@
 import org.shallothold.core.memory.RequestMemoryBudget;
 import org.shallothold.core.route.CallerLimits;
 import org.shallothold.core.verdict.ReasonCode;
-import org.shallothold.wire.connection.ReadTimes;
+import org.shallothold.wire.connection.ReadScheduler;
 import org.shallothold.wire.connection.Transport;
 
 /** Tests connections that callers open while the gateway starts. */
@@ -37,6 +37,11 @@
 
     private final MemoryBudget memory = MemoryBudget.of(1_000_000);
     private final RequestMemoryBudget requestMemory = RequestMemoryBudget.of(1_000_000);
+    private final ReadScheduler readScheduler;
+
+    private NoContentService(EventLoopGroup group) {
+      readScheduler = ReadScheduler.create("test", group.next());
+    }
 
     @Override
     public CallerRequestListener accept(CallerRequest request, CallerExchange exchange) {
@@ -84,8 +89,8 @@
     }
 
     @Override
-    public ReadTimes readTimes() {
-      return ReadTimes.create();
+    public ReadScheduler readScheduler() {
+      return readScheduler;
     }
 
     @Override
@@ -105,7 +110,7 @@
     try (Socket early = new Socket(InetAddress.getLoopbackAddress(), listener.port())) {
       byte[] request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
       early.getOutputStream().write(request);
-      listener.serve(new NoContentService());
+      listener.serve(new NoContentService(group));
       BufferedReader response =
           new BufferedReader(
               new InputStreamReader(early.getInputStream(), StandardCharsets.US_ASCII));
--- a/wire/src/main/java/org/shallothold/wire/connection/ReadTimes.java
+++ b/wire/src/main/java/org/shallothold/wire/connection/ReadTimes.java
@@ -1,6 +1,9 @@
 package org.shallothold.wire.connection;
 
+import io.netty.channel.EventLoop;
+import java.util.Map;
 import java.util.Optional;
+import java.util.WeakHashMap;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -9,12 +12,21 @@
  */
 public final class ReadTimes {
 
+  private static final Map<EventLoop, ReadTimes> BY_EVENT_LOOP = new WeakHashMap<>();
+
   private long window;
   private long nanos;
   private @Nullable Account busiest;
 
   private ReadTimes() {}
 
+  /** Returns the instance that all connections of an event loop share. Callable on any thread. */
+  public static ReadTimes of(EventLoop eventLoop) {
+    synchronized (BY_EVENT_LOOP) {
+      return BY_EVENT_LOOP.computeIfAbsent(eventLoop, loop -> create());
+    }
+  }
+
   /** Creates an instance whose first window begins now. */
   public static ReadTimes create() {
     return new ReadTimes();
