--- a/gateway/src/main/java/org/shallothold/gateway/forward/StatusListener.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/StatusListener.java
@@ -25,6 +25,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.function.Function;
 import org.shallothold.gateway.headers.HeaderCounter;
+import org.shallothold.wire.connection.ReadScheduler;
 import org.shallothold.wire.connection.Transport;
 
 /** A small HTTP server for one endpoint about this process, such as readiness or metrics. */
@@ -57,11 +58,13 @@
   /**
    * Binds the address and serves requests until the event loop group shuts down.
    *
+   * @param group event loop group with a single event loop
    * @param responder returns the response for a request URI; called on an event loop of the group
    * @throws IllegalStateException if the address can't be bound
    */
   static void start(
       EventLoopGroup group, InetSocketAddress address, Function<String, Response> responder) {
+    ReadScheduler readScheduler = ReadScheduler.create("poller", group.next());
     var bindFuture =
         new ServerBootstrap()
             .group(group)
@@ -73,6 +76,7 @@
                   protected void initChannel(Channel channel) {
                     channel
                         .pipeline()
+                        .addLast(readScheduler.newReads(channel))
                         .addLast(new HttpServerCodec(requestLimits()))
                         .addLast(new IdleStateHandler(0, 0, IDLE_SECONDS))
                         .addLast(new Handler(responder));
--- a/wire/src/main/java/org/shallothold/wire/connection/PeerPipeline.java
+++ b/wire/src/main/java/org/shallothold/wire/connection/PeerPipeline.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.ChannelPipeline;
+import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.protobuf.ProtobufDecoder;
 import io.netty.handler.codec.protobuf.ProtobufEncoder;
@@ -13,6 +14,7 @@
 import io.netty.handler.timeout.IdleState;
 import io.netty.handler.timeout.IdleStateEvent;
 import io.netty.handler.timeout.IdleStateHandler;
+import io.netty.util.concurrent.FastThreadLocal;
 import java.lang.System.Logger;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
@@ -31,6 +33,9 @@
   private static final Envelope HEARTBEAT =
       Envelope.newBuilder().setHeartbeat(Heartbeat.getDefaultInstance()).build();
 
+  // One for each event loop, which all connections to peers share.
+  private static final FastThreadLocal<ReadScheduler> READ_SCHEDULERS = new FastThreadLocal<>();
+
   private final ConnectionLimits limits;
   private final Supplier<Hello> localHello;
   private final PeerListener listener;
@@ -51,6 +56,7 @@
   protected void initChannel(Channel channel) {
     channel.config().setOption(ChannelOption.TCP_NODELAY, true);
     ChannelPipeline pipeline = channel.pipeline();
+    pipeline.addLast(readScheduler(channel.eventLoop()).newReads(channel));
     if (tls != null) {
       pipeline.addLast(tls.newHandler(channel.alloc()));
     }
@@ -64,6 +70,15 @@
     pipeline.addLast(new EnvelopeHandler(new PeerConnection(channel)));
   }
 
+  private static ReadScheduler readScheduler(EventLoop eventLoop) {
+    ReadScheduler scheduler = READ_SCHEDULERS.getIfExists();
+    if (scheduler == null) {
+      scheduler = ReadScheduler.create("peer", eventLoop);
+      READ_SCHEDULERS.set(scheduler);
+    }
+    return scheduler;
+  }
+
   private final class EnvelopeHandler extends SimpleChannelInboundHandler<Envelope> {
 
     private final PeerConnection connection;
