Give new connections a quarter of the credit, and test peers

A new connection now has 250 microseconds.

EventLoopShareContractTest makes work with 200 connections, and with peers' messages too.

--- a/gateway/src/test/java/org/shallothold/gateway/forward/EventLoopShareContractTest.java
+++ b/gateway/src/test/java/org/shallothold/gateway/forward/EventLoopShareContractTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.Socket;
@@ -16,6 +17,8 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.shallothold.wire.proto.Envelope;
+import org.shallothold.wire.proto.Heartbeat;
 
 /**
  * Guards against connections whose bytes make much work each and keep the event loop from all
@@ -28,7 +31,7 @@
   private static final int LATEST_ANSWER_MILLIS = 2_000;
   private static final int SOUND_CALLS = 12;
   private static final long CALL_INTERVAL_MILLIS = 50;
-  private static final int CONNECTIONS = 40;
+  private static final int CONNECTIONS = 200;
   private static final int SLOTS_OF_A_SERVER = 6;
   private static final int BLOCK_BYTES = 48 * 1024;
   private static final String SOUND_BODY = "whole";
@@ -94,12 +97,24 @@
     void call(Socket socket) throws IOException;
   }
 
-  /** Runs callers, each again and again, while sound calls are made. */
+  /** Opens a connection. */
+  private interface Connector {
+    Socket connect() throws IOException;
+  }
+
   private static void assertSoundCallsServedBeside(ForwardFixture fixture, Caller caller)
       throws IOException, InterruptedException {
+    assertSoundCallsServedBeside(fixture::connect, fixture, caller);
+  }
+
+  /** Runs callers, each again and again, while sound calls are made. */
+  private static void assertSoundCallsServedBeside(
+      Connector connector, ForwardFixture fixture, Caller caller)
+      throws IOException, InterruptedException {
     ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor();
     try {
-      IntStream.range(0, CONNECTIONS).forEach(i -> executor.submit(() -> repeat(fixture, caller)));
+      IntStream.range(0, CONNECTIONS)
+          .forEach(i -> executor.submit(() -> repeat(connector, caller)));
       Thread.sleep(300);
       assertSoundCallsServed(fixture);
     } finally {
@@ -108,9 +123,9 @@
     }
   }
 
-  private static void repeat(ForwardFixture fixture, Caller caller) {
+  private static void repeat(Connector connector, Caller caller) {
     while (!Thread.currentThread().isInterrupted()) {
-      try (Socket socket = fixture.connect()) {
+      try (Socket socket = connector.connect()) {
         caller.call(socket);
       } catch (IOException e) {
         // The gateway may close the connection of such a caller.
@@ -150,6 +165,34 @@
     }
   }
 
+  @Nested
+  class Peers {
+
+    @Test
+    void messagesWithoutEndLeaveTimeForOthers() throws Exception {
+      byte[] heartbeat =
+          Envelope.newBuilder().setHeartbeat(Heartbeat.getDefaultInstance()).build().toByteArray();
+      ByteArrayOutputStream block = new ByteArrayOutputStream();
+      while (block.size() < BLOCK_BYTES) {
+        // The length of the frame as a varint.
+        block.write(heartbeat.length);
+        block.write(heartbeat);
+      }
+      ScriptedServer.Script sound = exchange -> exchange.respond(200, SOUND_BODY);
+      try (ForwardFixture fixture = ForwardFixture.withGateways(1, sound, sound)) {
+        assertSoundCallsServedBeside(
+            () -> new Socket(fixture.seed().getAddress(), fixture.seed().getPort()),
+            fixture,
+            socket -> {
+              Thread.ofVirtual().start(() -> drain(socket));
+              while (true) {
+                block.writeTo(socket.getOutputStream());
+              }
+            });
+      }
+    }
+  }
+
   @Nested
   class Callers {
 
--- a/gateway/src/test/java/org/shallothold/gateway/forward/ForwardFixture.java
+++ b/gateway/src/test/java/org/shallothold/gateway/forward/ForwardFixture.java
@@ -288,7 +288,8 @@
     return gateways.size() - 1;
   }
 
-  private InetSocketAddress seed() {
+  /** Returns the address at which the first of several gateways accepts peers. */
+  InetSocketAddress seed() {
     return Objects.requireNonNull(seedAddress);
   }
 
--- a/wire/src/main/java/org/shallothold/wire/connection/ReadCredit.java
+++ b/wire/src/main/java/org/shallothold/wire/connection/ReadCredit.java
@@ -11,9 +11,12 @@
   /** Most credit that a connection can have, in nanoseconds. */
   static final long MAX_NANOS = 1_000_000;
 
+  /** Credit of a new connection, in nanoseconds; many may be opened at the same time. */
+  static final long INITIAL_NANOS = MAX_NANOS / 4;
+
   private static final long REGAINED_NANOS = MAX_NANOS / 2;
 
-  private long creditNanos = MAX_NANOS;
+  private long creditNanos = INITIAL_NANOS;
   private long updatedNanos;
   private boolean exhausted;
 
@@ -21,8 +24,8 @@
     updatedNanos = nowNanos;
   }
 
-  /** Returns the full credit of a new connection. */
-  static ReadCredit full(long nowNanos) {
+  /** Returns the credit of a new connection. */
+  static ReadCredit initial(long nowNanos) {
     return new ReadCredit(nowNanos);
   }
 
--- a/wire/src/main/java/org/shallothold/wire/connection/ScheduledReads.java
+++ b/wire/src/main/java/org/shallothold/wire/connection/ScheduledReads.java
@@ -40,7 +40,7 @@
     this.scheduler = scheduler;
     this.channel = channel;
     this.account = account;
-    this.credit = ReadCredit.full(scheduler.nanoTime());
+    this.credit = ReadCredit.initial(scheduler.nanoTime());
   }
 
   /** Stops or resumes reading from the socket; what was read before is passed on all the same. */
--- a/wire/src/test/java/org/shallothold/wire/connection/ReadCreditTest.java
+++ b/wire/src/test/java/org/shallothold/wire/connection/ReadCreditTest.java
@@ -12,21 +12,21 @@
   private static final double SHARE = 0.01;
   private static final long REGAIN_HALF_NANOS = (long) (ReadCredit.MAX_NANOS / 2 / SHARE);
 
-  private final ReadCredit credit = ReadCredit.full(0);
+  private final ReadCredit credit = ReadCredit.initial(0);
 
   @Nested
   class Spending {
 
     @Test
     void partLeavesTheRest() {
-      credit.spend(ReadCredit.MAX_NANOS / 4);
-      assertEquals(ReadCredit.MAX_NANOS * 3 / 4, credit.available(0, SHARE));
+      credit.spend(ReadCredit.INITIAL_NANOS / 4);
+      assertEquals(ReadCredit.INITIAL_NANOS * 3 / 4, credit.available(0, SHARE));
       assertFalse(credit.isExhausted());
     }
 
     @Test
     void allExhaustsIt() {
-      credit.spend(ReadCredit.MAX_NANOS);
+      credit.spend(ReadCredit.INITIAL_NANOS);
       assertTrue(credit.isExhausted());
       assertEquals(0, credit.available(0, SHARE));
     }
@@ -38,13 +38,13 @@
     /** Guards against a connection that is handled at once at each of its reads. */
     @Test
     void littleIsNotAvailableYet() {
-      credit.spend(ReadCredit.MAX_NANOS);
+      credit.spend(ReadCredit.INITIAL_NANOS);
       assertEquals(0, credit.available(REGAIN_HALF_NANOS - 1_000, SHARE));
     }
 
     @Test
     void halfIsAvailable() {
-      credit.spend(ReadCredit.MAX_NANOS);
+      credit.spend(ReadCredit.INITIAL_NANOS);
       assertEquals(ReadCredit.MAX_NANOS / 2, credit.available(REGAIN_HALF_NANOS, SHARE));
       assertFalse(credit.isExhausted());
     }
