Answer one pipelined request in each iteration of the event loop

Requests that were pipelined behind one that waits for its response were answered in one task when it came, up to 512 of them, and any number of connections could do so at once.

CallerListenerTest.pipelinedRequestsLeaveTurnsForOthers: "accepted in one iteration: 400" before, passes now. A connection with queued requests counts as busy, so that a stopping gateway doesn't end between two of them.

--- a/gateway/src/main/java/org/shallothold/gateway/forward/caller/CallerConnection.java
+++ b/gateway/src/main/java/org/shallothold/gateway/forward/caller/CallerConnection.java
@@ -67,6 +67,7 @@
   private boolean closing;
   private boolean droppingRequests;
   private boolean understandsChunks = true;
+  private boolean queuedReadScheduled;
   private long unwrittenAtIdleCheck = Long.MAX_VALUE;
   private @Nullable ScheduledFuture<?> timer;
 
@@ -227,9 +228,9 @@
     }
   }
 
-  /** Returns whether a request is being received or answered, or a response being written. */
+  /** Returns whether a request is being received, queued or answered, or a response written. */
   boolean isBusy() {
-    return responsePending || head != null || unwrittenBytes() > 0;
+    return responsePending || head != null || !queuedMessages.isEmpty() || unwrittenBytes() > 0;
   }
 
   /** Refuses the request that is being received, because the gateway is about to end. */
@@ -415,15 +416,30 @@
       return;
     }
     startIdleTimer();
-    channel.eventLoop().execute(this::readQueuedMessages);
+    scheduleQueuedRead();
   }
 
-  private void readQueuedMessages() {
-    while (!responsePending && !closing && !queuedMessages.isEmpty()) {
+  private void scheduleQueuedRead() {
+    if (!queuedReadScheduled && !queuedMessages.isEmpty()) {
+      queuedReadScheduled = true;
+      // Unlike a task that is executed at once, this runs after the event loop has polled again.
+      channel.eventLoop().schedule(this::readQueuedRequest, 0, TimeUnit.NANOSECONDS);
+    }
+  }
+
+  /** Reads at most one pipelined request, so that other connections get turns between two. */
+  private void readQueuedRequest() {
+    queuedReadScheduled = false;
+    boolean requestRead = false;
+    while (!requestRead && !responsePending && !closing && !queuedMessages.isEmpty()) {
       Object message = queuedMessages.removeFirst();
       requestMemory.removeUnread(contentBytes(message));
+      requestRead = message instanceof LastHttpContent;
       read(message);
     }
+    if (!responsePending && !closing) {
+      scheduleQueuedRead();
+    }
   }
 
   private void setConnectionHeader(HttpResponse response) {
