--- a/wire/src/main/java/org/shallothold/wire/connection/ReadTimes.java
+++ b/wire/src/main/java/org/shallothold/wire/connection/ReadTimes.java
@@ -28,7 +28,7 @@
   }
 
   /** Creates an instance whose first window begins now. */
-  public static ReadTimes create() {
+  static ReadTimes create() {
     return new ReadTimes();
   }
 
