--- a/wire/src/test/java/org/shallothold/wire/connection/ReadSchedulerTest.java
+++ b/wire/src/test/java/org/shallothold/wire/connection/ReadSchedulerTest.java
@@ -231,7 +231,7 @@
   class Soak {
 
     private static IntStream seeds() {
-      return IntStream.range(0, Integer.getInteger("shallothold.soak.seeds", 200));
+      return IntStream.range(0, Integer.getInteger("soak.seeds", 200));
     }
 
     @ParameterizedTest
