--- a/command/src/test/java/org/shallothold/command/logs/RequestStoryTest.java
+++ b/command/src/test/java/org/shallothold/command/logs/RequestStoryTest.java
@@ -98,45 +98,26 @@
   /** Guards against a late answer that doesn't lead to the connection that delayed it. */
   @Test
   void heldEventLoopIsToldWithItsConnection() throws IOException {
-    Path held =
-        Files.write(
-            directory.resolve("held.log"),
-            List.of(
-                heldLine("2026-01-01T00:00:03.700Z", "one"),
-                heldLine("2026-01-01T00:00:03.700Z", "two"),
-                heldLine("2026-01-01T00:00:01Z", "one")));
-    logs();
-    LogFiles both =
-        LogFiles.read(
-            List.of(
-                directory.resolve("first.log").toString(),
-                directory.resolve("second.log").toString(),
-                held.toString()));
+    List<String> story =
+        storyWith(
+            heldLine("2026-01-01T00:00:03.700Z", "one"),
+            heldLine("2026-01-01T00:00:03.700Z", "two"),
+            heldLine("2026-01-01T00:00:01Z", "one"));
     assertEquals(
         List.of(
             "2026-01-01T00:00:03.700Z one: its event loop was held for 900 ms,"
                 + " of which the server s2 (request 'r9') took 870 ms for 1048576 bytes"),
-        RequestStory.of(both, "r1").stream().filter(line -> line.contains("event loop")).toList());
+        story.stream().filter(line -> line.contains("event loop")).toList());
   }
 
   /** Guards against a slow response that doesn't lead to the work that its bytes make. */
   @Test
   void deferredReadsAreToldForTheRequestThatCausedThem() throws IOException {
-    Path deferred =
-        Files.write(
-            directory.resolve("deferred.log"),
-            List.of(
-                heldLine("2026-01-01T00:00:05Z", "one")
-                    .replace("event_loop_held", "reads_deferred")
-                    .replace("r9", "r1")));
-    logs();
-    LogFiles both =
-        LogFiles.read(
-            List.of(
-                directory.resolve("first.log").toString(),
-                directory.resolve("second.log").toString(),
-                deferred.toString()));
-    List<String> story = RequestStory.of(both, "r1");
+    List<String> story =
+        storyWith(
+            heldLine("2026-01-01T00:00:05Z", "one")
+                .replace("event_loop_held", "reads_deferred")
+                .replace("r9", "r1"));
     assertTrue(
         story.contains(
             "2026-01-01T00:00:05Z one: bytes of its server s2 took turns with others,"
@@ -145,6 +126,19 @@
     assertEquals("cause: the backend server failed (s1: connection closed)", story.getLast());
   }
 
+  /** Returns the story of request r1 if one of the processes wrote further lines. */
+  private List<String> storyWith(String... lines) throws IOException {
+    Path further = Files.write(directory.resolve("further.log"), List.of(lines));
+    logs();
+    LogFiles all =
+        LogFiles.read(
+            List.of(
+                directory.resolve("first.log").toString(),
+                directory.resolve("second.log").toString(),
+                further.toString()));
+    return RequestStory.of(all, "r1");
+  }
+
   private static String heldLine(String time, String process) {
     return ("{\"time\":\"%s\",\"process\":\"%s\",\"event\":\"event_loop_held\",\"delay_millis\":900,"
             + "\"read_millis\":880,\"busiest\":\"server\",\"busiest_name\":\"s2\",\"busiest_request\":\"r9\","
--- a/gateway/src/test/java/org/shallothold/gateway/forward/caller/CallerConnectionTest.java
+++ b/gateway/src/test/java/org/shallothold/gateway/forward/caller/CallerConnectionTest.java
@@ -6,6 +6,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOutboundHandlerAdapter;
+import io.netty.channel.EventLoop;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
@@ -17,7 +18,9 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Objects;
 import java.util.stream.IntStream;
+import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -25,9 +28,30 @@
 
   private static final int EVENTS = 100;
 
-  private final RecordingService service = new RecordingService();
-  private final FlushCounter flushes = new FlushCounter();
   private final IteratingChannel channel = new IteratingChannel();
+  private final RecordingService service = new RecordingService(channel.eventLoop());
+  private final FlushCounter flushes = new FlushCounter();
+
+  /** Keeps the exchange of the last request, which the test answers. */
+  private static final class RecordingService extends CallerServiceStub {
+
+    private @Nullable CallerExchange exchange;
+
+    private RecordingService(EventLoop eventLoop) {
+      super(eventLoop);
+    }
+
+    private CallerExchange exchange() {
+      return Objects.requireNonNull(exchange);
+    }
+
+    @Override
+    public CallerRequestListener accept(CallerRequest request, CallerExchange newExchange) {
+      request.body().release();
+      exchange = newExchange;
+      return new IgnoringListener();
+    }
+  }
 
   /** Runs the tasks of its event loop only at the end of an iteration. */
   private static final class IteratingChannel extends EmbeddedChannel {
--- a/gateway/src/test/java/org/shallothold/gateway/forward/caller/CallerListenerTest.java
+++ b/gateway/src/test/java/org/shallothold/gateway/forward/caller/CallerListenerTest.java
@@ -21,11 +21,6 @@
 import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
-import org.shallothold.core.memory.MemoryBudget;
-import org.shallothold.core.memory.RequestMemoryBudget;
-import org.shallothold.core.route.CallerLimits;
-import org.shallothold.core.verdict.ReasonCode;
-import org.shallothold.wire.connection.ReadScheduler;
 import org.shallothold.wire.connection.Transport;
 
 /** Tests connections that callers open while the gateway starts. */
@@ -39,11 +34,7 @@
   }
 
   /** Responds to each request with status 204, to a first one for /held only when it is told to. */
-  private static final class NoContentService implements CallerService {
-
-    private final MemoryBudget memory = MemoryBudget.of(1_000_000);
-    private final RequestMemoryBudget requestMemory = RequestMemoryBudget.of(10_000_000);
-    private final ReadScheduler readScheduler;
+  private static final class NoContentService extends CallerServiceStub {
 
     private final EventLoop eventLoop;
     private final CountDownLatch accepted;
@@ -51,14 +42,10 @@
     private int acceptedInIteration;
     private int mostAcceptedInIteration;
 
-    private NoContentService(EventLoopGroup group) {
-      this(group, 1);
-    }
-
-    private NoContentService(EventLoopGroup group, int expectedRequests) {
-      eventLoop = group.next();
+    private NoContentService(EventLoop eventLoop, int expectedRequests) {
+      super(eventLoop);
+      this.eventLoop = eventLoop;
       accepted = new CountDownLatch(expectedRequests);
-      readScheduler = ReadScheduler.create("test", eventLoop);
     }
 
     private static void respond(CallerExchange exchange) {
@@ -90,35 +77,7 @@
       } else {
         respond(exchange);
       }
-      return new RecordingService.IgnoringListener();
-    }
-
-    @Override
-    public void requestRejected(ReasonCode reason) {}
-
-    @Override
-    public CallerLimits limits() {
-      return CallerLimits.DEFAULT;
-    }
-
-    @Override
-    public MemoryBudget memory() {
-      return memory;
-    }
-
-    @Override
-    public RequestMemoryBudget requestMemory() {
-      return requestMemory;
-    }
-
-    @Override
-    public ReadScheduler readScheduler() {
-      return readScheduler;
-    }
-
-    @Override
-    public boolean isLeaving() {
-      return false;
+      return new IgnoringListener();
     }
   }
 
@@ -133,7 +92,7 @@
     try (Socket early = new Socket(InetAddress.getLoopbackAddress(), listener.port())) {
       byte[] request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
       early.getOutputStream().write(request);
-      listener.serve(new NoContentService(group));
+      listener.serve(new NoContentService(group.next(), 1));
       BufferedReader response =
           new BufferedReader(
               new InputStreamReader(early.getInputStream(), StandardCharsets.US_ASCII));
@@ -147,7 +106,7 @@
     int requests = 400;
     CallerListener listener =
         CallerListener.bind(group, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
-    NoContentService service = new NoContentService(group, 1 + requests);
+    NoContentService service = new NoContentService(group.next(), 1 + requests);
     listener.serve(service);
     try (Socket caller = new Socket(InetAddress.getLoopbackAddress(), listener.port())) {
       String pipelined =
--- a/gateway/src/test/java/org/shallothold/gateway/forward/caller/RecordingService.java
+++ b/gateway/src/test/java/org/shallothold/gateway/forward/caller/CallerServiceStub.java
@@ -1,34 +1,23 @@
 package org.shallothold.gateway.forward.caller;
 
-import io.netty.channel.embedded.EmbeddedChannel;
-import java.util.Objects;
-import org.jspecify.annotations.Nullable;
+import io.netty.channel.EventLoop;
 import org.shallothold.core.memory.MemoryBudget;
 import org.shallothold.core.memory.RequestMemoryBudget;
 import org.shallothold.core.route.CallerLimits;
 import org.shallothold.core.verdict.ReasonCode;
 import org.shallothold.wire.connection.ReadScheduler;
 
-/** Keeps the exchange of the last request, which the test answers. */
-final class RecordingService implements CallerService {
+/** What tests need of a service of callers, but for the responses. */
+abstract class CallerServiceStub implements CallerService {
 
   private static final long MEMORY_BYTES = 10_000_000;
 
   private final MemoryBudget memory = MemoryBudget.of(MEMORY_BYTES);
   private final RequestMemoryBudget requestMemory = RequestMemoryBudget.of(MEMORY_BYTES);
-  private final ReadScheduler readScheduler =
-      ReadScheduler.create("test", new EmbeddedChannel().eventLoop());
-  private @Nullable CallerExchange exchange;
+  private final ReadScheduler readScheduler;
 
-  CallerExchange exchange() {
-    return Objects.requireNonNull(exchange);
-  }
-
-  @Override
-  public CallerRequestListener accept(CallerRequest request, CallerExchange newExchange) {
-    request.body().release();
-    exchange = newExchange;
-    return new IgnoringListener();
+  CallerServiceStub(EventLoop eventLoop) {
+    readScheduler = ReadScheduler.create("test", eventLoop);
   }
 
   @Override
