--- a/gateway/src/test/java/org/shallothold/gateway/forward/SmallPiecesProgram.java
+++ b/gateway/src/test/java/org/shallothold/gateway/forward/SmallPiecesProgram.java
@@ -27,12 +27,15 @@
 
   private static final int SLOTS_OF_A_SERVER = 6;
   private static final int BLOCK_BYTES = 12 * 1024;
+  private static final long CLOSING_BYTES = 4L * 1024 * 1024;
+  private static final String SINGLE_BYTE = "1\r\nx\r\n";
   private static final int SOUND_CALLERS = 8;
   private static final int SOUND_EVENTS = 20;
   private static final long EVENT_INTERVAL_MILLIS = 20;
   private static final long CALL_INTERVAL_MILLIS = 30;
   private static final double NANOS_PER_MILLI = 1e6;
 
+  private final Form form;
   private final int bytesPerMilli;
   private final List<Long> callNanos = Collections.synchronizedList(new ArrayList<>());
   private final List<Long> eventNanos = Collections.synchronizedList(new ArrayList<>());
@@ -41,23 +44,74 @@
   private final AtomicLong pieceBytes = new AtomicLong();
   private final AtomicLong started = new AtomicLong();
 
-  private SmallPiecesProgram(int bytesPerMilli) {
+  private SmallPiecesProgram(Form form, int bytesPerMilli) {
+    this.form = form;
     this.bytesPerMilli = bytesPerMilli;
   }
 
+  /** How the connections that make work do so. */
+  private sealed interface Form {
+
+    /** None of them are opened. */
+    record Nothing() implements Form {}
+
+    /**
+     * Servers send a response of many pieces.
+     *
+     * @param start what comes before the pieces
+     * @param bytes length of the response, after which the connection closes
+     */
+    record Response(String route, String start, String piece, long bytes) implements Form {}
+
+    /**
+     * Callers send requests of many pieces, without end.
+     *
+     * @param start what comes before the pieces
+     */
+    record Request(String start, String piece) implements Form {}
+
+    static Form of(String name) {
+      return switch (name) {
+        case "none" -> new Nothing();
+        case "events" ->
+            new Response(
+                "/stream-once/",
+                ScriptedServer.Exchange.chunk("id: 0\ndata: 0\n\n"),
+                "6\r\nzzzz\n\n\r\n",
+                Long.MAX_VALUE);
+        case "bytes" -> new Response("/once/", "", SINGLE_BYTE, Long.MAX_VALUE);
+        case "closing" -> new Response("/once/", "", SINGLE_BYTE, CLOSING_BYTES);
+        case "uploads" ->
+            new Request(
+                """
+                POST /once/upload HTTP/1.1\r
+                Host: a.example\r
+                X-Request: u\r
+                Transfer-Encoding: chunked\r
+                \r
+                """,
+                SINGLE_BYTE);
+        case "pipelined" -> new Request("", "GET /none HTTP/1.1\r\nHost: a.example\r\n\r\n");
+        default -> throw new IllegalArgumentException("unknown form " + name);
+      };
+    }
+  }
+
   public static void main(String[] arguments) throws IOException, InterruptedException {
-    String form = arguments[0];
+    SmallPiecesProgram program =
+        new SmallPiecesProgram(Form.of(arguments[0]), Integer.parseInt(arguments[3]));
     int connections = Integer.parseInt(arguments[1]);
     int seconds = Integer.parseInt(arguments[2]);
-    new SmallPiecesProgram(Integer.parseInt(arguments[3])).run(form, connections, seconds);
+    System.err.println(
+        arguments[0] + " x " + connections + ": " + program.run(connections, seconds));
     System.exit(0);
   }
 
-  private void run(String form, int connections, int seconds)
-      throws IOException, InterruptedException {
+  /** Returns what callers beside the connections got. */
+  private String run(int connections, int seconds) throws IOException, InterruptedException {
     List<ScriptedServer> servers = new ArrayList<>();
     for (int i = 0; i <= (connections + 2 * SOUND_CALLERS) / SLOTS_OF_A_SERVER; i++) {
-      servers.add(ScriptedServer.start("server-" + i, exchange -> handle(form, exchange)));
+      servers.add(ScriptedServer.start("server-" + i, this::handle));
     }
     ForwardFixture fixture = ForwardFixture.withGateways(1, servers);
     ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor();
@@ -69,10 +123,8 @@
             });
     // Lets the compiler see the sound paths first.
     Thread.sleep(3_000);
-    if (!form.equals("none")) {
-      IntStream.range(0, connections)
-          .forEach(i -> executor.submit(() -> repeat(() -> disturb(form, fixture))));
-    }
+    IntStream.range(0, connections)
+        .forEach(i -> executor.submit(() -> repeat(() -> disturb(fixture))));
     Thread.sleep(1_000);
     callNanos.clear();
     eventNanos.clear();
@@ -80,12 +132,9 @@
     failedStreams.set(0);
     pieceBytes.set(0);
     Thread.sleep(TimeUnit.SECONDS.toMillis(seconds));
-    System.err.printf(
+    return String.format(
         Locale.ROOT,
-        "%s x %d, %d s: pieces %.1f MB/s; calls %s, %d failed; events of streams %s, %d streams failed%n",
-        form,
-        connections,
-        seconds,
+        "pieces %.1f MB/s; calls %s, %d failed; events of streams %s, %d streams failed",
         pieceBytes.get() / 1e6 / seconds,
         quantiles(callNanos),
         failedCalls.get(),
@@ -149,10 +198,10 @@
     }
   }
 
-  private void handle(String form, ScriptedServer.Exchange exchange) throws IOException {
+  private void handle(ScriptedServer.Exchange exchange) throws IOException {
     String head = exchange.request().head();
-    if (head.contains("endless")) {
-      sendPieces(form, exchange);
+    if (head.contains("endless") && form instanceof Form.Response response) {
+      sendPieces(response, exchange);
     } else if (head.contains("/stream")) {
       exchange.send(exchange.head(200, "X-Signed: s\r\nTransfer-Encoding: chunked"));
       for (int i = 0; i < SOUND_EVENTS; i++) {
@@ -174,19 +223,14 @@
     }
   }
 
-  private void sendPieces(String form, ScriptedServer.Exchange exchange) throws IOException {
+  private void sendPieces(Form.Response response, ScriptedServer.Exchange exchange)
+      throws IOException {
     exchange.send(exchange.head(200, "X-Signed: s\r\nTransfer-Encoding: chunked"));
-    boolean events = form.equals("events");
-    if (events) {
-      exchange.send(ScriptedServer.Exchange.chunk("id: 0\ndata: 0\n\n"));
-    }
-    String piece = events ? "6\r\nzzzz\n\n\r\n" : "1\r\nx\r\n";
-    byte[] block = piece.repeat(BLOCK_BYTES / piece.length()).getBytes(StandardCharsets.US_ASCII);
+    exchange.send(response.start());
+    byte[] block = block(response.piece());
     long startNanos = System.nanoTime();
     long sent = 0;
-    // The connection then closes with all that the gateway has not read yet.
-    long limit = form.equals("closing") ? 4L * 1024 * 1024 : Long.MAX_VALUE;
-    while (sent < limit) {
+    while (sent < response.bytes()) {
       exchange.output().write(block);
       sent += block.length;
       pieceBytes.addAndGet(block.length);
@@ -198,39 +242,30 @@
     exchange.connection().close();
   }
 
-  private void disturb(String form, ForwardFixture fixture) throws IOException {
+  private void disturb(ForwardFixture fixture) throws IOException {
     try (Socket socket = fixture.connect()) {
       switch (form) {
-        case "uploads" -> {
-          write(
-              socket,
-              "POST /once/upload HTTP/1.1\r\nHost: a.example\r\nX-Request: u\r\nTransfer-Encoding: chunked\r\n\r\n");
-          writeWithoutEnd(socket, "1\r\nx\r\n");
+        case Form.Nothing() -> pause(CALL_INTERVAL_MILLIS);
+        case Form.Response response -> {
+          String path = response.route() + "endless-" + started.incrementAndGet();
+          ForwardFixture.send(socket, path, "Connection: close\r\n", "");
+          readToEnd(socket);
         }
-        case "pipelined" -> {
+        case Form.Request request -> {
           Thread.ofVirtual().start(() -> readToEnd(socket));
-          writeWithoutEnd(socket, "GET /none HTTP/1.1\r\nHost: a.example\r\n\r\n");
-        }
-        default -> {
-          String route = form.equals("events") ? "/stream-once/" : "/once/";
-          ForwardFixture.send(
-              socket, route + "endless-" + started.incrementAndGet(), "Connection: close\r\n", "");
-          readToEnd(socket);
+          socket.getOutputStream().write(request.start().getBytes(StandardCharsets.US_ASCII));
+          byte[] block = block(request.piece());
+          while (true) {
+            socket.getOutputStream().write(block);
+            pieceBytes.addAndGet(block.length);
+          }
         }
       }
     }
   }
 
-  private static void write(Socket socket, String text) throws IOException {
-    socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
-  }
-
-  private void writeWithoutEnd(Socket socket, String piece) throws IOException {
-    String block = piece.repeat(BLOCK_BYTES / piece.length());
-    while (true) {
-      write(socket, block);
-      pieceBytes.addAndGet(block.length());
-    }
+  private static byte[] block(String piece) {
+    return piece.repeat(BLOCK_BYTES / piece.length()).getBytes(StandardCharsets.US_ASCII);
   }
 
   private static void readToEnd(Socket socket) {
