--- a/gateway/src/test/java/org/shallothold/gateway/forward/SmallPiecesProgram.java
+++ b/gateway/src/test/java/org/shallothold/gateway/forward/SmallPiecesProgram.java
@@ -18,7 +18,7 @@
 
 /**
  * Runs a gateway and servers in one process. Some connections make work in a given form; measures
- * what sound calls and sound streams beside them get, and how late the event loop is.
+ * what callers of sound calls and sound streams get beside them.
  *
  * <p>Arguments: form (none, events, bytes, uploads, pipelined, closing), number of connections,
  * seconds, bytes per millisecond of each connection (0: as many as the gateway takes).
