--- a/command/src/test/java/org/shallothold/command/logs/RequestStoryTest.java
+++ b/command/src/test/java/org/shallothold/command/logs/RequestStoryTest.java
@@ -74,22 +74,11 @@
   /** Guards against a 404 that doesn't lead to a platform that came back from an older copy. */
   @Test
   void restoreOfThePlatformIsTold() throws IOException {
-    Path restored =
-        Files.write(
-            directory.resolve("restored.log"),
-            List.of(
+    assertTrue(
+        storyWith(
                 "{\"time\":\"2026-01-01T00:00:02Z\",\"process\":\"one\","
                     + "\"event\":\"platform_restored\",\"topic\":\"CONFIGURATION\","
-                    + "\"era\":2,\"former_era\":1,\"missing\":0,\"outdated\":1}"));
-    logs();
-    LogFiles both =
-        LogFiles.read(
-            List.of(
-                directory.resolve("first.log").toString(),
-                directory.resolve("second.log").toString(),
-                restored.toString()));
-    assertTrue(
-        RequestStory.of(both, "r1")
+                    + "\"era\":2,\"former_era\":1,\"missing\":0,\"outdated\":1}")
             .contains(
                 "one had read era 2 of the platform after era 1 (CONFIGURATION) for 1500 ms;"
                     + " 0 items missing, 1 outdated"));
